--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+SHELL := /bin/bash
+GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+BUF := github.com/bufbuild/buf/cmd/buf@v1.75.0
+PROTOC_GEN_GO := google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+GOBIN := $(CURDIR)/.bin
+BIN := $(CURDIR)/bin
+
+.PHONY: build test fmt lint generate demo bench prove
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+test: fmt lint
+	go test ./...
+
+fmt:
+	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt would change:"; echo "$$out"; exit 1; fi
+
+lint: $(GOBIN)/golangci-lint
+	go vet ./...
+	$(GOBIN)/golangci-lint run ./...
+
+$(GOBIN)/golangci-lint:
+	GOBIN=$(GOBIN) go install $(GOLANGCI)
+
+generate:
+	GOBIN=$(GOBIN) go install $(BUF) $(PROTOC_GEN_GO)
+	PATH=$(GOBIN):$$PATH buf generate
+
+demo: build
+	$(BIN)/demo
--- /dev/null
+++ b/claim/claimpb/doc.go
@@ -0,0 +1,2 @@
+// Package claimpb holds the generated messages of the claim journal.
+package claimpb
--- /dev/null
+++ b/membership/rendezvous.go
@@ -0,0 +1,52 @@
+package membership
+
+import (
+	"hash/fnv"
+	"sort"
+)
+
+// Owner returns the id that has the highest rendezvous weight for key, or ""
+// if ids is empty. Every instance with the same ids picks the same owner.
+func Owner(key string, ids []string) string {
+	var owner string
+	var best uint64
+	for _, id := range ids {
+		weight := rendezvousWeight(key, id)
+		if owner == "" || weight > best || weight == best && id < owner {
+			owner, best = id, weight
+		}
+	}
+	return owner
+}
+
+// Ranked returns ids in descending rendezvous weight for key.
+func Ranked(key string, ids []string) []string {
+	ranked := append([]string(nil), ids...)
+	sort.Slice(ranked, func(i, j int) bool {
+		a, b := rendezvousWeight(key, ranked[i]), rendezvousWeight(key, ranked[j])
+		if a != b {
+			return a > b
+		}
+		return ranked[i] < ranked[j]
+	})
+	return ranked
+}
+
+func rendezvousWeight(key, id string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(id))
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of x; FNV alone leaves similar ids close together.
+// Source: finalizer of MurmurHash3.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/membership/rendezvous_test.go
@@ -0,0 +1,27 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/pomelolock/pomelolock/membership"
+)
+
+func TestOwnerMovesOnlyKeysOfRemovedInstance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 18).Draw(t, "instances")
+		var ids []string
+		for i := range n {
+			ids = append(ids, fmt.Sprintf("entry-%d", i))
+		}
+		key := rapid.String().Draw(t, "key")
+		removed := rapid.IntRange(0, n-1).Draw(t, "removed")
+		rest := append(append([]string(nil), ids[:removed]...), ids[removed+1:]...)
+		before, after := membership.Owner(key, ids), membership.Owner(key, rest)
+		if before != ids[removed] && before != after {
+			t.Fatalf("owner moved from %s to %s though %s left", before, after, ids[removed])
+		}
+	})
+}
--- /dev/null
+++ b/peer/peerpb/doc.go
@@ -0,0 +1,2 @@
+// Package peerpb holds the generated messages of the peer protocol.
+package peerpb
--- /dev/null
+++ b/peer/peertest/peertest.go
@@ -0,0 +1,222 @@
+// Package peertest provides an in-memory network of peer messengers with
+// delays and cuts. It works inside testing/synctest bubbles.
+package peertest
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pomelolock/pomelolock/peer"
+	"github.com/pomelolock/pomelolock/peer/peerpb"
+)
+
+type link struct{ from, to string }
+
+// Network joins messengers in memory. It is safe for concurrent use.
+type Network struct {
+	mu    sync.Mutex
+	nodes map[string]*Node
+	cut   map[link]bool
+	delay time.Duration
+}
+
+// NewNetwork returns a network with the given one-way delay.
+func NewNetwork(delay time.Duration) *Network {
+	return &Network{nodes: make(map[string]*Node), cut: make(map[link]bool), delay: delay}
+}
+
+// Join adds a node.
+func (n *Network) Join(id string) *Node {
+	node := &Node{id: id, net: n, handlers: make(map[peerpb.Kind]peer.Handler)}
+	n.mu.Lock()
+	n.nodes[id] = node
+	others := n.othersLocked(id)
+	n.mu.Unlock()
+	n.publish(id, others, true)
+	return node
+}
+
+// Leave removes a node, as a crash would.
+func (n *Network) Leave(id string) {
+	n.mu.Lock()
+	others := n.othersLocked(id)
+	delete(n.nodes, id)
+	n.mu.Unlock()
+	n.publish(id, others, false)
+}
+
+// SetCut cuts or heals the link between a and b in both directions.
+func (n *Network) SetCut(a, b string, cut bool) {
+	n.mu.Lock()
+	n.cut[link{a, b}] = cut
+	n.cut[link{b, a}] = cut
+	nodeA, nodeB := n.nodes[a], n.nodes[b]
+	n.mu.Unlock()
+	if nodeA != nil {
+		nodeA.emit(peer.Event{InstanceID: b, Up: !cut})
+	}
+	if nodeB != nil {
+		nodeB.emit(peer.Event{InstanceID: a, Up: !cut})
+	}
+}
+
+func (n *Network) othersLocked(id string) []*Node {
+	var others []*Node
+	for other, node := range n.nodes {
+		if other != id && !n.cut[link{id, other}] {
+			others = append(others, node)
+		}
+	}
+	return others
+}
+
+func (n *Network) publish(id string, others []*Node, up bool) {
+	for _, node := range others {
+		node.emit(peer.Event{InstanceID: id, Up: up})
+	}
+}
+
+func (n *Network) lookup(from, to string) (*Node, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.nodes[from] == nil || n.nodes[to] == nil || n.cut[link{from, to}] {
+		return nil, &peer.UnreachableError{InstanceID: to, Reason: "no session"}
+	}
+	return n.nodes[to], nil
+}
+
+// Node is one messenger of the network.
+type Node struct {
+	id  string
+	net *Network
+
+	mu       sync.Mutex
+	handlers map[peerpb.Kind]peer.Handler
+	events   []chan peer.Event
+}
+
+var _ peer.Messenger = (*Node)(nil)
+
+// Self implements [peer.Messenger].
+func (n *Node) Self() string { return n.id }
+
+// Handle implements [peer.Messenger].
+func (n *Node) Handle(kind peerpb.Kind, h peer.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[kind] = h
+}
+
+// Subscribe implements [peer.Messenger].
+func (n *Node) Subscribe(size int) <-chan peer.Event {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	events := make(chan peer.Event, size)
+	n.events = append(n.events, events)
+	return events
+}
+
+func (n *Node) emit(event peer.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, events := range n.events {
+		select {
+		case events <- event:
+		default:
+		}
+	}
+}
+
+// Connected implements [peer.Messenger].
+func (n *Node) Connected() []string {
+	n.net.mu.Lock()
+	defer n.net.mu.Unlock()
+	var ids []string
+	for _, node := range n.net.othersLocked(n.id) {
+		ids = append(ids, node.id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+func (n *Node) serve(ctx context.Context, from string, kind peerpb.Kind, payload []byte) ([]byte, error) {
+	n.mu.Lock()
+	h := n.handlers[kind]
+	n.mu.Unlock()
+	if h == nil {
+		return nil, &peer.RemoteError{InstanceID: n.id, Message: "no handler for " + kind.String()}
+	}
+	answer, err := h(ctx, from, payload)
+	if err != nil {
+		return nil, &peer.RemoteError{InstanceID: n.id, Message: err.Error()}
+	}
+	if answer == nil {
+		return nil, nil
+	}
+	return proto.Marshal(answer)
+}
+
+type result struct {
+	payload []byte
+	err     error
+}
+
+// Call implements [peer.Messenger].
+func (n *Node) Call(ctx context.Context, to string, kind peerpb.Kind, req, resp proto.Message) error {
+	target, err := n.net.lookup(n.id, to)
+	if err != nil {
+		return err
+	}
+	payload, err := proto.Marshal(req)
+	if err != nil {
+		return err
+	}
+	done := make(chan result, 1)
+	go func() {
+		n.pause(to)
+		answer, err := target.serve(ctx, n.id, kind, payload)
+		n.pause(to)
+		if _, cut := n.net.lookup(to, n.id); cut != nil {
+			err = &peer.LostError{InstanceID: to, Err: cut}
+		}
+		done <- result{answer, err}
+	}()
+	select {
+	case r := <-done:
+		if r.err != nil {
+			return r.err
+		}
+		return proto.Unmarshal(r.payload, resp)
+	case <-ctx.Done():
+		return &peer.LostError{InstanceID: to, Err: ctx.Err()}
+	}
+}
+
+// Send implements [peer.Messenger].
+func (n *Node) Send(to string, kind peerpb.Kind, msg proto.Message) error {
+	target, err := n.net.lookup(n.id, to)
+	if err != nil {
+		return err
+	}
+	payload, err := proto.Marshal(msg)
+	if err != nil {
+		return err
+	}
+	go func() {
+		n.pause(to)
+		if _, err := n.net.lookup(n.id, to); err == nil {
+			_, _ = target.serve(context.Background(), n.id, kind, payload)
+		}
+	}()
+	return nil
+}
+
+func (n *Node) pause(to string) {
+	if n.net.delay > 0 && to != n.id {
+		time.Sleep(n.net.delay)
+	}
+}
--- /dev/null
+++ b/slot/slotpb/doc.go
@@ -0,0 +1,2 @@
+// Package slotpb holds the generated messages of slot leases.
+package slotpb
--- /dev/null
+++ b/table/document.go
@@ -0,0 +1,128 @@
+package table
+
+import "time"
+
+// Mode selects what a service weighs more.
+type Mode string
+
+// Modes of a service.
+const (
+	// ModeTail spends hedges and kept slots to shorten the tail.
+	ModeTail Mode = "tail"
+	// ModeCost keeps measuring and extra attempts minimal.
+	ModeCost Mode = "cost"
+)
+
+// Policy selects how a service's requests choose a backend server.
+type Policy string
+
+// Policies of a service.
+const (
+	PolicyLeases    Policy = "leases"
+	PolicyBestOfTwo Policy = "best-of-two"
+	PolicyRandom    Policy = "random"
+)
+
+// ServerState is the state that operators give a backend server.
+type ServerState string
+
+// States of a backend server.
+const (
+	ServerServing  ServerState = "serving"
+	ServerDraining ServerState = "draining"
+)
+
+// Document is one whole table. Durations are integer milliseconds, as in a
+// spreadsheet.
+type Document struct {
+	// Version is assigned at acceptance; the first is 1.
+	Version uint64 `json:"version"`
+	// AcceptedAt, Author and Message describe the acceptance.
+	AcceptedAt time.Time `json:"accepted_at,omitzero"`
+	Author     string    `json:"author,omitempty"`
+	Message    string    `json:"message,omitempty"`
+
+	Fleet    Fleet     `json:"fleet"`
+	Services []Service `json:"services"`
+	Routes   []Route   `json:"routes"`
+	Servers  []Server  `json:"servers"`
+}
+
+// Fleet holds the limits that span all services.
+type Fleet struct {
+	// ClaimWritesPerSecond bounds the journal's table service writes of
+	// the whole fleet.
+	ClaimWritesPerSecond int `json:"claim_writes_per_second"`
+	// ClaimRetentionMS is how long a claimed key is remembered.
+	ClaimRetentionMS int64 `json:"claim_retention_ms"`
+	// ProbesPerSecond bounds the active probes of the whole fleet.
+	ProbesPerSecond int `json:"probes_per_second"`
+}
+
+// Service is one row of the services sheet.
+type Service struct {
+	Name   string `json:"name"`
+	Mode   Mode   `json:"mode"`
+	Policy Policy `json:"policy"`
+	// Weight is the service's share when services compete at an instance.
+	Weight int `json:"weight"`
+	// DeadlineMS is the longest time a request may take.
+	DeadlineMS int64 `json:"deadline_ms"`
+	// QueueLimit bounds the requests that wait at one instance.
+	QueueLimit int `json:"queue_limit"`
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// RetryPercent bounds retries and hedges, as a percentage of requests.
+	RetryPercent int `json:"retry_percent"`
+	// HedgePercentile is the latency percentile after which a repeatable
+	// request may be hedged; 0 disables hedging.
+	HedgePercentile float64 `json:"hedge_percentile"`
+	// CancelGraceMS is how long a backend server may go on with a request
+	// after its connection was closed; the slot stays charged meanwhile.
+	CancelGraceMS int64 `json:"cancel_grace_ms"`
+	// RampMS is the time over which a new backend server's slots open.
+	RampMS int64 `json:"ramp_ms"`
+	// ChecksMark tells that the backend servers echo X-Request-Id; an
+	// answer with another value is then discarded.
+	ChecksMark bool `json:"checks_mark"`
+	// ObjectivePercent is the share of requests that must be answered
+	// whole within ObjectiveLatencyMS.
+	ObjectivePercent   float64 `json:"objective_percent"`
+	ObjectiveLatencyMS int64   `json:"objective_latency_ms"`
+}
+
+// Route is one row of the routes sheet. The longest matching path prefix
+// wins, then a route with a method over one without, then one with a host
+// over one without.
+type Route struct {
+	// Host matches the request's host without its port; "" matches all.
+	Host string `json:"host,omitempty"`
+	// Method matches the request's method; "" matches all.
+	Method string `json:"method,omitempty"`
+	// PathPrefix matches the start of the path.
+	PathPrefix string `json:"path_prefix"`
+	Service    string `json:"service"`
+	// Repeatable tells that running a request twice does no harm.
+	Repeatable bool `json:"repeatable"`
+	// KeyRequired refuses non-repeatable requests without Idempotency-Key.
+	KeyRequired bool `json:"key_required,omitempty"`
+	// DeadlineMS overrides the service's deadline if not zero.
+	DeadlineMS int64 `json:"deadline_ms,omitempty"`
+}
+
+// Server is one row of the servers sheet: a backend server of a service.
+type Server struct {
+	Service string `json:"service"`
+	Name    string `json:"name"`
+	// Address is an IP address with a port.
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	// Weight is the preference among servers that are equally good.
+	Weight int `json:"weight"`
+	// Slots is the number of requests the server may run at once.
+	Slots int `json:"slots"`
+	// Connections is the number of connections the server may have open
+	// from the whole fleet.
+	Connections int         `json:"connections"`
+	State       ServerState `json:"state"`
+}
--- /dev/null
+++ b/table/snapshot.go
@@ -0,0 +1,146 @@
+package table
+
+import (
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Snapshot is an accepted document compiled for use. It is immutable.
+type Snapshot struct {
+	doc      Document
+	services map[string]*Service
+	servers  map[string][]Server
+	byName   map[string]Server
+	routes   []Route
+}
+
+// Compile builds the snapshot of a valid document.
+func Compile(doc Document) *Snapshot {
+	s := &Snapshot{
+		doc:      doc,
+		services: make(map[string]*Service, len(doc.Services)),
+		servers:  make(map[string][]Server, len(doc.Services)),
+		byName:   make(map[string]Server, len(doc.Servers)),
+		routes:   append([]Route(nil), doc.Routes...),
+	}
+	for i := range doc.Services {
+		s.services[doc.Services[i].Name] = &doc.Services[i]
+	}
+	for _, server := range doc.Servers {
+		s.servers[server.Service] = append(s.servers[server.Service], server)
+		s.byName[server.Name] = server
+	}
+	sort.SliceStable(s.routes, func(i, j int) bool { return moreSpecific(s.routes[i], s.routes[j]) })
+	return s
+}
+
+func moreSpecific(a, b Route) bool {
+	if len(a.PathPrefix) != len(b.PathPrefix) {
+		return len(a.PathPrefix) > len(b.PathPrefix)
+	}
+	if (a.Method == "") != (b.Method == "") {
+		return a.Method != ""
+	}
+	return a.Host != "" && b.Host == ""
+}
+
+// Version returns the accepted version.
+func (s *Snapshot) Version() uint64 { return s.doc.Version }
+
+// Document returns the compiled document, which must not be changed.
+func (s *Snapshot) Document() Document { return s.doc }
+
+// Fleet returns the limits that span all services.
+func (s *Snapshot) Fleet() Fleet { return s.doc.Fleet }
+
+// Service returns the service of that name, or nil. The result must not be
+// changed.
+func (s *Snapshot) Service(name string) *Service { return s.services[name] }
+
+// Servers returns the backend servers of a service, which must not be
+// changed.
+func (s *Snapshot) Servers(service string) []Server { return s.servers[service] }
+
+// Server returns the backend server of that name.
+func (s *Snapshot) Server(name string) (Server, bool) {
+	server, ok := s.byName[name]
+	return server, ok
+}
+
+// Match returns the most specific route of a request.
+func (s *Snapshot) Match(r *http.Request) (Route, bool) {
+	host := hostOnly(r.Host)
+	for _, route := range s.routes {
+		if route.Method != "" && route.Method != r.Method {
+			continue
+		}
+		if route.Host != "" && !strings.EqualFold(route.Host, host) {
+			continue
+		}
+		if strings.HasPrefix(r.URL.Path, route.PathPrefix) {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+func hostOnly(hostport string) string {
+	host, _, err := net.SplitHostPort(hostport)
+	if err != nil {
+		return hostport
+	}
+	return host
+}
+
+// Deadline returns the longest time a request of the route may take.
+func (s *Snapshot) Deadline(route Route) time.Duration {
+	ms := route.DeadlineMS
+	if service := s.services[route.Service]; ms == 0 && service != nil {
+		ms = service.DeadlineMS
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// Current holds the snapshot in force. Its version never decreases.
+type Current struct {
+	mu       sync.RWMutex
+	snapshot *Snapshot
+	changed  chan struct{}
+}
+
+// NewCurrent returns a Current without a snapshot.
+func NewCurrent() *Current {
+	return &Current{changed: make(chan struct{})}
+}
+
+// Load returns the snapshot in force, or nil before the first.
+func (c *Current) Load() *Snapshot {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.snapshot
+}
+
+// Swap puts next in force if its version is higher than the present one and
+// reports whether it did.
+func (c *Current) Swap(next *Snapshot) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.snapshot != nil && next.Version() <= c.snapshot.Version() {
+		return false
+	}
+	c.snapshot = next
+	close(c.changed)
+	c.changed = make(chan struct{})
+	return true
+}
+
+// Changed returns a channel that is closed at the next swap.
+func (c *Current) Changed() <-chan struct{} {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.changed
+}
