--- a/membership/rendezvous_test.go
+++ b/membership/rendezvous_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "github.com/pomelolock/pomelolock/internal/fixedseed"
 	"github.com/pomelolock/pomelolock/membership"
 )
 
