Mesh of peer sessions over yamux

Cause: instances had only the in-memory network of the tests. Change: peer.Mesh keeps one session per pair, redials with a jittered backoff, sends heartbeats, bounds queues and handlers, pairs calls by ID and tells calls that were certainly not handled from lost ones. Frames have a limit and typed errors; other versions, fleets and identities are refused. When both ends dial at once, the dialler names the session whose loss it answers, so that a crossing dial is told from a redial.

--- /dev/null
+++ b/peer/mesh_test.go
@@ -0,0 +1,379 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pomelolock/pomelolock/peer/peerpb"
+	"github.com/pomelolock/pomelolock/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	testKind = peerpb.Kind_KIND_CLAIM
+	// patience bounds waits whose end is certain.
+	patience = 30 * time.Second
+)
+
+// gate can freeze both directions of all its connections, as a stopped
+// process does, without closing them.
+type gate struct {
+	mu     sync.Mutex
+	frozen chan struct{}
+}
+
+func newGate() *gate {
+	open := make(chan struct{})
+	close(open)
+	return &gate{frozen: open}
+}
+
+func (g *gate) freeze() (thaw func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	frozen := make(chan struct{})
+	g.frozen = frozen
+	return sync.OnceFunc(func() { close(frozen) })
+}
+
+func (g *gate) pass() {
+	g.mu.Lock()
+	frozen := g.frozen
+	g.mu.Unlock()
+	<-frozen
+}
+
+type gatedConn struct {
+	net.Conn
+	gate *gate
+}
+
+func (c *gatedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.gate.pass()
+	return n, err
+}
+
+func (c *gatedConn) Write(p []byte) (int, error) {
+	c.gate.pass()
+	return c.Conn.Write(p)
+}
+
+func (c *gatedConn) Close() error {
+	c.gate.pass()
+	return c.Conn.Close()
+}
+
+type gatedListener struct {
+	net.Listener
+	gate *gate
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &gatedConn{conn, l.gate}, nil
+}
+
+type testMesh struct {
+	*Mesh
+	instance platform.Instance
+	gate     *gate
+}
+
+func startMesh(t *testing.T, id string, change func(*Options)) *testMesh {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gate := newGate()
+	self := platform.Instance{ID: id, DataCentre: "dc-1", PeerAddress: listener.Addr().String()}
+	opts := Options{
+		Fleet: "test", Self: self, Heartbeat: 100 * time.Millisecond,
+		RedialMin: 5 * time.Millisecond, RedialMax: 50 * time.Millisecond,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := dialTCP(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return &gatedConn{conn, gate}, nil
+		},
+	}
+	if change != nil {
+		change(&opts)
+	}
+	mesh := NewMesh(opts)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if err := mesh.Serve(context.Background(), &gatedListener{listener, gate}); err != nil {
+			t.Errorf("serve: %v", err)
+		}
+	})
+	t.Cleanup(func() {
+		mesh.Close()
+		wg.Wait()
+	})
+	return &testMesh{Mesh: mesh, instance: self, gate: gate}
+}
+
+func join(meshes ...*testMesh) {
+	var all []platform.Instance
+	for _, mesh := range meshes {
+		all = append(all, mesh.instance)
+	}
+	for _, mesh := range meshes {
+		mesh.SetTargets(all)
+	}
+}
+
+func awaitPeers(t *testing.T, mesh *testMesh, ids ...string) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	if len(ids) == 0 {
+		g.Eventually(mesh.Connected, patience).Should(gomega.BeEmpty())
+		return
+	}
+	g.Eventually(mesh.Connected, patience).Should(gomega.Equal(ids))
+}
+
+func echo(_ context.Context, from string, payload []byte) (proto.Message, error) {
+	notice := &peerpb.Notice{}
+	if err := proto.Unmarshal(payload, notice); err != nil {
+		return nil, err
+	}
+	if notice.GetLeavingInstance() == "fail" {
+		return nil, errors.New("asked to fail\xff")
+	}
+	notice.LeavingServers = append(notice.LeavingServers, from)
+	return notice, nil
+}
+
+func TestMeshKeepsOneSessionPerPairAndPairsCalls(t *testing.T) {
+	var meshes []*testMesh
+	for i := range 5 {
+		mesh := startMesh(t, fmt.Sprintf("entry-%d", i), nil)
+		mesh.Handle(testKind, echo)
+		meshes = append(meshes, mesh)
+	}
+	join(meshes...)
+	var ids []string
+	for _, mesh := range meshes {
+		ids = append(ids, mesh.Self())
+	}
+	for i, mesh := range meshes {
+		others := append(append([]string(nil), ids[:i]...), ids[i+1:]...)
+		awaitPeers(t, mesh, others...)
+	}
+	var wg sync.WaitGroup
+	for _, from := range meshes {
+		for _, to := range ids {
+			wg.Go(func() { callMany(t, from, to) })
+		}
+	}
+	wg.Wait()
+}
+
+func callMany(t *testing.T, from *testMesh, to string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for i := range 200 {
+		want := fmt.Sprintf("%s-%s-%d", from.Self(), to, i)
+		resp := &peerpb.Notice{}
+		err := from.Call(ctx, to, testKind, &peerpb.Notice{LeavingInstance: want}, resp)
+		if err != nil || resp.GetLeavingInstance() != want || resp.GetLeavingServers()[0] != from.Self() {
+			t.Errorf("call %s: got %v, error %v", want, resp, err)
+			return
+		}
+	}
+}
+
+func TestMeshErrorsTellWhetherTheCallWasHandled(t *testing.T) {
+	a, b := startMesh(t, "a", nil), startMesh(t, "b", nil)
+	entered := make(chan struct{})
+	b.Handle(testKind, echo)
+	b.Handle(peerpb.Kind_KIND_STATUS, func(ctx context.Context, _ string, _ []byte) (proto.Message, error) {
+		close(entered)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var unreachable *UnreachableError
+	if err := a.Call(ctx, "b", testKind, &peerpb.Notice{}, &peerpb.Notice{}); !errors.As(err, &unreachable) {
+		t.Fatalf("call without session: %v", err)
+	}
+	join(a, b)
+	awaitPeers(t, a, "b")
+	var remote *RemoteError
+	err := a.Call(ctx, "b", testKind, &peerpb.Notice{LeavingInstance: "fail"}, &peerpb.Notice{})
+	if !errors.As(err, &remote) || !strings.Contains(remote.Message, "asked to fail") {
+		t.Fatalf("failing handler: %v", err)
+	}
+	if err := a.Call(ctx, "b", peerpb.Kind_KIND_POISON, &peerpb.Notice{}, &peerpb.Notice{}); !errors.As(err, &remote) {
+		t.Fatalf("missing handler: %v", err)
+	}
+	result := make(chan error, 1)
+	go func() { result <- a.Call(ctx, "b", peerpb.Kind_KIND_STATUS, &peerpb.Notice{}, &peerpb.Notice{}) }()
+	<-entered
+	b.Close()
+	var lost *LostError
+	if err := <-result; !errors.As(err, &lost) {
+		t.Fatalf("call to a closed peer: %v", err)
+	}
+	awaitPeers(t, a)
+}
+
+func TestMeshDetectsFrozenPeerAndReturnsAfterThaw(t *testing.T) {
+	a, b := startMesh(t, "a", nil), startMesh(t, "b", nil)
+	b.Handle(testKind, echo)
+	events := a.Subscribe(16)
+	join(a, b)
+	awaitPeers(t, a, "b")
+	awaitPeers(t, b, "a")
+	thaw := b.gate.freeze()
+	defer thaw()
+	err := a.Call(context.Background(), "b", testKind, &peerpb.Notice{}, &peerpb.Notice{})
+	var lost *LostError
+	var silence *SilenceError
+	if !errors.As(err, &lost) || !errors.As(err, &silence) {
+		t.Fatalf("call to a frozen peer: %v", err)
+	}
+	awaitPeers(t, a)
+	thaw()
+	awaitPeers(t, a, "b")
+	for i, up := range []bool{true, false, true} {
+		if event := <-events; event.Up != up || event.InstanceID != "b" {
+			t.Fatalf("event %d: %+v", i, event)
+		}
+	}
+}
+
+func TestMeshBoundsQueueAndHandlers(t *testing.T) {
+	a := startMesh(t, "a", func(o *Options) { o.QueueSize = 4 })
+	b := startMesh(t, "b", func(o *Options) { o.MaxHandlers = 1 })
+	release := make(chan struct{})
+	entered := make(chan struct{}, 1)
+	b.Handle(testKind, func(context.Context, string, []byte) (proto.Message, error) {
+		select {
+		case entered <- struct{}{}:
+		default:
+		}
+		<-release
+		return nil, nil
+	})
+	join(a, b)
+	awaitPeers(t, a, "b")
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	first := make(chan error, 1)
+	go func() { first <- a.Call(ctx, "b", testKind, &peerpb.Notice{}, &peerpb.Notice{}) }()
+	<-entered
+	var unreachable *UnreachableError
+	if err := a.Call(ctx, "b", testKind, &peerpb.Notice{}, &peerpb.Notice{}); !errors.As(err, &unreachable) {
+		t.Fatalf("call beyond the handlers: %v", err)
+	}
+	close(release)
+	if err := <-first; err != nil {
+		t.Fatalf("first call: %v", err)
+	}
+	thaw := a.gate.freeze()
+	defer thaw()
+	full := func() error {
+		return a.Send("b", testKind, &peerpb.Notice{LeavingInstance: strings.Repeat("x", 1000)})
+	}
+	gomega.NewWithT(t).Eventually(full, patience, time.Microsecond).Should(gomega.BeAssignableToTypeOf(unreachable))
+	if a.Stats().Dropped == 0 {
+		t.Fatal("no message counted as dropped")
+	}
+}
+
+func TestMeshRefusesOtherFleetVersionAndIdentity(t *testing.T) {
+	a := startMesh(t, "a", nil)
+	tests := []struct {
+		name string
+		peer *testMesh
+		want string
+		err  any
+	}{
+		{"version", startMesh(t, "b", func(o *Options) { o.version = ProtocolVersion + 1 }), "a", new(*VersionError)},
+		{"fleet", startMesh(t, "c", func(o *Options) { o.Fleet = "other" }), "a", new(*FleetError)},
+		{"identity", startMesh(t, "d", nil), "another", new(*IdentityError)},
+		{"self", startMesh(t, "a", nil), "a", new(*IdentityError)},
+	}
+	for _, test := range tests {
+		_, err := test.peer.dialSession(context.Background(), test.want, a.instance.PeerAddress, 0)
+		if err == nil || !errors.As(err, test.err) {
+			t.Errorf("%s: got %v", test.name, err)
+		}
+	}
+}
+
+func TestMeshSurvivesGarbage(t *testing.T) {
+	a, b := startMesh(t, "a", nil), startMesh(t, "b", nil)
+	b.Handle(testKind, echo)
+	for _, garbage := range []string{"GET / HTTP/1.1\r\n\r\n", "\x00\x00\x00\x01\x00\x00\x00\x01\x00\x00\xff\xff", ""} {
+		conn, err := net.Dial("tcp", b.instance.PeerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = conn.Write([]byte(garbage))
+		conn.Close()
+	}
+	gomega.NewWithT(t).Eventually(func() uint64 { return b.Stats().Refused }, patience).Should(gomega.BeEquivalentTo(3))
+	join(a, b)
+	awaitPeers(t, a, "b")
+	callMany(t, a, "b")
+}
+
+// TestMeshConvergesWhenBothDialAtOnce cuts and heals a pair many times. After
+// each heal both ends must agree on one session that carries calls.
+func TestMeshConvergesWhenBothDialAtOnce(t *testing.T) {
+	a := startMesh(t, "a", func(o *Options) { o.RedialMin = time.Microsecond })
+	b := startMesh(t, "b", func(o *Options) { o.RedialMin = time.Microsecond })
+	a.Handle(testKind, echo)
+	b.Handle(testKind, echo)
+	join(a, b)
+	for range 20 {
+		awaitPeers(t, a, "b")
+		awaitPeers(t, b, "a")
+		gomega.NewWithT(t).Eventually(func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			return errors.Join(
+				a.Call(ctx, "b", testKind, &peerpb.Notice{}, &peerpb.Notice{}),
+				b.Call(ctx, "a", testKind, &peerpb.Notice{}, &peerpb.Notice{}))
+		}, patience, time.Millisecond).Should(gomega.Succeed())
+		if s, err := a.session("b"); err == nil {
+			s.conn.Close()
+		}
+	}
+}
+
+func TestMeshCountsTrafficByKind(t *testing.T) {
+	a, b := startMesh(t, "a", nil), startMesh(t, "b", nil)
+	b.Handle(testKind, echo)
+	join(a, b)
+	awaitPeers(t, a, "b")
+	callMany(t, a, "b")
+	for _, kind := range a.Stats().Kinds {
+		if kind.Kind == testKind && kind.Sent.Messages == 200 && kind.Received.Messages == 200 &&
+			kind.Sent.Bytes > 200*frameHeaderBytes {
+			return
+		}
+	}
+	t.Fatalf("got %+v", a.Stats())
+}
--- /dev/null
+++ b/peer/stats.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"net"
+	"sync/atomic"
+
+	"github.com/pomelolock/pomelolock/peer/peerpb"
+)
+
+// kindLimit bounds the kinds that are counted apart; higher kinds count as
+// unspecified.
+const kindLimit = 128
+
+// Traffic counts messages and their encoded bytes with frame headers.
+type Traffic struct {
+	Messages uint64
+	Bytes    uint64
+}
+
+// KindStats is the traffic of one kind of message.
+type KindStats struct {
+	Kind     peerpb.Kind
+	Sent     Traffic
+	Received Traffic
+}
+
+// Stats are the totals of a mesh since its start.
+type Stats struct {
+	// Sessions is the number of open sessions.
+	Sessions int
+	// Opened and Lost count sessions over time.
+	Opened, Lost uint64
+	// DialFailures counts failed attempts to open a session.
+	DialFailures uint64
+	// Refused counts incoming connections that did not become sessions.
+	Refused uint64
+	// Dropped counts messages for which a queue or the handlers had no
+	// room.
+	Dropped uint64
+	// WireSent and WireReceived are bytes on TCP connections, including
+	// multiplexing and TLS.
+	WireSent, WireReceived uint64
+	// Kinds holds the kinds with traffic, in ascending order. Heartbeats
+	// count as unspecified.
+	Kinds []KindStats
+}
+
+type trafficCounter struct {
+	messages atomic.Uint64
+	bytes    atomic.Uint64
+}
+
+func (c *trafficCounter) add(bytes int) {
+	c.messages.Add(1)
+	c.bytes.Add(uint64(bytes))
+}
+
+func (c *trafficCounter) load() Traffic {
+	return Traffic{Messages: c.messages.Load(), Bytes: c.bytes.Load()}
+}
+
+type counters struct {
+	opened, lost, dialFailures, refused, dropped atomic.Uint64
+	wireSent, wireReceived                       atomic.Uint64
+	sent, received                               [kindLimit]trafficCounter
+}
+
+func kindIndex(kind peerpb.Kind) int {
+	if kind < 0 || kind >= kindLimit {
+		return 0
+	}
+	return int(kind)
+}
+
+func (c *counters) snapshot(sessions int) Stats {
+	stats := Stats{
+		Sessions:     sessions,
+		Opened:       c.opened.Load(),
+		Lost:         c.lost.Load(),
+		DialFailures: c.dialFailures.Load(),
+		Refused:      c.refused.Load(),
+		Dropped:      c.dropped.Load(),
+		WireSent:     c.wireSent.Load(),
+		WireReceived: c.wireReceived.Load(),
+	}
+	for i := range kindLimit {
+		kind := KindStats{Kind: peerpb.Kind(i), Sent: c.sent[i].load(), Received: c.received[i].load()}
+		if kind.Sent.Messages > 0 || kind.Received.Messages > 0 {
+			stats.Kinds = append(stats.Kinds, kind)
+		}
+	}
+	return stats
+}
+
+// countedConn adds the bytes of a connection to the totals.
+type countedConn struct {
+	net.Conn
+	counters *counters
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counters.wireReceived.Add(uint64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counters.wireSent.Add(uint64(n))
+	return n, err
+}
