Carry requests to backend servers and their answers back

Cause: the whole path needs a request side that never passes a broken answer off as whole and never lets net/http resend a request that must not repeat. Seen failing first, by turning each mechanism off: key names left canonical, empty bodies rewindable, not-run without proof, marks unchecked, unframed answers accepted, broken stream not aborted, orders retried.

--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -22,6 +22,8 @@
 	HeaderDeadline = "Request-Timeout-Ms"
 	// HeaderIdempotencyKey names a request that must not repeat.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderCaller names the caller for fair queueing.
+	HeaderCaller = "Caller-Id"
 	// HeaderReplayed marks an answer kept from the first run of a key.
 	HeaderReplayed = "Idempotency-Replayed"
 )
--- /dev/null
+++ b/proxy/header.go
@@ -0,0 +1,87 @@
+package proxy
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pomelolock/pomelolock/loadbalancer"
+	"github.com/pomelolock/pomelolock/outcome"
+)
+
+// Source: RFC 9110, section 7.6.1, and the headers that proxies drop besides.
+var hopByHop = []string{
+	"Connection",
+	"Proxy-Connection",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+}
+
+// endToEnd returns a copy of header without hop-by-hop fields.
+func endToEnd(header http.Header) http.Header {
+	out := header.Clone()
+	for _, field := range header["Connection"] {
+		for name := range strings.SplitSeq(field, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+// parseLoad reads the load report of an answer, or returns nil. A malformed
+// report is ignored.
+func parseLoad(header http.Header) *loadbalancer.Load {
+	draining := header.Get(outcome.HeaderDraining) == "true"
+	inFlight, slots, ok := strings.Cut(header.Get(outcome.HeaderLoad), "/")
+	n, errN := strconv.Atoi(inFlight)
+	m, errM := strconv.Atoi(slots)
+	if !ok || errN != nil || errM != nil || n < 0 || m < 0 {
+		if !draining {
+			return nil
+		}
+		n, m = 0, 0
+	}
+	return &loadbalancer.Load{InFlight: n, Slots: m, Draining: draining}
+}
+
+// callerTimeout reads the deadline header in milliseconds. Zero means that
+// the caller set none.
+func callerTimeout(header http.Header) (time.Duration, error) {
+	value := header.Get(outcome.HeaderDeadline)
+	if value == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(value, 10, 32)
+	if err != nil || ms <= 0 {
+		return 0, &HeaderError{Name: outcome.HeaderDeadline, Value: value}
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+const maxRequestIDLength = 128
+
+func validRequestID(id string) bool {
+	if id == "" || len(id) > maxRequestIDLength {
+		return false
+	}
+	return !strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
+const maxKeyLength = 256
+
+func validKey(key string) bool {
+	if len(key) > maxKeyLength {
+		return false
+	}
+	return !strings.ContainsFunc(key, func(r rune) bool { return r < ' ' || r > '~' })
+}
--- /dev/null
+++ b/proxy/proxy_test.go
@@ -0,0 +1,239 @@
+package proxy_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	_ "github.com/pomelolock/pomelolock/internal/fixedseed"
+	"github.com/pomelolock/pomelolock/outcome"
+	"github.com/pomelolock/pomelolock/table"
+)
+
+// reply is what a caller sees of one request.
+type reply struct {
+	status  int
+	outcome string
+	body    string
+	// whole is false if the answer broke off.
+	whole bool
+}
+
+func (b *testbed) send(t gomega.Gomega, method, path, id, key, body string) reply {
+	req, err := http.NewRequest(method, b.front.URL+path, strings.NewReader(body))
+	t.Expect(err).NotTo(gomega.HaveOccurred())
+	req.Header.Set(outcome.HeaderRequestID, id)
+	if key != "" {
+		req.Header.Set(outcome.HeaderIdempotencyKey, key)
+	}
+	// A transport without reuse never resends by itself.
+	transport := &http.Transport{DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return reply{}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header.Get(outcome.HeaderOutcome), string(data), err == nil}
+}
+
+// outcomeCase is one request and the points at which the first two servers
+// break it off.
+type outcomeCase struct {
+	first, second fault
+	order, keyed  bool
+	method, body  string
+	// warm puts an idle connection to the first server beforehand.
+	warm bool
+}
+
+// outcomeBeds run cases: one whose first server listens, one whose does not.
+type outcomeBeds struct {
+	open, closed *testbed
+	next         [2]atomic.Int32
+	sequence     int
+}
+
+func newOutcomeBeds(t *testing.T) *outcomeBeds {
+	beds := &outcomeBeds{}
+	script := func(i int) func() fault {
+		return func() fault { return fault(beds.next[i].Load()) }
+	}
+	beds.open = newTestbed(t, nil, script(0), script(1))
+	unreachable := func(doc *table.Document) { doc.Servers[0].Address = closedAddress(t) }
+	beds.closed = newTestbed(t, unreachable, script(0), script(1))
+	return beds
+}
+
+func (b *outcomeBeds) set(first, second fault) {
+	b.next[0].Store(int32(first))
+	b.next[1].Store(int32(second))
+}
+
+func (b *outcomeBeds) check(g gomega.Gomega, c outcomeCase) {
+	bed := b.open
+	if c.first == faultRefuseDial {
+		bed = b.closed
+	}
+	if c.warm {
+		b.set(faultNone, faultNone)
+		bed.send(g, http.MethodGet, "/lookup", "warm", "", "")
+	}
+	b.set(c.first, c.second)
+	b.sequence++
+	id := fmt.Sprintf("request-%d", b.sequence)
+	path, key := "/lookup", ""
+	if c.order {
+		path = "/order"
+	}
+	if c.keyed {
+		key = "key-" + id
+	}
+	judge(g, bed, bed.send(g, c.method, path, id, key, c.body), id, c.order)
+	if c.order && c.keyed {
+		judge(g, bed, bed.send(g, c.method, path, id, key, c.body), id, c.order)
+	}
+}
+
+var (
+	outcomeMethods = []string{http.MethodGet, http.MethodPost}
+	outcomeBodies  = []string{"", "roll 7"}
+)
+
+// TestOutcomesAreTruthful breaks requests off at every point and judges the
+// answers by what the servers ran.
+func TestOutcomesAreTruthful(t *testing.T) {
+	beds := newOutcomeBeds(t)
+	rapid.Check(t, func(rt *rapid.T) {
+		beds.check(gomega.NewWithT(rt), outcomeCase{
+			first:  fault(rapid.IntRange(0, int(faultCount)-1).Draw(rt, "first")),
+			second: fault(rapid.IntRange(int(faultRefuseDial)+1, int(faultCount)-1).Draw(rt, "second")),
+			order:  rapid.Bool().Draw(rt, "order"),
+			keyed:  rapid.Bool().Draw(rt, "keyed"),
+			method: rapid.SampledFrom(outcomeMethods).Draw(rt, "method"),
+			body:   rapid.SampledFrom(outcomeBodies).Draw(rt, "body"),
+			warm:   rapid.Bool().Draw(rt, "warm"),
+		})
+	})
+}
+
+// TestOrdersRunAtMostOnceOnReusedConnections covers each kind of order whose
+// connection the transport took from its pool.
+func TestOrdersRunAtMostOnceOnReusedConnections(t *testing.T) {
+	beds := newOutcomeBeds(t)
+	for f := range faultCount {
+		for _, method := range outcomeMethods {
+			for _, body := range outcomeBodies {
+				for _, keyed := range []bool{false, true} {
+					beds.check(gomega.NewWithT(t), outcomeCase{
+						first: f, order: true, keyed: keyed, method: method, body: body, warm: true,
+					})
+				}
+			}
+		}
+	}
+}
+
+func judge(g gomega.Gomega, bed *testbed, got reply, id string, order bool) {
+	runs := bed.runs(id)
+	if order {
+		g.Expect(runs).To(gomega.BeNumerically("<=", 1), "an order ran more than once")
+	}
+	if !got.whole {
+		return
+	}
+	switch outcome.Outcome(got.outcome) {
+	case outcome.NotRun:
+		g.Expect(runs).To(gomega.BeZero(), "a request answered as not run was run")
+	case outcome.Ran:
+		if got.status == http.StatusOK {
+			g.Expect(got.body).To(gomega.Equal(answerText+id), "an answer is not whole or another's")
+		}
+	case outcome.Unknown:
+	default:
+		g.Expect(got.outcome).NotTo(gomega.BeEmpty(), "an answer has no outcome")
+	}
+}
+
+func closedAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func always(f fault) func() fault { return func() fault { return f } }
+
+func TestLookupMovesToAnotherServer(t *testing.T) {
+	for f := faultCloseOnAccept; f < faultCount; f++ {
+		if f == faultCloseMidLongAnswer {
+			continue
+		}
+		g := gomega.NewWithT(t)
+		bed := newTestbed(t, nil, always(f), always(faultNone))
+		got := bed.send(g, http.MethodGet, "/lookup", "a", "", "")
+		g.Expect(got).To(gomega.Equal(reply{http.StatusOK, string(outcome.Ran), answerText + "a", true}), "fault %d", f)
+	}
+}
+
+func TestLongAnswerCutShortIsNotWhole(t *testing.T) {
+	g := gomega.NewWithT(t)
+	bed := newTestbed(t, nil, always(faultCloseMidLongAnswer))
+	got := bed.send(g, http.MethodGet, "/lookup", "a", "", "")
+	g.Expect(got.whole).To(gomega.BeFalse())
+}
+
+func TestKeyedOrderIsReplayed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	bed := newTestbed(t, nil, always(faultNone))
+	first := bed.send(g, http.MethodPost, "/order", "a", "k", "roll 7")
+	again := bed.send(g, http.MethodPost, "/order", "b", "k", "roll 7")
+	g.Expect(again).To(gomega.Equal(first))
+	g.Expect(bed.runs("a") + bed.runs("b")).To(gomega.Equal(1))
+}
+
+func TestBadRequestsGetTypedAnswers(t *testing.T) {
+	bed := newTestbed(t, func(doc *table.Document) {
+		doc.Services[0].MaxBodyBytes = 10
+		doc.Routes = append(doc.Routes, table.Route{PathPrefix: "/keyed", Service: "stock", KeyRequired: true})
+	}, always(faultNone))
+	cases := []struct {
+		name, path, body, header, value string
+		status                          int
+		code                            outcome.Code
+	}{
+		{"no route", "/nothing", "", "", "", http.StatusNotFound, outcome.CodeNoRoute},
+		{"long body", "/order", "more than ten bytes", "", "", http.StatusRequestEntityTooLarge, outcome.CodeBodyTooLarge},
+		{"bad deadline", "/order", "", outcome.HeaderDeadline, "soon", http.StatusBadRequest, outcome.CodeBadRequest},
+		{"long key", "/order", "", outcome.HeaderIdempotencyKey, strings.Repeat("k", 300), http.StatusBadRequest, outcome.CodeBadRequest},
+		{"no key", "/keyed", "", "", "", http.StatusBadRequest, outcome.CodeKeyRequired},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			req, err := http.NewRequest(http.MethodPost, bed.front.URL+c.path, strings.NewReader(c.body))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			if c.header != "" {
+				req.Header.Set(c.header, c.value)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer resp.Body.Close()
+			data, err := io.ReadAll(resp.Body)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(resp.StatusCode).To(gomega.Equal(c.status))
+			g.Expect(resp.Header.Get(outcome.HeaderOutcome)).To(gomega.Equal(string(outcome.NotRun)))
+			g.Expect(string(data)).To(gomega.ContainSubstring(string(c.code)))
+		})
+	}
+}
--- /dev/null
+++ b/proxy/scripted_test.go
@@ -0,0 +1,239 @@
+package proxy_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/pomelolock/pomelolock/claim"
+	"github.com/pomelolock/pomelolock/loadbalancer"
+	"github.com/pomelolock/pomelolock/outcome"
+	"github.com/pomelolock/pomelolock/proxy"
+	"github.com/pomelolock/pomelolock/table"
+)
+
+// fault is the point at which a scripted server breaks an exchange off.
+type fault int
+
+const (
+	faultNone fault = iota
+	faultRefuseDial
+	faultCloseOnAccept
+	faultCloseAfterFirstByte
+	faultRefuseNotRun
+	faultCloseAfterRun
+	faultCloseMidAnswer
+	faultCloseMidLongAnswer
+	faultUnframedAnswer
+	faultWrongMark
+	faultServerError
+	faultCount
+)
+
+const answerText = "whole answer of "
+
+// scriptedServer serves each request with the next fault of its script and
+// records what it ran.
+type scriptedServer struct {
+	name     string
+	listener net.Listener
+	script   func() fault
+
+	mu  sync.Mutex
+	ran map[string]int
+}
+
+func startServer(t testing.TB, name string, script func() fault) *scriptedServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scriptedServer{name: name, listener: listener, script: script, ran: make(map[string]int)}
+	go s.accept()
+	t.Cleanup(func() { listener.Close() })
+	return s
+}
+
+func (s *scriptedServer) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(conn)
+	}
+}
+
+func (s *scriptedServer) runs(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ran[id]
+}
+
+func (s *scriptedServer) serve(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
+		if !s.exchange(conn, r, s.script()) {
+			return
+		}
+	}
+}
+
+// exchange serves one request and reports whether the connection stays open.
+func (s *scriptedServer) exchange(conn net.Conn, r *bufio.Reader, f fault) bool {
+	if f == faultCloseAfterFirstByte || f == faultCloseOnAccept {
+		return false
+	}
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return false
+	}
+	id := req.Header.Get(outcome.HeaderRequestID)
+	if f == faultRefuseNotRun {
+		fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\n%s: true\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+			outcome.HeaderNotRun, outcome.HeaderRequestID, id)
+		return true
+	}
+	s.mu.Lock()
+	s.ran[id]++
+	s.mu.Unlock()
+	return answerWith(conn, id, f)
+}
+
+func answerWith(conn net.Conn, id string, f fault) bool {
+	text := answerText + id
+	status := "200 OK"
+	switch f {
+	case faultCloseAfterRun:
+		return false
+	case faultWrongMark:
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: other\r\nContent-Length: 5\r\n\r\nother", outcome.HeaderRequestID)
+		return true
+	case faultUnframedAnswer:
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nConnection: close\r\n\r\n%s", outcome.HeaderRequestID, id, text[:3])
+		return false
+	case faultCloseMidAnswer:
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", outcome.HeaderRequestID, id, len(text), text[:3])
+		return false
+	case faultCloseMidLongAnswer:
+		const chunk = 200 << 10
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", outcome.HeaderRequestID, id, chunk)
+		_, _ = conn.Write(make([]byte, chunk))
+		_, _ = conn.Write([]byte("\r\n"))
+		return false
+	case faultServerError:
+		status = "500 Failed"
+	default:
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", status, outcome.HeaderRequestID, id, len(text), text)
+	return true
+}
+
+// inOrder hands out the first server that is not excluded.
+type inOrder struct{ servers []table.Server }
+
+func (b *inOrder) Acquire(ctx context.Context, req loadbalancer.Request) (*loadbalancer.Permit, error) {
+	for _, server := range b.servers {
+		if !slices.Contains(req.Exclude, server.Name) {
+			return loadbalancer.NewPermit(server, func(loadbalancer.Result) {}), ctx.Err()
+		}
+	}
+	return nil, &loadbalancer.NoServerError{Service: req.Service}
+}
+
+// memoryClaims is a claimer for one process.
+type memoryClaims struct {
+	mu   sync.Mutex
+	keys map[string]claim.Decision
+}
+
+func (m *memoryClaims) Claim(_ context.Context, req claim.Request) (claim.Decision, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if decision, ok := m.keys[req.Key]; ok {
+		return decision, nil
+	}
+	m.keys[req.Key] = claim.Decision{Verdict: claim.InProgress}
+	return claim.Decision{Verdict: claim.Run}, nil
+}
+
+func (m *memoryClaims) Finish(req claim.Request, state claim.EndState, answer *claim.Answer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case state == claim.EndNotRun:
+		delete(m.keys, req.Key)
+	case state == claim.EndUnknown:
+		m.keys[req.Key] = claim.Decision{Verdict: claim.Unknown}
+	case answer == nil:
+		m.keys[req.Key] = claim.Decision{Verdict: claim.Finished}
+	default:
+		m.keys[req.Key] = claim.Decision{Verdict: claim.Replay, Answer: answer}
+	}
+}
+
+// testbed is one proxy before scripted servers.
+type testbed struct {
+	proxy   *proxy.Proxy
+	front   *httptest.Server
+	servers []*scriptedServer
+}
+
+func newTestbed(t testing.TB, change func(*table.Document), scripts ...func() fault) *testbed {
+	bed := &testbed{}
+	doc := table.Document{
+		Version: 1,
+		Services: []table.Service{{
+			Name: "stock", DeadlineMS: 5000, MaxBodyBytes: 1 << 20, RetryPercent: 100, ChecksMark: true,
+		}},
+		Routes: []table.Route{
+			{PathPrefix: "/lookup", Service: "stock", Repeatable: true},
+			{PathPrefix: "/order", Service: "stock"},
+		},
+	}
+	for i, script := range scripts {
+		s := startServer(t, fmt.Sprintf("server-%d", i), script)
+		bed.servers = append(bed.servers, s)
+		doc.Servers = append(doc.Servers, table.Server{
+			Service: "stock", Name: s.name, Address: s.listener.Addr().String(), Weight: 1, Slots: 6,
+		})
+	}
+	if change != nil {
+		change(&doc)
+	}
+	current := table.NewCurrent()
+	current.Swap(table.Compile(doc))
+	bed.proxy = proxy.New(proxy.Options{
+		Current: current, Balancer: &inOrder{doc.Servers}, Instance: "entry-1",
+		Claimer: &memoryClaims{keys: make(map[string]claim.Decision)},
+		Logger:  slog.New(slog.DiscardHandler),
+	})
+	bed.front = httptest.NewUnstartedServer(bed.proxy)
+	bed.front.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+	bed.front.Start()
+	t.Cleanup(bed.front.Close)
+	return bed
+}
+
+func (b *testbed) runs(id string) int {
+	total := 0
+	for _, s := range b.servers {
+		total += s.runs(id)
+	}
+	return total
+}
