--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,112 @@
+// Package metrics keeps the metrics of one instance in a go-metrics registry
+// and serves them in the Prometheus text format.
+//
+// All metrics are registered at the start under constant names, so that their
+// number does not grow with traffic; docs/METRICS.md lists them.
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// prefix starts the name of each metric.
+const prefix = "pomelolock_"
+
+// contentType names the text format. Source: Prometheus exposition formats.
+const contentType = "text/plain; version=0.0.4; charset=utf-8"
+
+// DuplicateError reports a name that is registered twice.
+type DuplicateError struct{ Name string }
+
+func (e *DuplicateError) Error() string { return fmt.Sprintf("metrics: %s is registered twice", e.Name) }
+
+type description struct {
+	help    string
+	counter bool
+}
+
+func (d description) kind() string {
+	if d.counter {
+		return "counter"
+	}
+	return "gauge"
+}
+
+// Registry holds the metrics of an instance. It is safe for concurrent use.
+type Registry struct {
+	registry gometrics.Registry
+
+	mu           sync.Mutex
+	descriptions map[string]description
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{registry: gometrics.NewRegistry(), descriptions: make(map[string]description)}
+}
+
+// Counter registers a value that only grows and is read when scraped.
+func (r *Registry) Counter(name, help string, read func() uint64) error {
+	return r.register(name, description{help: help, counter: true}, func() float64 { return float64(read()) })
+}
+
+// Gauge registers a value that is read when scraped.
+func (r *Registry) Gauge(name, help string, read func() float64) error {
+	return r.register(name, description{help: help}, read)
+}
+
+func (r *Registry) register(name string, d description, read func() float64) error {
+	if err := r.registry.Register(name, gometrics.NewFunctionalGaugeFloat64(read)); err != nil {
+		return &DuplicateError{Name: name}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.descriptions[name] = d
+	return nil
+}
+
+// Names returns the names of all metrics with their prefix, sorted.
+func (r *Registry) Names() []string {
+	var names []string
+	r.registry.Each(func(name string, _ any) { names = append(names, prefix+name) })
+	sort.Strings(names)
+	return names
+}
+
+// WriteText writes all metrics in the Prometheus text format.
+func (r *Registry) WriteText(w io.Writer) error {
+	for _, full := range r.Names() {
+		name := strings.TrimPrefix(full, prefix)
+		gauge, ok := r.registry.Get(name).(gometrics.GaugeFloat64)
+		if !ok {
+			continue
+		}
+		d := r.description(name)
+		_, err := fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s %s\n%s %s\n",
+			full, d.help, full, d.kind(), full, strconv.FormatFloat(gauge.Value(), 'g', -1, 64))
+		if err != nil {
+			return fmt.Errorf("write metric %s: %w", full, err)
+		}
+	}
+	return nil
+}
+
+func (r *Registry) description(name string) description {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.descriptions[name]
+}
+
+// ServeHTTP implements [http.Handler].
+func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", contentType)
+	_ = r.WriteText(w)
+}
