--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -26,7 +26,9 @@
 // DuplicateError reports a name that is registered twice.
 type DuplicateError struct{ Name string }
 
-func (e *DuplicateError) Error() string { return fmt.Sprintf("metrics: %s is registered twice", e.Name) }
+func (e *DuplicateError) Error() string {
+	return fmt.Sprintf("metrics: %s is registered twice", e.Name)
+}
 
 type description struct {
 	help    string
