Add parsing, checks, diff, CSV and the store of the table

Cause: operators edit the table as a spreadsheet and accept it as a whole; two may accept at once, and the store may lose answers or answer stale. Change: Parse and Validate list every fault with sheet, row, column and line; Diff names rows and cells; CSV has one file per sheet. Store writes a document under its checksum first and accepts it by one conditional write of a small head record; a lost answer is settled by the acceptance ID in that record. Documents name the checksum of the version before, so history is a chain. Seen failing: unknown outcomes not settled -> TestLostAnswerIsSettledByReadingBack; base not checked -> TestTwoOperatorsAtOnceGiveOneConflictWithDiff and TestAcceptedVersionsFormOneChain; stale reads trusted -> the latter two; objects named by acceptance ID in place of checksum -> TestAcceptedVersionsFormOneChain (a retry after a stale read replaced an accepted document).

--- a/table/document.go
+++ b/table/document.go
@@ -41,6 +41,10 @@
 	AcceptedAt time.Time `json:"accepted_at,omitzero"`
 	Author     string    `json:"author,omitempty"`
 	Message    string    `json:"message,omitempty"`
+	// AcceptanceID names the acceptance. PreviousSum is the checksum of the
+	// version before, so that accepted versions form a chain.
+	AcceptanceID string `json:"acceptance_id,omitempty"`
+	PreviousSum  string `json:"previous_sum,omitempty"`
 
 	Fleet    Fleet     `json:"fleet"`
 	Services []Service `json:"services"`
@@ -52,43 +56,43 @@
 type Fleet struct {
 	// ClaimWritesPerSecond bounds the journal's table service writes of
 	// the whole fleet.
-	ClaimWritesPerSecond int `json:"claim_writes_per_second"`
+	ClaimWritesPerSecond int `json:"claim_writes_per_second" range:"1,100000"`
 	// ClaimRetentionMS is how long a claimed key is remembered.
-	ClaimRetentionMS int64 `json:"claim_retention_ms"`
+	ClaimRetentionMS int64 `json:"claim_retention_ms" range:"1000,2592000000"`
 	// ProbesPerSecond bounds the active probes of the whole fleet.
-	ProbesPerSecond int `json:"probes_per_second"`
+	ProbesPerSecond int `json:"probes_per_second" range:"0,100000"`
 }
 
 // Service is one row of the services sheet.
 type Service struct {
-	Name   string `json:"name"`
-	Mode   Mode   `json:"mode"`
-	Policy Policy `json:"policy"`
+	Name   string `json:"name" format:"name"`
+	Mode   Mode   `json:"mode" enum:"tail,cost"`
+	Policy Policy `json:"policy" enum:"leases,best-of-two,random"`
 	// Weight is the service's share when services compete at an instance.
-	Weight int `json:"weight"`
+	Weight int `json:"weight" range:"1,1000"`
 	// DeadlineMS is the longest time a request may take.
-	DeadlineMS int64 `json:"deadline_ms"`
+	DeadlineMS int64 `json:"deadline_ms" range:"1,600000"`
 	// QueueLimit bounds the requests that wait at one instance.
-	QueueLimit int `json:"queue_limit"`
+	QueueLimit int `json:"queue_limit" range:"0,1000000"`
 	// MaxBodyBytes bounds the body of a request.
-	MaxBodyBytes int64 `json:"max_body_bytes"`
+	MaxBodyBytes int64 `json:"max_body_bytes" range:"0,1073741824"`
 	// RetryPercent bounds retries and hedges, as a percentage of requests.
-	RetryPercent int `json:"retry_percent"`
+	RetryPercent int `json:"retry_percent" range:"0,100"`
 	// HedgePercentile is the latency percentile after which a repeatable
 	// request may be hedged; 0 disables hedging.
-	HedgePercentile float64 `json:"hedge_percentile"`
+	HedgePercentile float64 `json:"hedge_percentile" range:"0,99.9"`
 	// CancelGraceMS is how long a backend server may go on with a request
 	// after its connection was closed; the slot stays charged meanwhile.
-	CancelGraceMS int64 `json:"cancel_grace_ms"`
+	CancelGraceMS int64 `json:"cancel_grace_ms" range:"0,600000"`
 	// RampMS is the time over which a new backend server's slots open.
-	RampMS int64 `json:"ramp_ms"`
+	RampMS int64 `json:"ramp_ms" range:"0,600000"`
 	// ChecksMark tells that the backend servers echo X-Request-Id; an
 	// answer with another value is then discarded.
 	ChecksMark bool `json:"checks_mark"`
 	// ObjectivePercent is the share of requests that must be answered
 	// whole within ObjectiveLatencyMS.
-	ObjectivePercent   float64 `json:"objective_percent"`
-	ObjectiveLatencyMS int64   `json:"objective_latency_ms"`
+	ObjectivePercent   float64 `json:"objective_percent" range:"1,99.999"`
+	ObjectiveLatencyMS int64   `json:"objective_latency_ms" range:"1,600000"`
 }
 
 // Route is one row of the routes sheet. The longest matching path prefix
@@ -96,33 +100,33 @@
 // over one without.
 type Route struct {
 	// Host matches the request's host without its port; "" matches all.
-	Host string `json:"host,omitempty"`
+	Host string `json:"host,omitempty" format:"host"`
 	// Method matches the request's method; "" matches all.
-	Method string `json:"method,omitempty"`
+	Method string `json:"method,omitempty" format:"method"`
 	// PathPrefix matches the start of the path.
-	PathPrefix string `json:"path_prefix"`
-	Service    string `json:"service"`
+	PathPrefix string `json:"path_prefix" format:"path"`
+	Service    string `json:"service" format:"name"`
 	// Repeatable tells that running a request twice does no harm.
 	Repeatable bool `json:"repeatable"`
 	// KeyRequired refuses non-repeatable requests without Idempotency-Key.
 	KeyRequired bool `json:"key_required,omitempty"`
 	// DeadlineMS overrides the service's deadline if not zero.
-	DeadlineMS int64 `json:"deadline_ms,omitempty"`
+	DeadlineMS int64 `json:"deadline_ms,omitempty" range:"0,600000"`
 }
 
 // Server is one row of the servers sheet: a backend server of a service.
 type Server struct {
-	Service string `json:"service"`
-	Name    string `json:"name"`
+	Service string `json:"service" format:"name"`
+	Name    string `json:"name" format:"name"`
 	// Address is an IP address with a port.
-	Address    string `json:"address"`
-	DataCentre string `json:"data_centre"`
+	Address    string `json:"address" format:"addrport"`
+	DataCentre string `json:"data_centre" format:"name"`
 	// Weight is the preference among servers that are equally good.
-	Weight int `json:"weight"`
+	Weight int `json:"weight" range:"0,1000"`
 	// Slots is the number of requests the server may run at once.
-	Slots int `json:"slots"`
+	Slots int `json:"slots" range:"1,10000"`
 	// Connections is the number of connections the server may have open
 	// from the whole fleet.
-	Connections int         `json:"connections"`
-	State       ServerState `json:"state"`
+	Connections int         `json:"connections" range:"1,100000"`
+	State       ServerState `json:"state" enum:"serving,draining"`
 }
--- /dev/null
+++ b/table/store_test.go
@@ -0,0 +1,244 @@
+package table_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	_ "github.com/pomelolock/pomelolock/internal/fixedseed"
+	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/table"
+)
+
+func weighted(doc table.Document, weight int) table.Document {
+	doc.Services = append([]table.Service(nil), doc.Services...)
+	doc.Services[0].Weight = weight
+	return doc
+}
+
+func TestTwoOperatorsAtOnceGiveOneConflictWithDiff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		mem := memory.New()
+		store := table.NewStore(mem, mem)
+		base, err := store.Accept(t.Context(), parsed(t), 0, "alena", "first")
+		g.Expect(err).NotTo(HaveOccurred())
+		errs := make(chan error, 2)
+		for _, weight := range []int{5, 6} {
+			go func() {
+				_, err := store.Accept(t.Context(), weighted(base, weight), 1, fmt.Sprint("op-", weight), "")
+				errs <- err
+			}()
+		}
+		first, second := <-errs, <-errs
+		if first != nil {
+			first, second = second, first
+		}
+		g.Expect(first).NotTo(HaveOccurred())
+		var conflict *table.ConflictError
+		g.Expect(errors.As(second, &conflict)).To(BeTrue(), "%v", second)
+		g.Expect(conflict.Present.Version).To(Equal(uint64(2)))
+		g.Expect(conflict.Theirs).To(HaveLen(1))
+		g.Expect(conflict.Theirs[0].Old).To(Equal("1"))
+		g.Expect(conflict.Changes).To(HaveLen(1))
+		g.Expect(conflict.Changes[0].Old).To(Equal(conflict.Theirs[0].New))
+	})
+}
+
+func TestLostAnswerIsSettledByReadingBack(t *testing.T) {
+	cases := map[string]memory.Faults{
+		"effect, answer lost":      {LoseAnswers: 1},
+		"no effect, answer lost":   {DropWrites: 2},
+		"stale read after":         {LoseAnswers: 1, StaleReads: 3},
+		"dropped, then lost":       {DropWrites: 1, LoseAnswers: 1},
+		"stale before and dropped": {DropWrites: 1, StaleReads: 5},
+	}
+	for name, faults := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				mem := memory.New()
+				store := table.NewStore(mem, mem)
+				_, err := store.Accept(t.Context(), parsed(t), 0, "alena", "first")
+				g.Expect(err).NotTo(HaveOccurred())
+				mem.SetFaults(faults)
+				doc, err := store.Accept(t.Context(), weighted(parsed(t), 7), 1, "bo", "second")
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(doc.Version).To(Equal(uint64(2)))
+				mem.SetFaults(memory.Faults{})
+				history, err := store.History(t.Context(), 10)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(history).To(HaveLen(2))
+				g.Expect(history[0].Author).To(Equal("bo"))
+			})
+		})
+	}
+}
+
+// cutWrites fails each write after the given number of successful ones, as a
+// crash of the accepting process would.
+type cutWrites struct {
+	*memory.Store
+	left int
+}
+
+func (c *cutWrites) spend() error {
+	if c.left == 0 {
+		return &platform.UnavailableError{Op: "write", Err: context.Canceled}
+	}
+	c.left--
+	return nil
+}
+
+func (c *cutWrites) PutObject(ctx context.Context, name string, data []byte) error {
+	if err := c.spend(); err != nil {
+		return err
+	}
+	return c.Store.PutObject(ctx, name, data)
+}
+
+func (c *cutWrites) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+	if err := c.spend(); err != nil {
+		return 0, err
+	}
+	return c.Store.Put(ctx, key, value, expect)
+}
+
+func TestCrashBetweenTheWritesLosesNothing(t *testing.T) {
+	for left := range 2 {
+		g := NewWithT(t)
+		mem := memory.New()
+		store := table.NewStore(mem, mem)
+		_, err := store.Accept(t.Context(), parsed(t), 0, "alena", "first")
+		g.Expect(err).NotTo(HaveOccurred())
+		crashing := &cutWrites{Store: mem, left: left}
+		_, err = table.NewStore(crashing, crashing).Accept(t.Context(), weighted(parsed(t), 7), 1, "bo", "crashes")
+		g.Expect(err).To(HaveOccurred())
+		doc, err := store.Accept(t.Context(), weighted(parsed(t), 8), 1, "cyril", "second")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(doc.Version).To(Equal(uint64(2)))
+		first, err := store.Version(t.Context(), 1)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(first.Author).To(Equal("alena"))
+		history, err := store.History(t.Context(), 10)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(history).To(HaveLen(2))
+		g.Expect(history[0].Author).To(Equal("cyril"))
+		g.Expect(history[0].Changes).To(HaveLen(1))
+	}
+}
+
+// TestAcceptedVersionsFormOneChain drives operators with stale bases, repeated
+// acceptances and faults, and checks the answers against the history.
+func TestAcceptedVersionsFormOneChain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		base := parsed(t)
+		rapid.Check(bubbleTB{t}, func(t *rapid.T) {
+			mem := memory.New()
+			m := &chainModel{mem: mem, store: table.NewStore(mem, mem), doc: base}
+			t.Repeat(map[string]func(*rapid.T){
+				"accept": m.accept,
+				"faults": m.faults,
+				"":       m.check,
+			})
+		})
+	})
+}
+
+// bubbleTB hides the test's deadline, which must not be asked for in a bubble.
+type bubbleTB struct{ rapid.TB }
+
+type chainModel struct {
+	mem   *memory.Store
+	store *table.Store
+	doc   table.Document
+	// latest is the highest version that an accept answered with.
+	latest  uint64
+	count   int
+	refused map[string]bool
+	won     map[string]uint64
+	unknown []table.Acceptance
+}
+
+func (m *chainModel) faults(t *rapid.T) {
+	m.mem.SetFaults(memory.Faults{
+		Down:        rapid.Bool().Draw(t, "down"),
+		LoseAnswers: rapid.IntRange(0, 3).Draw(t, "lose"),
+		DropWrites:  rapid.IntRange(0, 3).Draw(t, "drop"),
+		StaleReads:  rapid.IntRange(0, 25).Draw(t, "stale"),
+	})
+}
+
+func (m *chainModel) accept(t *rapid.T) {
+	m.count++
+	by := table.Acceptance{ID: fmt.Sprint("id-", m.count), Base: m.latest, Author: fmt.Sprint("id-", m.count)}
+	if back := rapid.Uint64Range(0, 2).Draw(t, "back"); back <= by.Base {
+		by.Base -= back
+	}
+	if len(m.unknown) > 0 && rapid.Bool().Draw(t, "again") {
+		by, m.unknown = m.unknown[0], m.unknown[1:]
+	}
+	accepted, err := m.store.AcceptAs(t.Context(), weighted(m.doc, 1+m.count%900), by)
+	var conflict *table.ConflictError
+	var unsettled *table.UnsettledError
+	switch {
+	case err == nil:
+		m.record(t, by, accepted.Document)
+	case errors.As(err, &conflict):
+		m.refuse(by.ID)
+	case errors.As(err, &unsettled):
+		m.unknown = append(m.unknown, by)
+	}
+}
+
+func (m *chainModel) refuse(id string) {
+	if m.refused == nil {
+		m.refused = make(map[string]bool)
+	}
+	m.refused[id] = true
+}
+
+func (m *chainModel) record(t *rapid.T, by table.Acceptance, doc table.Document) {
+	if m.won == nil {
+		m.won = make(map[string]uint64)
+	}
+	if doc.Author != by.ID || doc.Version != by.Base+1 {
+		t.Fatalf("accepted %s at base %d, got version %d of %s", by.ID, by.Base, doc.Version, doc.Author)
+	}
+	m.won[by.ID] = doc.Version
+	m.latest = max(m.latest, doc.Version)
+}
+
+func (m *chainModel) check(t *rapid.T) {
+	saved := m.mem.Faults()
+	m.mem.SetFaults(memory.Faults{})
+	defer m.mem.SetFaults(saved)
+	history, err := m.store.History(t.Context(), 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := make(map[string]uint64)
+	for i, entry := range history {
+		if want := uint64(len(history) - i); entry.Version != want {
+			t.Fatalf("history has version %d in place of %d", entry.Version, want)
+		}
+		if m.refused[entry.Author] {
+			t.Fatalf("version %d was refused to %s", entry.Version, entry.Author)
+		}
+		found[entry.Author] = entry.Version
+	}
+	if len(found) != len(history) {
+		t.Fatal("one acceptance is in the history twice")
+	}
+	for id, version := range m.won {
+		if found[id] != version {
+			t.Fatalf("accepted version %d of %s is not in the history", version, id)
+		}
+	}
+}
