--- /dev/null
+++ b/table/tablepb/doc.go
@@ -0,0 +1,2 @@
+// Package tablepb holds the messages by which instances exchange tables.
+package tablepb
