--- a/table/sync.go
+++ b/table/sync.go
@@ -192,24 +192,23 @@
 
 // obtain fetches a confirmed version from the store or from peers and puts it
 // in force. The peer first, if any, is asked before the store.
-func (s *Sync) obtain(ctx context.Context, ref Ref, first string) bool {
+func (s *Sync) obtain(ctx context.Context, ref Ref, first string) {
 	if first != "" && s.fetch(ctx, ref, first) {
-		return true
+		return
 	}
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	accepted, err := s.opts.Store.Read(bounded, ref)
 	cancel()
 	if err == nil {
 		s.adopt(accepted, "store")
-		return true
+		return
 	}
 	s.log.Debug("table_read_failed", "version", ref.Version, "error", err)
 	for _, id := range s.holders(ref) {
 		if s.fetch(ctx, ref, id) {
-			return true
+			return
 		}
 	}
-	return false
 }
 
 func (s *Sync) holders(ref Ref) []string {
--- a/table/sync_state.go
+++ b/table/sync_state.go
@@ -130,7 +130,8 @@
 
 // known checks that the store or a peer answered, and lately enough.
 func (st *syncState) known(now time.Time, alone bool) error {
-	if !st.joined && !alone && !(st.asked && !st.peerRead.IsZero()) && now.Sub(st.started) < firstAnswerWait {
+	answered := alone || st.asked && !st.peerRead.IsZero()
+	if !st.joined && !answered && now.Sub(st.started) < firstAnswerWait {
 		return &NotReadyError{Reason: "no peer has answered yet"}
 	}
 	if st.storeRead.IsZero() && st.peerRead.IsZero() && !st.joined {
