--- a/claim/codec.go
+++ b/claim/codec.go
@@ -23,11 +23,6 @@
 	return keyID(sum[:hashBytes])
 }
 
-func attemptOf(req Request) uint64 {
-	sum := sha256.Sum256([]byte(req.Attempt))
-	return binary.BigEndian.Uint64(sum[:8])
-}
-
 func partitionOf(id keyID, partitions int) int {
 	return int(binary.BigEndian.Uint64(id[:8]) % uint64(partitions))
 }
@@ -47,9 +42,8 @@
 
 // endOf encodes the end of an attempt. An answer larger than maxAnswer bytes
 // is left out.
-func endOf(req Request, state EndState, answer *Answer, maxAnswer int) *claimpb.End {
-	id := keyOf(req)
-	end := &claimpb.End{Key: id[:], Attempt: attemptOf(req)}
+func endOf(id keyID, nonce uint64, state EndState, answer *Answer, maxAnswer int) *claimpb.End {
+	end := &claimpb.End{Key: id[:], Attempt: nonce}
 	switch state {
 	case EndNotRun:
 		end.State = claimpb.State_STATE_NOT_RUN
--- a/claim/fleet_test.go
+++ b/claim/fleet_test.go
@@ -306,7 +306,7 @@
 		return f.instances[rapid.IntRange(0, len(f.instances)-1).Draw(t, "instance")]
 	}
 	claimKey := func(t *rapid.T) {
-		key := fmt.Sprint("key-", rapid.IntRange(0, 5).Draw(t, "key"))
+		key := fmt.Sprint("key-", rapid.IntRange(0, 11).Draw(t, "key"))
 		body := rapid.SampledFrom([]string{"a", "a", "a", "b"}).Draw(t, "body")
 		wait := time.Duration(rapid.SampledFrom([]int{3, 100, 2000}).Draw(t, "wait")) * time.Millisecond
 		state := claim.EndState(rapid.SampledFrom([]int{0, 1, 1, 1, 1, 1, 2, 3}).Draw(t, "state"))
@@ -317,11 +317,23 @@
 			group.Go(func() { attempt(in, j, req, wait, state, took) })
 		}
 	}
+	// claimMany moves the head past what the other instances have read.
+	claimMany := func(t *rapid.T) {
+		in := pick(t)
+		in.view.set([]string{in.id})
+		for range 10 {
+			attempts++
+			req := orderRequest(fmt.Sprint("key-", rapid.IntRange(0, 11).Draw(t, "key")), fmt.Sprint("attempt-", attempts), "a")
+			group.Go(func() { attempt(in, j, req, time.Second, claim.EndNotRun, time.Millisecond) })
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
 	passTime := func(t *rapid.T) {
 		time.Sleep(time.Duration(rapid.SampledFrom([]int{0, 1, 5, 100, 1500}).Draw(t, "ms")) * time.Millisecond)
 	}
 	t.Repeat(map[string]func(*rapid.T){
 		"claim 1": claimKey, "claim 2": claimKey, "claim 3": claimKey, "claim 4": claimKey,
+		"claim many":  claimMany,
 		"pass time 1": passTime, "pass time 2": passTime,
 		"heal 1": func(*rapid.T) { f.heal() }, "heal 2": func(*rapid.T) { f.heal() },
 		"lose answers": func(t *rapid.T) {
@@ -350,10 +362,12 @@
 	f.heal()
 	group.Wait()
 	time.Sleep(10 * time.Second)
-	for key := range 6 {
+	last := f.start()
+	time.Sleep(time.Second)
+	for key := range 12 {
 		attempts++
 		req := orderRequest(fmt.Sprint("key-", key), fmt.Sprint("attempt-", attempts), "a")
-		attempt(f.start(), j, req, time.Minute, 0, 0)
+		attempt(last, j, req, time.Minute, 0, 0)
 	}
 	j.check(t)
 }
--- a/claim/head.go
+++ b/claim/head.go
@@ -25,14 +25,15 @@
 	return fmt.Sprintf("%s%04d/", segmentPrefix, partition)
 }
 
-// segmentName names a segment that the head with the given sequence does not
-// reference yet. Names are never used twice.
+// segmentName names a segment that only a head of at most the given sequence
+// may take in. Names are never used twice.
 func segmentName(partition int, sequence uint64) string {
 	return fmt.Sprintf("%s%016x-%s", segmentsOf(partition), sequence, rand.Text())
 }
 
-// segmentGarbage reports whether no head can come to reference the named
-// object: head does not, and the write that would have is too late.
+// segmentGarbage reports whether the named object is not in use and can never
+// be: head does not refer to it, and is past the last that could take it in.
+// This also holds for a head that is no longer the present one.
 func segmentGarbage(head *claimpb.Head, partition int, name string) bool {
 	for _, segment := range head.GetSegments() {
 		if segment.GetName() == name {
@@ -61,9 +62,14 @@
 }
 
 // rotated returns head with its batches moved to the segment of that name.
-func rotated(head *claimpb.Head, name string) *claimpb.Head {
+func rotated(head *claimpb.Head, name string, size int) *claimpb.Head {
 	segments := head.GetSegments()
-	segment := &claimpb.Segment{Name: name, LastSequence: head.GetSequence(), LastMs: head.GetTimeMs()}
+	segment := &claimpb.Segment{
+		Name:         name,
+		LastSequence: head.GetSequence(),
+		LastMs:       head.GetTimeMs(),
+		Bytes:        uint32(size),
+	}
 	return &claimpb.Head{
 		Sequence: head.GetSequence(),
 		TimeMs:   head.GetTimeMs(),
@@ -85,12 +91,21 @@
 	if len(dropped) == 0 {
 		return head, nil
 	}
+	return withSegments(head, kept), dropped
+}
+
+func withSegments(head *claimpb.Head, segments []*claimpb.Segment) *claimpb.Head {
 	return &claimpb.Head{
 		Sequence: head.GetSequence(),
 		TimeMs:   head.GetTimeMs(),
-		Segments: kept,
+		Segments: segments,
 		Batches:  head.GetBatches(),
-	}, dropped
+	}
+}
+
+// segmentListBytes returns about the size of the list of segments.
+func segmentListBytes(head *claimpb.Head) int {
+	return proto.Size(&claimpb.Head{Segments: head.GetSegments()})
 }
 
 // followsTail reports whether an index that holds everything up to applied can
--- /dev/null
+++ b/claim/index_test.go
@@ -0,0 +1,132 @@
+package claim
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/pomelolock/pomelolock/claim/claimpb"
+	_ "github.com/pomelolock/pomelolock/internal/fixedseed"
+)
+
+// drawLog draws the batches that plans append for random claims and ends, and
+// the index after each.
+func drawLog(t *rapid.T) ([]*claimpb.Batch, []index) {
+	x := make(index)
+	indexes := []index{clone(x)}
+	var batches []*claimpb.Batch
+	var nowMS int64
+	for n := range rapid.IntRange(1, 12).Draw(t, "batches") {
+		nowMS += rapid.Int64Range(0, 30).Draw(t, "ms")
+		p := newPlan(x, nowMS, 100)
+		for range rapid.IntRange(0, 3).Draw(t, "ends") {
+			state := rapid.SampledFrom([]claimpb.State{2, 2, 3, 4}).Draw(t, "state")
+			p.end(&claimpb.End{Key: testKey(t), Attempt: testAttempt(t), State: state})
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "claims") {
+			p.claim(&claimpb.Claim{Key: testKey(t), Fingerprint: make([]byte, 16), Attempt: testAttempt(t)})
+		}
+		p.batch.Sequence = uint64(n + 1)
+		x.apply(p.batch)
+		batches = append(batches, p.batch)
+		indexes = append(indexes, clone(x))
+	}
+	return batches, indexes
+}
+
+func testKey(t *rapid.T) []byte {
+	return append(make([]byte, 15), rapid.ByteRange(0, 3).Draw(t, "key"))
+}
+
+func testAttempt(t *rapid.T) uint64 { return rapid.Uint64Range(0, 2).Draw(t, "attempt") }
+
+func clone(x index) index {
+	c := make(index, len(x))
+	for id, e := range x {
+		c[id] = e
+	}
+	return c
+}
+
+func TestFoldedBatchesHaveTheSameEffect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		batches, indexes := drawLog(t)
+		from := rapid.IntRange(0, len(batches)).Draw(t, "from")
+		to := rapid.IntRange(from, len(batches)).Draw(t, "to")
+		nowMS := batches[len(batches)-1].GetTimeMs()
+		got := clone(indexes[from])
+		got.apply(foldBatches(batches[from:to], nowMS, 100))
+		want := clone(indexes[to])
+		got.prune(nowMS, 100)
+		want.prune(nowMS, 100)
+		if !reflect.DeepEqual(got, want) {
+			t.Fatalf("folded %v\nwant %v", got, want)
+		}
+	})
+}
+
+func TestHeadMergesLevels(t *testing.T) {
+	head := &claimpb.Head{}
+	for i := range 200 {
+		head = appended(head, &claimpb.Batch{TimeMs: int64(i)})
+		head = rotated(head, segmentName(1, head.GetSequence()), 100)
+		from := mergeCandidates(head.GetSegments())
+		if from == nil {
+			continue
+		}
+		m := &merged{replaced: from, until: head.GetSequence() + mergeWindow, segment: &claimpb.Segment{
+			Name: fmt.Sprint("m", i), Level: from[0].GetLevel() + 1, LastSequence: from[len(from)-1].GetLastSequence(),
+		}}
+		next, ok := m.into(head)
+		if !ok {
+			t.Fatal("merge refused")
+		}
+		head = next
+	}
+	if n := len(head.GetSegments()); n > 3*mergeFanIn {
+		t.Fatalf("%d segments after 200 rotations", n)
+	}
+	var last uint64
+	for _, segment := range head.GetSegments() {
+		if segment.GetLastSequence() <= last {
+			t.Fatalf("segments out of order: %v", head.GetSegments())
+		}
+		last = segment.GetLastSequence()
+	}
+	if last != 200 {
+		t.Fatalf("last segment ends at %d", last)
+	}
+}
+
+func TestLateMergeIsRefusedAndSweepSparesEarlyOne(t *testing.T) {
+	name := segmentName(1, 10+mergeWindow)
+	from := []*claimpb.Segment{{Name: "a"}}
+	m := &merged{replaced: from, until: 10 + mergeWindow, segment: &claimpb.Segment{Name: name}}
+	for _, sequence := range []uint64{10, m.until, m.until + 1} {
+		head := &claimpb.Head{Sequence: sequence, Segments: from}
+		_, taken := m.into(head)
+		if garbage := segmentGarbage(head, 1, name); taken == garbage {
+			t.Fatalf("at %d: taken %v, garbage %v", sequence, taken, garbage)
+		}
+	}
+}
+
+func TestClockOfNewWriterMovesJournalTimeLittle(t *testing.T) {
+	const hour = 3_600_000
+	var c journalClock
+	c.observe(1000, 1000+5*hour, 0)
+	if got := c.now(0); got != 1000+maxClockStepMS {
+		t.Fatalf("wall clock ahead: %d", got)
+	}
+	c.observe(2000, 1000+9*hour, 10)
+	if got := c.now(10); got != 1000+maxClockStepMS+10 {
+		t.Fatalf("second read: %d", got)
+	}
+	var behind journalClock
+	behind.observe(1000, 1000-5*hour, 0)
+	if got := behind.now(7); got != 1007 {
+		t.Fatalf("wall clock behind: %d", got)
+	}
+}
--- a/claim/journal.go
+++ b/claim/journal.go
@@ -42,6 +42,7 @@
 	leaving  atomic.Bool
 	finishes chan finishItem
 	router   router
+	held     heldAttempts
 }
 
 // started holds what exists once the number of partitions is known.
@@ -144,12 +145,16 @@
 	if s == nil {
 		return Decision{}, unavailable(errNotStarted)
 	}
-	decision, err := j.ask(ctx, s, j.claimOf(req))
+	c := j.claimOf(req)
+	decision, err := j.ask(ctx, s, c)
 	if err != nil {
 		// The claim may have been recorded though its answer is lost.
-		j.Finish(req, EndNotRun, nil)
+		j.queueEnd(endOf(keyID(c.GetKey()), c.GetAttempt(), EndNotRun, nil, 0))
 		return Decision{}, unavailable(err)
 	}
+	if decision.Verdict == Run {
+		j.held.add(attemptID{keyID(c.GetKey()), req.Attempt}, c.GetAttempt(), time.Now())
+	}
 	return decision, nil
 }
 
@@ -162,7 +167,7 @@
 	return &claimpb.Claim{
 		Key:         id[:],
 		Fingerprint: req.Fingerprint[:hashBytes],
-		Attempt:     attemptOf(req),
+		Attempt:     newNonce(),
 		RunningMs:   j.running(req.Service).Milliseconds(),
 	}
 }
@@ -217,11 +222,18 @@
 	return decision, false, err
 }
 
-// Finish implements [Claimer].
+// Finish implements [Claimer]. It has no effect on a request that was not told
+// to run.
 func (j *Journal) Finish(req Request, state EndState, answer *Answer) {
-	item := finishItem{end: endOf(req, state, answer, j.opts.MaxAnswerBytes)}
+	id := keyOf(req)
+	if nonce, ok := j.held.take(attemptID{id, req.Attempt}); ok {
+		j.queueEnd(endOf(id, nonce, state, answer, j.opts.MaxAnswerBytes))
+	}
+}
+
+func (j *Journal) queueEnd(end *claimpb.End) {
 	select {
-	case j.finishes <- item:
+	case j.finishes <- finishItem{end: end}:
 	default:
 		j.stats.dropped.Add(1)
 	}
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -15,8 +15,6 @@
 	// storeRest is how long a partition refuses claims after the store
 	// failed, before it asks the store again.
 	storeRest = 200 * time.Millisecond
-	// pruneInterval is the time between two sweeps of expired keys.
-	pruneInterval = time.Minute
 )
 
 var (
@@ -68,6 +66,9 @@
 	downUntil time.Time
 	downErr   error
 	prunedAt  time.Time
+	sweptAt   time.Time
+	merging   bool
+	mergeDone chan *merged
 }
 
 func newPartition(number, partitions int, opts *Options, stats *counters) *partition {
@@ -80,6 +81,7 @@
 		ends:       make(chan *claimpb.End, opts.Queue),
 		warm:       make(chan struct{}, 1),
 		flush:      make(chan chan struct{}),
+		mergeDone:  make(chan *merged, 1),
 	}
 }
 
@@ -110,6 +112,7 @@
 }
 
 func (p *partition) run(ctx context.Context) {
+	defer p.awaitMerge()
 	for {
 		flushed, ok := p.wait(ctx)
 		if !ok {
@@ -200,7 +203,7 @@
 		return
 	}
 	if time.Now().Before(p.downUntil) {
-		p.fail(p.downErr)
+		p.refuse(p.downErr)
 		return
 	}
 	for range maxAppendTries {
@@ -221,7 +224,7 @@
 	p.downUntil = time.Now().Add(storeRest)
 	p.downErr = err
 	p.opts.Logger.Warn("claim_store_failed", "partition", p.store.number, "err", err)
-	p.fail(err)
+	p.refuse(err)
 }
 
 // try makes one plan and appends it. It reports false if the head had moved on
@@ -231,6 +234,7 @@
 		return false, err
 	}
 	p.startPace()
+	p.takeMerge()
 	plan, decisions, stale := p.plan()
 	if wait := p.pace.wait(time.Now()); wait > 0 && !stale && !plan.empty() {
 		if err := pause(ctx, wait); err != nil {
@@ -254,6 +258,7 @@
 	case err == nil:
 		p.answer(decisions)
 		p.pending = nil
+		p.startMerge(ctx)
 		p.prune(ctx)
 		return true, nil
 	case isRetryable(err):
@@ -272,100 +277,6 @@
 	return errors.As(err, &conflict) || errors.As(err, &unknown)
 }
 
-// plan decides all waiting work. It reports stale if an end has no effect on
-// an index that was not read after the end arrived.
-func (p *partition) plan() (plan *plan, decisions []Decision, stale bool) {
-	p.collect()
-	p.dropDone()
-	plan = newPlan(p.store.index, p.store.nowMS(), p.retentionMS())
-	for i := range p.pending {
-		if !plan.end(p.pending[i].end) && !p.pending[i].checked {
-			stale = true
-		}
-	}
-	if stale {
-		return plan, nil, true
-	}
-	for _, o := range p.claims {
-		decisions = append(decisions, plan.claim(o.claim))
-	}
-	return plan, decisions, false
-}
-
-func (p *partition) markChecked() {
-	for i := range p.pending {
-		p.pending[i].checked = true
-	}
-}
-
-// dropDone drops the claims whose callers no longer wait.
-func (p *partition) dropDone() {
-	kept := p.claims[:0]
-	for _, o := range p.claims {
-		if o.ctx.Err() == nil {
-			kept = append(kept, o)
-		}
-	}
-	clear(p.claims[len(kept):])
-	p.claims = kept
-}
-
-func (p *partition) answer(decisions []Decision) {
-	for i, o := range p.claims {
-		p.stats.decided(decisions[i].Verdict)
-		o.reply <- result{decision: decisions[i]}
-	}
-	clear(p.claims)
-	p.claims = p.claims[:0]
-}
-
-func (p *partition) fail(err error) {
-	p.stats.failed(len(p.claims))
-	for _, o := range p.claims {
-		o.reply <- result{err: err}
-	}
-	clear(p.claims)
-	p.claims = p.claims[:0]
-}
-
-// startPace begins without credit, so that a partition that moves does not
-// bring a second burst.
-func (p *partition) startPace() {
-	if !p.paced {
-		p.paced = true
-		p.pace.next = time.Now().Add(burst)
-	}
-	for _, writer := range p.store.takeWriters() {
-		p.pace.saw(writer, time.Now())
-	}
-}
-
-func (p *partition) interval() time.Duration {
-	writes := defaultWritesPerSecond
-	if snapshot := p.opts.Current.Load(); snapshot != nil && snapshot.Fleet().ClaimWritesPerSecond > 0 {
-		writes = snapshot.Fleet().ClaimWritesPerSecond
-	}
-	return p.pace.interval(time.Now(), writes, p.partitions)
-}
-
-func (p *partition) retentionMS() int64 {
-	if snapshot := p.opts.Current.Load(); snapshot != nil && snapshot.Fleet().ClaimRetentionMS > 0 {
-		return snapshot.Fleet().ClaimRetentionMS
-	}
-	return defaultRetention.Milliseconds()
-}
-
-func (p *partition) prune(ctx context.Context) {
-	now := time.Now()
-	if now.Sub(p.prunedAt) < pruneInterval {
-		return
-	}
-	p.prunedAt = now
-	p.store.index.prune(p.store.nowMS(), p.retentionMS())
-	p.stats.setKeys(p.store.number, len(p.store.index))
-	p.store.sweep(ctx)
-}
-
 // preloadSoon asks the partition's goroutine to read the journal.
 func (p *partition) preloadSoon() {
 	select {
@@ -374,7 +285,8 @@
 	}
 }
 
-// flushNow writes the queued ends and returns once that was tried.
+// flushNow writes the queued ends, up to one batch, and returns once that was
+// tried.
 func (p *partition) flushNow(ctx context.Context) error {
 	flushed := make(chan struct{})
 	select {
--- a/claim/plan.go
+++ b/claim/plan.go
@@ -75,6 +75,15 @@
 	return Decision{Verdict: Run}
 }
 
+// decideTaken decides a claim of a taken key.
+func (p *plan) decideTaken(c *claimpb.Claim) (Decision, bool) {
+	e, ok := p.lookup(keyID(c.GetKey()))
+	if !ok {
+		return Decision{}, false
+	}
+	return e.decide(c, p.nowMS), true
+}
+
 // empty reports whether nothing has to be written.
 func (p *plan) empty() bool {
 	return len(p.batch.Ends) == 0 && len(p.batch.Claims) == 0
--- a/claim/stats.go
+++ b/claim/stats.go
@@ -13,9 +13,10 @@
 	Verdicts map[Verdict]uint64
 	// Failed counts claims without a decision.
 	Failed uint64
-	// HeadWrites, Conflicts, Rotations and Reads count store operations;
-	// conflicts are part of the head writes.
-	HeadWrites, Conflicts, Rotations, Reads uint64
+	// HeadWrites, Conflicts, Rotations, Merges and Reads count store
+	// operations; conflicts are part of the head writes, rotations and
+	// merges write one object each.
+	HeadWrites, Conflicts, Rotations, Merges, Reads uint64
 	// HeadBytes is the sum of the sizes of the heads written.
 	HeadBytes uint64
 	// Claims and Ends count the records appended.
@@ -27,10 +28,10 @@
 }
 
 type counters struct {
-	verdicts                            [Mismatch + 1]atomic.Uint64
-	failures                            atomic.Uint64
-	writes, conflicts, rotations, reads atomic.Uint64
-	bytes, claims, ends, dropped        atomic.Uint64
+	verdicts                                    [Mismatch + 1]atomic.Uint64
+	failures                                    atomic.Uint64
+	writes, conflicts, reads, rotations, merges atomic.Uint64
+	bytes, claims, ends, dropped                atomic.Uint64
 
 	mu   sync.Mutex
 	keys map[int]int
@@ -66,6 +67,7 @@
 		HeadWrites:  c.writes.Load(),
 		Conflicts:   c.conflicts.Load(),
 		Rotations:   c.rotations.Load(),
+		Merges:      c.merges.Load(),
 		Reads:       c.reads.Load(),
 		HeadBytes:   c.bytes.Load(),
 		Claims:      c.claims.Load(),
--- a/claim/store.go
+++ b/claim/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -47,7 +48,8 @@
 	index   index
 	clock   journalClock
 	writers []string
-	swept   bool
+	// merged is a segment that waits to be taken into the head.
+	merged *merged
 }
 
 func newPartitionStore(number int, opts *Options, stats *counters) *partitionStore {
@@ -198,17 +200,11 @@
 // and the batch may have been written or not.
 func (s *partitionStore) append(ctx context.Context, p *plan) (int, error) {
 	p.batch.Writer = s.self
-	base, expired := expireSegments(s.head, p.nowMS, p.retentionMS)
-	next := appended(base, p.batch)
-	writes := 1
-	if proto.Size(next) > s.opts.TailBytes && len(base.GetBatches()) > 0 {
-		writes++
-		moved, err := s.rotate(ctx, base)
-		if err == nil {
-			next = appended(moved, p.batch)
-		} else if proto.Size(next) > tailOverrun*s.opts.TailBytes {
-			return writes, &platform.UnavailableError{Op: "append", Err: errTailOverflow}
-		}
+	base, unused := expireSegments(s.head, p.nowMS, p.retentionMS)
+	base, replaced := s.takeMerged(base)
+	next, writes, err := s.next(ctx, base, p.batch)
+	if err != nil {
+		return writes, err
 	}
 	version, err := s.put(ctx, next)
 	if err != nil {
@@ -217,10 +213,47 @@
 	s.version, s.head = version, next
 	s.index.apply(p.batch)
 	s.stats.appended(p.batch)
-	s.deleteObjects(ctx, expired)
+	s.deleteObjects(ctx, append(unused, replaced...))
 	return writes, nil
 }
 
+// next returns the head after one more batch, with the earlier batches moved to
+// a segment if it would grow too large.
+func (s *partitionStore) next(ctx context.Context, base *claimpb.Head, batch *claimpb.Batch) (*claimpb.Head, int, error) {
+	next := appended(base, batch)
+	size := proto.Size(next)
+	if size <= s.opts.TailBytes+segmentListBytes(base) || len(base.GetBatches()) == 0 {
+		return next, 1, nil
+	}
+	moved, err := s.rotate(ctx, base)
+	if err == nil {
+		return appended(moved, batch), 2, nil
+	}
+	if size > tailOverrun*s.opts.TailBytes+segmentListBytes(base) {
+		return nil, 1, &platform.UnavailableError{Op: "append", Err: fmt.Errorf("%w: %w", errTailOverflow, err)}
+	}
+	return next, 2, nil
+}
+
+// takeMerged puts a merged segment in place of those it stands for and returns
+// the names of the latter.
+func (s *partitionStore) takeMerged(head *claimpb.Head) (*claimpb.Head, []string) {
+	if s.merged == nil {
+		return head, nil
+	}
+	next, ok := s.merged.into(head)
+	if !ok {
+		// What is not in use now is left to sweep.
+		s.merged = nil
+		return head, nil
+	}
+	var replaced []string
+	for _, segment := range s.merged.replaced {
+		replaced = append(replaced, segment.GetName())
+	}
+	return next, replaced
+}
+
 func (s *partitionStore) put(ctx context.Context, head *claimpb.Head) (platform.Version, error) {
 	data, err := proto.Marshal(head)
 	if err != nil {
@@ -252,16 +285,11 @@
 	if err := s.opts.Objects.PutObject(ctx, name, data); err != nil {
 		return nil, err
 	}
-	return rotated(head, name), nil
+	return rotated(head, name, len(data)), nil
 }
 
-// sweep deletes, once in the life of an instance, the objects that crashed
-// writers left behind.
+// sweep deletes the objects that crashed writers left behind.
 func (s *partitionStore) sweep(ctx context.Context) {
-	if s.swept {
-		return
-	}
-	s.swept = true
 	ctx, cancel := context.WithTimeout(ctx, s.opts.StoreTimeout)
 	defer cancel()
 	s.stats.reads.Add(1)
