Wait for messages in flight when a test network closes

Change: peertest.Network counts its messages and Close waits for them; the table's test fleet closes its network.

--- a/peer/peertest/peertest.go
+++ b/peer/peertest/peertest.go
@@ -22,6 +22,8 @@
 	nodes map[string]*Node
 	cut   map[link]bool
 	delay time.Duration
+	// inFlight counts the messages under way.
+	inFlight sync.WaitGroup
 }
 
 // NewNetwork returns a network with the given one-way delay.
@@ -49,6 +51,9 @@
 	n.publish(id, others, false)
 }
 
+// Close waits for the messages under way. Nodes must not send afterwards.
+func (n *Network) Close() { n.inFlight.Wait() }
+
 // SetCut cuts or heals the link between a and b in both directions.
 func (n *Network) SetCut(a, b string, cut bool) {
 	n.mu.Lock()
@@ -176,7 +181,7 @@
 		return err
 	}
 	done := make(chan result, 1)
-	go func() {
+	n.net.inFlight.Go(func() {
 		n.pause(to)
 		answer, err := target.serve(ctx, n.id, kind, payload)
 		n.pause(to)
@@ -184,7 +189,7 @@
 			err = &peer.LostError{InstanceID: to, Err: cut}
 		}
 		done <- result{answer, err}
-	}()
+	})
 	select {
 	case r := <-done:
 		if r.err != nil {
@@ -206,12 +211,12 @@
 	if err != nil {
 		return err
 	}
-	go func() {
+	n.net.inFlight.Go(func() {
 		n.pause(to)
 		if _, err := n.net.lookup(n.id, to); err == nil {
 			_, _ = target.serve(context.Background(), n.id, kind, payload)
 		}
-	}()
+	})
 	return nil
 }
 
--- a/table/sync_test.go
+++ b/table/sync_test.go
@@ -103,6 +103,7 @@
 	for _, n := range f.nodes {
 		n.stop()
 	}
+	f.net.Close()
 }
 
 func (f *fleet) cutAll(cut bool) {
