--- a/claim/finish.go
+++ b/claim/finish.go
@@ -130,12 +130,12 @@
 	if err := await(ctx, mark); err != nil {
 		return err
 	}
-	j.announce(s)
 	for _, p := range s.partitions {
 		if err := p.flushNow(ctx); err != nil {
 			return err
 		}
 	}
+	j.announce(s)
 	return nil
 }
 
--- a/claim/journal.go
+++ b/claim/journal.go
@@ -99,13 +99,22 @@
 		if err == nil {
 			return partitions, nil
 		}
-		j.opts.Logger.Warn("claim_layout_failed", "err", err)
-		if err := pause(ctx, startPause); err != nil {
+		if err := pause(ctx, j.startPause(err)); err != nil {
 			return 0, fmt.Errorf("claim: start: %w", err)
 		}
 	}
 }
 
+// startPause returns the pause before the layout is read again: short if
+// another instance has just created it.
+func (j *Journal) startPause(err error) time.Duration {
+	if isRetryable(err) {
+		return readPause
+	}
+	j.opts.Logger.Warn("claim_layout_failed", "err", err)
+	return startPause
+}
+
 func (j *Journal) readLayout(ctx context.Context) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, j.opts.StoreTimeout)
 	defer cancel()
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -62,9 +62,9 @@
 	claims    []*op
 	pending   []pendingEnd
 	pace      pace
-	paced     bool
 	downUntil time.Time
 	downErr   error
+	paced     bool
 	prunedAt  time.Time
 	sweptAt   time.Time
 	merging   bool
@@ -122,11 +122,19 @@
 		}
 		p.step(ctx)
 		if flushed != nil {
+			p.drain(ctx)
 			close(flushed)
 		}
 	}
 }
 
+// drain writes the ends that are queued now.
+func (p *partition) drain(ctx context.Context) {
+	for range len(p.ends)/p.opts.MaxBatch + 1 {
+		p.step(ctx)
+	}
+}
+
 // wait blocks until there is something to do.
 func (p *partition) wait(ctx context.Context) (flushed chan struct{}, ok bool) {
 	var flushDue <-chan time.Time
@@ -230,10 +238,9 @@
 // try makes one plan and appends it. It reports false if the head had moved on
 // or the outcome is unknown, so that a new plan is due.
 func (p *partition) try(ctx context.Context) (bool, error) {
-	if err := p.store.load(ctx); err != nil {
+	if err := p.loadForWrite(ctx); err != nil {
 		return false, err
 	}
-	p.startPace()
 	p.takeMerge()
 	plan, decisions, stale := p.plan()
 	if wait := p.pace.wait(time.Now()); wait > 0 && !stale && !plan.empty() {
@@ -270,6 +277,22 @@
 	}
 }
 
+// loadForWrite brings the index up to date. While others write too, it waits for
+// the pace first, so that the index is fresh when it is written to.
+func (p *partition) loadForWrite(ctx context.Context) error {
+	if p.contended() {
+		p.store.stale = true
+		if err := pause(ctx, p.pace.wait(time.Now())); err != nil {
+			return err
+		}
+	}
+	if err := p.store.load(ctx); err != nil {
+		return err
+	}
+	p.notePeers()
+	return nil
+}
+
 // isRetryable reports whether reading the head again settles the failure.
 func isRetryable(err error) bool {
 	var conflict *platform.ConflictError
@@ -285,8 +308,7 @@
 	}
 }
 
-// flushNow writes the queued ends, up to one batch, and returns once that was
-// tried.
+// flushNow writes the queued ends and returns once that was tried.
 func (p *partition) flushNow(ctx context.Context) error {
 	flushed := make(chan struct{})
 	select {
--- a/claim/store.go
+++ b/claim/store.go
@@ -45,9 +45,10 @@
 	version platform.Version
 	head    *claimpb.Head
 	// index reflects head, which is the record at version.
-	index   index
-	clock   journalClock
-	writers []string
+	index index
+	clock journalClock
+	// seen are the writes of others found since the last takeSeen.
+	seen []seenWrite
 	// merged is a segment that waits to be taken into the head.
 	merged *merged
 }
@@ -69,11 +70,17 @@
 // nowMS returns the journal time.
 func (s *partitionStore) nowMS() int64 { return s.clock.now(s.monotonicMS()) }
 
-// takeWriters returns the other writers seen since the last call.
-func (s *partitionStore) takeWriters() []string {
-	writers := s.writers
-	s.writers = nil
-	return writers
+// seenWrite is a write of another instance.
+type seenWrite struct {
+	writer string
+	timeMS int64
+}
+
+// takeSeen returns the writes of others found since the last call.
+func (s *partitionStore) takeSeen() []seenWrite {
+	seen := s.seen
+	s.seen = nil
+	return seen
 }
 
 // load brings the index up to date if it has to be.
@@ -126,6 +133,7 @@
 	if err := s.advance(ctx, head); err != nil {
 		return err
 	}
+	s.noteWrites(head)
 	s.clock.observe(head.GetTimeMs(), time.Now().UnixMilli(), s.monotonicMS())
 	s.version, s.head = version, head
 	s.loaded, s.stale = true, false
@@ -152,7 +160,7 @@
 // advance applies to the index what head holds beyond the present one.
 func (s *partitionStore) advance(ctx context.Context, head *claimpb.Head) error {
 	if s.loaded && followsTail(head, s.head.GetSequence()) {
-		s.applyAfter(s.index, head.GetBatches(), s.head.GetSequence())
+		applyAfter(s.index, head.GetBatches(), s.head.GetSequence())
 		return nil
 	}
 	fresh := make(index)
@@ -161,21 +169,25 @@
 		if err != nil {
 			return err
 		}
-		s.applyAfter(fresh, batches, 0)
+		applyAfter(fresh, batches, 0)
 	}
-	s.applyAfter(fresh, head.GetBatches(), 0)
+	applyAfter(fresh, head.GetBatches(), 0)
 	s.index = fresh
 	return nil
 }
 
-func (s *partitionStore) applyAfter(x index, batches []*claimpb.Batch, sequence uint64) {
+func applyAfter(x index, batches []*claimpb.Batch, sequence uint64) {
 	for _, batch := range batches {
-		if batch.GetSequence() <= sequence {
-			continue
+		if batch.GetSequence() > sequence {
+			x.apply(batch)
 		}
-		x.apply(batch)
-		if s.loaded && batch.GetWriter() != s.self && batch.GetWriter() != "" {
-			s.writers = append(s.writers, batch.GetWriter())
+	}
+}
+
+func (s *partitionStore) noteWrites(head *claimpb.Head) {
+	for _, batch := range head.GetBatches() {
+		if batch.GetSequence() > s.head.GetSequence() && batch.GetWriter() != s.self {
+			s.seen = append(s.seen, seenWrite{batch.GetWriter(), batch.GetTimeMs()})
 		}
 	}
 }
--- a/claim/upkeep.go
+++ b/claim/upkeep.go
@@ -12,24 +12,32 @@
 	sweepInterval = 15 * time.Minute
 )
 
-// startPace begins without credit, so that a partition that moves does not
-// bring a second burst.
-func (p *partition) startPace() {
+// notePeers tells the pace of the writes of other instances read since the last
+// call.
+func (p *partition) notePeers() {
+	now, nowMS := time.Now(), p.store.nowMS()
 	if !p.paced {
 		p.paced = true
-		p.pace.next = time.Now().Add(burst)
+		p.pace.start(now)
 	}
-	for _, writer := range p.store.takeWriters() {
-		p.pace.saw(writer, time.Now())
+	for _, seen := range p.store.takeSeen() {
+		age := time.Duration(max(0, nowMS-seen.timeMS)) * time.Millisecond
+		p.pace.saw(seen.writer, now.Add(-age))
 	}
 }
 
+// contended reports whether other instances write to the partition.
+func (p *partition) contended() bool {
+	return p.pace.sharing(time.Now(), p.interval()) > 1
+}
+
+// interval returns the time between two writes of the partition.
 func (p *partition) interval() time.Duration {
 	writes := defaultWritesPerSecond
 	if snapshot := p.opts.Current.Load(); snapshot != nil && snapshot.Fleet().ClaimWritesPerSecond > 0 {
 		writes = snapshot.Fleet().ClaimWritesPerSecond
 	}
-	return p.pace.interval(time.Now(), writes, p.partitions)
+	return time.Second * time.Duration(p.partitions) / time.Duration(writes)
 }
 
 func (p *partition) retentionMS() int64 {
