--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -48,7 +48,6 @@
 type attempt struct {
 	x      *exchange
 	permit *loadbalancer.Permit
-	cancel context.CancelFunc
 	start  time.Time
 	sent   sendRecord
 }
@@ -58,7 +57,6 @@
 // the server is done with the request.
 func (a *attempt) run(ctx context.Context) (*answer, *failure) {
 	server := a.permit.Server
-	ctx, a.cancel = context.WithCancel(ctx)
 	a.start = time.Now()
 	resp, err := a.x.p.transport(server).RoundTrip(a.request(a.sent.trace(ctx), server))
 	if err != nil {
@@ -109,7 +107,6 @@
 
 // sendFailed ends an attempt whose answer head did not arrive.
 func (a *attempt) sendFailed(ctx context.Context, err error) *failure {
-	a.cancel()
 	f := &failure{server: a.permit.Server.Name, err: &SendError{Server: a.permit.Server.Name, Err: err}}
 	f.notRun = a.sent.sealUnsent()
 	cancelled := ctx.Err() != nil
@@ -158,10 +155,10 @@
 		class = loadbalancer.ClassRefused
 	}
 	load := parseLoad(resp.Header)
-	// The rest of a small answer is read so that its connection is kept.
+	// The rest of a small answer is read so that its connection is kept;
+	// closing an answer before its end closes the connection.
 	_, copyErr := io.CopyN(io.Discard, resp.Body, discardLimit)
 	running := !errors.Is(copyErr, io.EOF) || errors.As(err, &wrong)
-	a.cancel()
 	_ = resp.Body.Close()
 	a.release(class, load, running && !f.notRun)
 	return f
@@ -189,7 +186,6 @@
 	ans.held = buf.Bytes()
 	if n <= a.x.p.opts.HoldBytes {
 		_ = resp.Body.Close()
-		a.cancel()
 		a.release(classOf(resp.StatusCode), load, false)
 		ans.end = func(error) {}
 		return a.judge(ans)
@@ -211,7 +207,6 @@
 
 func (a *attempt) truncated(ctx context.Context, resp *http.Response, err error) *failure {
 	cancelled := ctx.Err() != nil
-	a.cancel()
 	_ = resp.Body.Close()
 	class := loadbalancer.ClassFailed
 	if cancelled && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -222,7 +217,6 @@
 }
 
 func (a *attempt) endStream(resp *http.Response, load *loadbalancer.Load, err error) {
-	a.cancel()
 	_ = resp.Body.Close()
 	class := classOf(resp.StatusCode)
 	var truncated *TruncatedError
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -41,17 +41,28 @@
 // parseLoad reads the load report of an answer, or returns nil. A malformed
 // report is ignored.
 func parseLoad(header http.Header) *loadbalancer.Load {
-	draining := header.Get(outcome.HeaderDraining) == "true"
-	inFlight, slots, ok := strings.Cut(header.Get(outcome.HeaderLoad), "/")
-	n, errN := strconv.Atoi(inFlight)
-	m, errM := strconv.Atoi(slots)
-	if !ok || errN != nil || errM != nil || n < 0 || m < 0 {
-		if !draining {
-			return nil
-		}
-		n, m = 0, 0
+	load := &loadbalancer.Load{Draining: header.Get(outcome.HeaderDraining) == "true"}
+	if report := header.Get(outcome.HeaderLoad); report != "" && parseReport(report, load) {
+		return load
+	}
+	if load.Draining {
+		return load
+	}
+	return nil
+}
+
+func parseReport(report string, load *loadbalancer.Load) bool {
+	used, total, _ := strings.Cut(report, "/")
+	inFlight, err := strconv.ParseUint(used, 10, 31)
+	if err != nil {
+		return false
+	}
+	slots, err := strconv.ParseUint(total, 10, 31)
+	if err != nil {
+		return false
 	}
-	return &loadbalancer.Load{InFlight: n, Slots: m, Draining: draining}
+	load.InFlight, load.Slots = int(inFlight), int(slots)
+	return true
 }
 
 // callerTimeout reads the deadline header in milliseconds. Zero means that
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -121,7 +121,7 @@
 
 // Run follows the table and closes connections to servers that left it. It
 // returns when ctx ends.
-func (p *Proxy) Run(ctx context.Context) {
+func (p *Proxy) Run(ctx context.Context) error {
 	defer p.transports.closeIdle()
 	for {
 		changed := p.opts.Current.Changed()
@@ -131,7 +131,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return
+			return nil
 		}
 	}
 }
