Lease slots from one coordinator per service and data centre

Instances that choose alone push servers past their slots. Coordinator, holder, queue and server quality are pure state machines; Manager drives them over peer.Messenger and records epochs in the table service.

--- /dev/null
+++ b/slot/handover.go
@@ -0,0 +1,168 @@
+package slot
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pomelolock/pomelolock/membership"
+	"github.com/pomelolock/pomelolock/peer/peerpb"
+	"github.com/pomelolock/pomelolock/slot/slotpb"
+)
+
+// HandoverError reports a group whose coordinator could not be handed over; its
+// successor takes over as after a crash.
+type HandoverError struct {
+	Service    string
+	DataCentre string
+	Err        error
+}
+
+func (e *HandoverError) Error() string {
+	return fmt.Sprintf("slot: handover of %s in %s: %v", e.Service, e.DataCentre, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *HandoverError) Unwrap() error { return e.Err }
+
+var (
+	errNoSuccessor = errors.New("no successor is connected")
+	errUnsettled   = errors.New("the takeover is not complete")
+	errRefused     = errors.New("the successor refused")
+)
+
+// Handover passes all coordinators of this instance on and starts no further
+// ones. Requests go on being served. Errors are [HandoverError] values, joined.
+func (m *Manager) Handover(ctx context.Context) error {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
+	var errs []error
+	for g, d := range m.allDuties() {
+		if err := m.handOver(ctx, g, d); err != nil {
+			errs = append(errs, &HandoverError{Service: g.service, DataCentre: g.dataCentre, Err: err})
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// handOver stops the coordinator first, so that a lost answer does no harm.
+func (m *Manager) handOver(ctx context.Context, g group, d *duty) error {
+	state, err := d.stop(time.Now())
+	m.dropDuty(g, d)
+	if err != nil {
+		return err
+	}
+	to := m.successor(g)
+	if to == "" {
+		return errNoSuccessor
+	}
+	var answer slotpb.HandoverAnswer
+	if err := m.opts.Messenger.Call(ctx, to, peerpb.Kind_KIND_SLOT_HANDOVER, state, &answer); err != nil {
+		return fmt.Errorf("call successor: %w", err)
+	}
+	if !answer.GetAccepted() {
+		return errRefused
+	}
+	return nil
+}
+
+// successor returns the connected instance that should coordinate the group.
+func (m *Manager) successor(g group) string {
+	var near, all []string
+	connected := m.opts.Messenger.Connected()
+	for _, instance := range m.opts.View.Entries() {
+		if instance.ID == m.self || !slices.Contains(connected, instance.ID) {
+			continue
+		}
+		all = append(all, instance.ID)
+		if instance.DataCentre == g.dataCentre {
+			near = append(near, instance.ID)
+		}
+	}
+	if len(near) > 0 {
+		return membership.Owner(g.key(), near)
+	}
+	return membership.Owner(g.key(), all)
+}
+
+// stop ends the coordinator and returns its state.
+func (d *duty) stop(now time.Time) (*slotpb.Handover, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.c.resigned || !d.c.settled {
+		d.c.resigned = true
+		return nil, errUnsettled
+	}
+	d.c.resigned = true
+	return d.c.handover(now), nil
+}
+
+func (c *coordinator) handover(now time.Time) *slotpb.Handover {
+	state := &slotpb.Handover{
+		Group:       c.group.proto(),
+		Epoch:       c.epoch,
+		NextSession: c.session,
+		DrainMs:     c.drain.Milliseconds(),
+	}
+	for id := range c.recorded {
+		state.Recorded = append(state.Recorded, id)
+	}
+	for _, h := range c.holders {
+		state.GrantSeq = max(state.GrantSeq, h.grantSeq)
+		if !h.admitted {
+			continue
+		}
+		ids := make([]leaseID, 0, len(h.held))
+		for id, seq := range h.held {
+			if seq != unsent {
+				ids = append(ids, id)
+			}
+		}
+		state.Holders = append(state.Holders, &slotpb.HolderState{
+			Holder: h.id, Session: h.session, AskSeq: h.askSeq,
+			Held: packIDs(ids), SilentMs: now.Sub(h.askedAt).Milliseconds(),
+		})
+	}
+	return state
+}
+
+// resume builds the successor's coordinator under the same epoch. Holders
+// accept it because its grants continue the predecessor's numbers.
+func resume(state *slotpb.Handover, self string, now time.Time) *coordinator {
+	c := newCoordinator(coordinatorConfig{
+		group: groupOf(state.GetGroup()), self: self, epoch: state.GetEpoch(), fresh: true,
+		drain: time.Duration(state.GetDrainMs()) * time.Millisecond, recorded: state.GetRecorded(),
+		grantBase: state.GetGrantSeq(),
+	}, now)
+	c.session = state.GetNextSession()
+	for _, s := range state.GetHolders() {
+		h := c.holder(s.GetHolder(), now)
+		h.reached, h.admitted, h.gatherDue = true, true, true
+		h.session, h.askSeq = s.GetSession(), s.GetAskSeq()
+		h.askedAt = now.Add(-time.Duration(s.GetSilentMs()) * time.Millisecond)
+		for _, id := range unpackIDs(s.GetHeld()) {
+			c.charge(h, id, h.grantSeq)
+		}
+	}
+	return c
+}
+
+func (m *Manager) handleHandover(_ context.Context, _ string, payload []byte) (proto.Message, error) {
+	var state slotpb.Handover
+	if err := proto.Unmarshal(payload, &state); err != nil {
+		return nil, fmt.Errorf("decode handover: %w", err)
+	}
+	now := time.Now()
+	c := resume(&state, m.self, now)
+	if !m.addDuty(c, now) {
+		return &slotpb.HandoverAnswer{}, nil
+	}
+	m.submit(storeJob{group: c.group})
+	m.tickDuties(now)
+	return &slotpb.HandoverAnswer{Accepted: true}, nil
+}
--- /dev/null
+++ b/slot/holder.go
@@ -0,0 +1,350 @@
+package slot
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pomelolock/pomelolock/loadbalancer"
+	"github.com/pomelolock/pomelolock/slot/slotpb"
+)
+
+const (
+	// renewAfter is the age of the last acknowledged ask from which a holder
+	// with leases asks again, renewRetry the distance of further tries.
+	renewAfter = leaseTTL / 4
+	renewRetry = leaseTTL / 10
+	// suspectAfter is the silence from which a coordinator is taken for lost.
+	suspectAfter = leaseTTL / 5
+)
+
+type leaseState int
+
+const (
+	leaseIdle leaseState = iota
+	leaseBusy
+	// leaseCooling is a slot that the server may still be using.
+	leaseCooling
+)
+
+// lease is one slot in the hands of a holder.
+type lease struct {
+	id     leaseID
+	server string
+	state  leaseState
+	// session is that under which the lease was granted.
+	session uint64
+	// recalled leases are returned as soon as they are idle.
+	recalled bool
+	// since is when the state began.
+	since time.Time
+	// coolUntil is when a cooling lease becomes idle.
+	coolUntil time.Time
+}
+
+// serverStats are the results of one server since the last ask.
+type serverStats struct {
+	report slotpb.ServerReport
+	// latency is the local average of ok results.
+	latency time.Duration
+	// avoidUntil is when the server may be chosen again after a failure.
+	avoidUntil time.Time
+}
+
+// holder keeps the leases that one coordinator granted to this instance. It is
+// a pure state machine; the caller passes the time, delivers messages and
+// serializes calls.
+type holder struct {
+	group group
+	drain time.Duration
+	// idleTime is how long an idle lease is kept.
+	idleTime time.Duration
+
+	epoch    uint64
+	session  uint64
+	grantSeq uint64
+	askSeq   uint64
+	sent     sentTimes
+	// basis is when the latest acknowledged ask was sent.
+	basis time.Time
+	// staleUntil is until when requests of voided leases may run.
+	staleUntil time.Time
+	// coordinator is the sender of the latest grant or redirection.
+	coordinator  string
+	redirectedAt time.Time
+	// waitingSince is the time of the first ask without an answer since.
+	waitingSince time.Time
+
+	leases map[leaseID]*lease
+	// keep is the number of leases that may be kept; negative sets no bound.
+	keep int
+	// divisor is the number of equal shares of spare connections.
+	divisor int
+	stats   map[serverID]*serverStats
+	// usual is the median latency of the servers as of the last tick.
+	usual time.Duration
+
+	want int
+	// due tells that the coordinator should hear the present state now.
+	due    bool
+	sentAt time.Time
+	// wantSent is the want of the last ask.
+	wantSent int
+
+	recalls uint64
+}
+
+func newHolder(g group, drain, idleTime time.Duration) *holder {
+	return &holder{
+		group:    g,
+		drain:    drain,
+		idleTime: idleTime,
+		leases:   make(map[leaseID]*lease),
+		stats:    make(map[serverID]*serverStats),
+		keep:     -1,
+	}
+}
+
+// valid reports whether requests may start on the leases.
+func (h *holder) valid(now time.Time) bool {
+	return !h.basis.IsZero() && mostElapsed(now, h.basis) < leaseTTL
+}
+
+// take makes the best idle lease busy. It skips servers for which skip returns
+// true.
+func (h *holder) take(skip func(server string) bool, now time.Time) *lease {
+	if len(h.leases) == 0 || !h.valid(now) {
+		return nil
+	}
+	var best *lease
+	var bestScore time.Duration
+	for _, l := range h.leases {
+		if l.state != leaseIdle || l.recalled || skip(l.server) {
+			continue
+		}
+		if score := h.score(l, now); best == nil || score < bestScore || score == bestScore && l.id < best.id {
+			best, bestScore = l, score
+		}
+	}
+	if best != nil {
+		best.state, best.since = leaseBusy, now
+	}
+	return best
+}
+
+// score orders idle leases: the lower, the better.
+func (h *holder) score(l *lease, now time.Time) time.Duration {
+	stats := h.stats[l.id.server()]
+	if stats == nil {
+		return 0
+	}
+	score := stats.latency
+	if now.Before(stats.avoidUntil) {
+		score += time.Hour
+	}
+	return score
+}
+
+// release ends a request. The lease becomes idle, cools, or is returned.
+func (h *holder) release(l *lease, result loadbalancer.Result, now time.Time) {
+	bad := h.note(l, result, now)
+	if h.leases[l.id] != l {
+		return
+	}
+	if bad {
+		l.recalled, h.due = true, true
+	}
+	if result.ChargedFor > 0 {
+		l.state, l.since, l.coolUntil = leaseCooling, now, now.Add(result.ChargedFor)
+		return
+	}
+	h.idle(l, now)
+}
+
+// idle makes a lease available or returns it.
+func (h *holder) idle(l *lease, now time.Time) {
+	l.state, l.since = leaseIdle, now
+	if l.recalled || h.keep >= 0 && len(h.leases) > h.keep {
+		h.drop(l)
+	}
+}
+
+// drop returns a lease: the next ask no longer lists it.
+func (h *holder) drop(l *lease) {
+	delete(h.leases, l.id)
+	h.due = true
+}
+
+// tick ends cooling, returns leases that were idle for long, and renews.
+func (h *holder) tick(now time.Time) {
+	h.usual = h.usualLatency()
+	for _, l := range h.leases {
+		switch l.state {
+		case leaseCooling:
+			if !now.Before(l.coolUntil) {
+				h.idle(l, now)
+			}
+		case leaseIdle:
+			if l.recalled || now.Sub(l.since) >= h.idleTime {
+				h.drop(l)
+			}
+		case leaseBusy:
+			h.noteOverdue(l, now)
+		}
+	}
+	if len(h.leases) > 0 && now.Sub(h.basis) >= renewAfter && now.Sub(h.sentAt) >= renewRetry {
+		h.due = true
+	}
+	if h.want > 0 && now.Sub(h.sentAt) >= renewRetry {
+		h.due = true
+	}
+}
+
+// suspect reports whether the coordinator has left asks unanswered for long.
+func (h *holder) suspect(now time.Time) bool {
+	return !h.waitingSince.IsZero() && now.Sub(h.waitingSince) >= suspectAfter
+}
+
+// setWant notes how many requests wait for a lease of this group.
+func (h *holder) setWant(want int) {
+	if want > h.wantSent {
+		h.due = true
+	}
+	h.want = want
+}
+
+// ask returns the message that is due, or nil.
+func (h *holder) ask(now time.Time) *slotpb.Ask {
+	if !h.due {
+		return nil
+	}
+	h.due = false
+	h.askSeq++
+	h.sent.put(h.askSeq, now)
+	h.sentAt, h.wantSent = now, h.want
+	if h.waitingSince.IsZero() && (h.want > 0 || len(h.leases) > 0) {
+		h.waitingSince = now
+	}
+	ask := &slotpb.Ask{
+		Group:   h.group.proto(),
+		Epoch:   h.epoch,
+		Seq:     h.askSeq,
+		Ack:     h.grantSeq,
+		Session: h.session,
+		Want:    uint32(h.want),
+		DrainMs: h.drain.Milliseconds(),
+		Reports: h.takeReports(),
+		Suspect: h.suspect(now),
+		BasisMs: int64(mostElapsed(now, h.basis)/time.Millisecond) + 1,
+		Stale:   now.Before(h.staleUntil),
+	}
+	ids := make([]leaseID, 0, len(h.leases))
+	for id, l := range h.leases {
+		ids = append(ids, id)
+		if l.state != leaseIdle {
+			ask.Busy++
+		}
+	}
+	ask.Held = packIDs(ids)
+	return ask
+}
+
+// onGrant takes in a grant.
+func (h *holder) onGrant(from string, g *slotpb.Grant, now time.Time) {
+	if g.GetCoordinator() != "" {
+		h.redirect(g, now)
+		return
+	}
+	if g.GetEpoch() < h.epoch || g.GetEpoch() == h.epoch && g.GetSeq() <= h.grantSeq {
+		return
+	}
+	if g.GetEpoch() > h.epoch {
+		h.keep = -1
+	}
+	h.epoch, h.grantSeq = g.GetEpoch(), g.GetSeq()
+	h.coordinator, h.waitingSince = from, time.Time{}
+	if g.GetGather() {
+		h.due = true
+		return
+	}
+	if g.GetSession() != h.session {
+		h.startSession(g.GetSession(), now)
+	}
+	if sent := h.sent.at(g.GetAck()); sent.After(h.basis) {
+		h.basis = sent
+	}
+	h.divisor = int(g.GetConnectionDivisor())
+	h.add(g.GetLeases(), now)
+	h.recall(g, now)
+}
+
+// redirect follows a redirection at once, unless one follows another.
+func (h *holder) redirect(g *slotpb.Grant, now time.Time) {
+	if g.GetEpoch() < h.epoch || g.GetCoordinator() == h.coordinator {
+		return
+	}
+	h.coordinator = g.GetCoordinator()
+	h.due = h.due || now.Sub(h.redirectedAt) >= renewRetry
+	h.redirectedAt = now
+}
+
+// startSession voids the leases of the previous session. Their requests end as
+// they may; the leases are not used again.
+func (h *holder) startSession(session uint64, now time.Time) {
+	for _, l := range h.leases {
+		if l.state != leaseIdle {
+			h.staleUntil = now.Add(h.drain)
+		}
+	}
+	clear(h.leases)
+	h.session = session
+	h.basis = time.Time{}
+}
+
+func (h *holder) add(leases []*slotpb.Lease, now time.Time) {
+	for _, granted := range leases {
+		id := leaseID(granted.GetId())
+		if h.leases[id] == nil {
+			h.leases[id] = &lease{id: id, server: granted.GetServer(), session: h.session, since: now}
+		}
+	}
+}
+
+// recall marks the leases that the coordinator wants back and returns those
+// that are idle and beyond what is needed here.
+func (h *holder) recall(g *slotpb.Grant, now time.Time) {
+	h.keep = int(g.GetKeep()) - 1
+	for _, id := range g.GetRecall() {
+		if l := h.leases[leaseID(id)]; l != nil && !l.recalled {
+			l.recalled = true
+			h.recalls++
+			h.due = h.due || l.state == leaseIdle
+		}
+	}
+	if h.keep < 0 || len(h.leases) <= h.keep {
+		return
+	}
+	h.recalls++
+	for _, l := range h.idleByScore(now) {
+		if len(h.leases) <= h.keep {
+			return
+		}
+		h.drop(l)
+	}
+}
+
+// idleByScore returns the idle leases, the worst first.
+func (h *holder) idleByScore(now time.Time) []*lease {
+	var idle []*lease
+	for _, l := range h.leases {
+		if l.state == leaseIdle {
+			idle = append(idle, l)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *lease) int {
+		if difference := h.score(b, now) - h.score(a, now); difference != 0 {
+			return int(difference)
+		}
+		return int(a.id) - int(b.id)
+	})
+	return idle
+}
--- /dev/null
+++ b/slot/record.go
@@ -0,0 +1,278 @@
+package slot
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/slot/slotpb"
+)
+
+// storeTimeout bounds one access of the table service.
+const storeTimeout = 3 * time.Second
+
+// forgetAfter is the silence from which a holder that left the fleet is taken
+// out of the record.
+const forgetAfter = 10 * time.Second
+
+// storeJob asks a worker to become a group's coordinator, or to prove and
+// update the record of one that runs here.
+type storeJob struct {
+	group group
+	// from asked for a lease, with the epoch that it knows.
+	from  string
+	epoch uint64
+	// suspect tells that the recorded coordinator doesn't answer from.
+	suspect bool
+}
+
+// submit queues a job unless the group has one under way or the queue is full;
+// asks and ticks repeat it.
+func (m *Manager) submit(job storeJob) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.pendingJobs[job.group] || m.leaving {
+		return
+	}
+	select {
+	case m.jobs <- job:
+		m.pendingJobs[job.group] = true
+	default:
+	}
+}
+
+func (m *Manager) runStore(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case job := <-m.jobs:
+			m.runJob(ctx, job)
+			m.mu.Lock()
+			delete(m.pendingJobs, job.group)
+			m.mu.Unlock()
+		}
+	}
+}
+
+func (m *Manager) runJob(ctx context.Context, job storeJob) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	var err error
+	if d := m.duty(job.group); d != nil {
+		err = m.syncRecord(ctx, job.group, d)
+	} else {
+		err = m.takeOver(ctx, job)
+	}
+	if err != nil {
+		m.counters.storeErrors.Add(1)
+		m.log.Debug("slot_record_failed", "service", job.group.service, "data_centre", job.group.dataCentre, "err", err)
+		return
+	}
+	m.tickDuties(time.Now())
+}
+
+// readRecord returns the group's record and its version; a missing record is
+// empty and has version [platform.Absent].
+func (m *Manager) readRecord(ctx context.Context, g group) (*slotpb.Record, platform.Version, error) {
+	m.counters.storeReads.Add(1)
+	stored, err := m.opts.Tables.Get(ctx, g.key())
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		return &slotpb.Record{}, platform.Absent, nil
+	}
+	if err != nil {
+		return nil, platform.Absent, fmt.Errorf("read record: %w", err)
+	}
+	record := &slotpb.Record{}
+	if err := proto.Unmarshal(stored.Value, record); err != nil {
+		return nil, platform.Absent, fmt.Errorf("decode record: %w", err)
+	}
+	return record, stored.Version, nil
+}
+
+// writeRecord writes the record under the version condition. An unknown outcome
+// is settled by reading back.
+func (m *Manager) writeRecord(ctx context.Context, g group, record *slotpb.Record, expect platform.Version) error {
+	value, err := proto.Marshal(record)
+	if err != nil {
+		return fmt.Errorf("encode record: %w", err)
+	}
+	m.counters.storeWrites.Add(1)
+	_, err = m.opts.Tables.Put(ctx, g.key(), value, expect)
+	var unknown *platform.UnknownOutcomeError
+	if !errors.As(err, &unknown) {
+		if err != nil {
+			return fmt.Errorf("write record: %w", err)
+		}
+		return nil
+	}
+	present, _, readErr := m.readRecord(ctx, g)
+	if readErr != nil {
+		return fmt.Errorf("write record: %w", err)
+	}
+	if !proto.Equal(present, record) {
+		return fmt.Errorf("write record: %w", err)
+	}
+	return nil
+}
+
+// takeOver raises the group's epoch and starts its coordinator, or redirects
+// the asking holder to the one that runs elsewhere.
+func (m *Manager) takeOver(ctx context.Context, job storeJob) error {
+	record, version, err := m.readRecord(ctx, job.group)
+	if err != nil {
+		return err
+	}
+	owner := record.GetOwner()
+	suspect := job.suspect && job.epoch >= record.GetEpoch()
+	if owner != "" && owner != m.self && !suspect && m.live(owner) {
+		m.redirect(job, record)
+		return nil
+	}
+	if other := m.candidate(job.group, owner); other != m.self && owner != m.self && m.reachable(other) {
+		m.redirect(job, &slotpb.Record{Epoch: record.GetEpoch(), Owner: other})
+		return nil
+	}
+	next := &slotpb.Record{
+		Epoch:   record.GetEpoch() + 1,
+		Owner:   m.self,
+		Holders: m.withEntries(append(record.GetHolders(), job.from), job.group),
+		DrainMs: max(record.GetDrainMs(), m.drain(job.group).Milliseconds()),
+		Earlier: earlierSets(record),
+	}
+	started := time.Now()
+	if err := m.writeRecord(ctx, job.group, next, version); err != nil {
+		return err
+	}
+	m.counters.takeovers.Add(1)
+	m.addDuty(newCoordinator(coordinatorConfig{
+		group: job.group, self: m.self, epoch: next.GetEpoch(), recorded: next.GetHolders(),
+		drain:   time.Duration(next.GetDrainMs()) * time.Millisecond,
+		earlier: holderSets(next), fresh: version == platform.Absent, confirmedAt: started,
+	}, time.Now()), time.Now())
+	return nil
+}
+
+func (m *Manager) redirect(job storeJob, record *slotpb.Record) {
+	grant := &slotpb.Grant{Group: job.group.proto(), Epoch: record.GetEpoch(), Coordinator: record.GetOwner()}
+	m.sendGrants([]outgoingGrant{{to: job.from, grant: grant}})
+}
+
+// live reports whether the instance is in the view and has a session here.
+func (m *Manager) live(id string) bool {
+	if id != m.self && !m.reachable(id) {
+		return false
+	}
+	for _, instance := range m.opts.View.Entries() {
+		if instance.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Manager) drain(g group) time.Duration {
+	if snapshot := m.opts.Current.Load(); snapshot != nil {
+		return drainTime(snapshot, g.service)
+	}
+	return 0
+}
+
+// withEntries adds the live instances of the group's data centre, so that they
+// need no write of their own later.
+func (m *Manager) withEntries(ids []string, g group) []string {
+	for _, instance := range m.opts.View.Entries() {
+		if instance.DataCentre == g.dataCentre {
+			ids = append(ids, instance.ID)
+		}
+	}
+	slices.Sort(ids)
+	ids = slices.Compact(ids)
+	return slices.DeleteFunc(ids, func(id string) bool { return id == "" })
+}
+
+// syncRecord writes the record of a coordinator that runs here, with the holders
+// that joined and without those that left. The write proves the epoch.
+func (m *Manager) syncRecord(ctx context.Context, g group, d *duty) error {
+	started := time.Now()
+	record, version, err := m.readRecord(ctx, g)
+	if err != nil {
+		return err
+	}
+	next := d.nextRecord(record, m.self, m.live, started)
+	if next == nil {
+		return nil
+	}
+	next.Holders = m.withEntries(next.GetHolders(), g)
+	d.announce(next.GetHolders())
+	if err := m.writeRecord(ctx, g, next, version); err != nil {
+		return err
+	}
+	d.recorded(next, started, time.Now())
+	return nil
+}
+
+// nextRecord returns the record to write after the one that was read, or nil if
+// that is of another epoch.
+func (d *duty) nextRecord(record *slotpb.Record, self string, live func(string) bool, now time.Time) *slotpb.Record {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if record.GetEpoch() != d.c.epoch {
+		d.c.resigned = d.c.resigned || record.GetEpoch() > d.c.epoch
+		return nil
+	}
+	holders := append(slices.Clone(record.GetHolders()), d.c.unrecorded()...)
+	earlier := record.GetEarlier()
+	if d.c.acting {
+		earlier = nil
+	}
+	return &slotpb.Record{
+		Epoch: d.c.epoch,
+		Owner: self,
+		Holders: slices.DeleteFunc(holders, func(id string) bool {
+			return d.c.forgettable(id, now) && !live(id)
+		}),
+		DrainMs: max(record.GetDrainMs(), d.c.drain.Milliseconds()),
+		Earlier: earlier,
+	}
+}
+
+// earlierSets returns the sets of holders whose quorums a successor of the
+// record's epoch must end.
+func earlierSets(record *slotpb.Record) []*slotpb.HolderSet {
+	sets := record.GetEarlier()
+	for _, set := range sets {
+		if slices.Equal(set.GetHolders(), record.GetHolders()) {
+			return sets
+		}
+	}
+	return append(sets, &slotpb.HolderSet{Holders: record.GetHolders()})
+}
+
+func holderSets(record *slotpb.Record) [][]string {
+	var sets [][]string
+	for _, set := range record.GetEarlier() {
+		sets = append(sets, set.GetHolders())
+	}
+	return sets
+}
+
+// announce notes the holders of a record that is being written.
+func (d *duty) announce(holders []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.c.setPending(holders)
+}
+
+func (d *duty) recorded(record *slotpb.Record, started, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.c.setRecorded(record.GetHolders(), now)
+	d.c.confirm(started)
+}
--- /dev/null
+++ b/slot/report.go
@@ -0,0 +1,113 @@
+package slot
+
+import (
+	"time"
+
+	"github.com/pomelolock/pomelolock/loadbalancer"
+	"github.com/pomelolock/pomelolock/slot/slotpb"
+)
+
+const (
+	// avoidTime is how long a holder prefers other servers after a failure.
+	avoidTime = 200 * time.Millisecond
+	// overdueFactor is the ratio to the usual latency from which a request
+	// in flight counts as overdue, overdueFloor the least such time.
+	overdueFactor = 4
+	overdueFloor  = 10 * time.Millisecond
+)
+
+func (h *holder) statsOf(server serverID) *serverStats {
+	stats := h.stats[server]
+	if stats == nil {
+		stats = &serverStats{}
+		stats.report.Server = uint64(server)
+		h.stats[server] = stats
+	}
+	return stats
+}
+
+// note counts a result. It reports whether the lease should not be used again:
+// other servers are the better choice for now.
+func (h *holder) note(l *lease, result loadbalancer.Result, now time.Time) bool {
+	stats := h.statsOf(l.id.server())
+	report := &stats.report
+	if result.Load != nil && result.Load.Draining {
+		report.Draining = true
+	}
+	switch result.Class {
+	case loadbalancer.ClassOK:
+		report.Ok++
+		report.LatencyUs += uint64(max(result.Latency, 0).Microseconds())
+		slow := h.overdue(result.Latency)
+		stats.addLatency(result.Latency)
+		return report.Draining || slow
+	case loadbalancer.ClassFailed:
+		report.Failed++
+	case loadbalancer.ClassRefused:
+		report.Refused++
+	case loadbalancer.ClassUnreachable:
+		report.Unreachable++
+	case loadbalancer.ClassCancelled:
+		if !h.overdue(now.Sub(l.since)) {
+			return false
+		}
+		report.Overdue++
+	}
+	stats.avoidUntil = now.Add(avoidTime)
+	return true
+}
+
+func (s *serverStats) addLatency(sample time.Duration) {
+	if s.latency == 0 {
+		s.latency = sample
+		return
+	}
+	s.latency += time.Duration(latencyWeight * float64(sample-s.latency))
+}
+
+// noteOverdue reports a request that is in flight for unusually long.
+func (h *holder) noteOverdue(l *lease, now time.Time) {
+	if l.recalled || !h.overdue(now.Sub(l.since)) {
+		return
+	}
+	stats := h.statsOf(l.id.server())
+	stats.report.Overdue++
+	stats.avoidUntil = now.Add(avoidTime)
+	l.recalled, h.due = true, true
+}
+
+// overdue compares a latency with the median of the group's servers.
+func (h *holder) overdue(latency time.Duration) bool {
+	if latency < overdueFloor {
+		return false
+	}
+	return h.usual > 0 && latency > overdueFactor*h.usual
+}
+
+// usualLatency returns the median over the servers known to this holder.
+func (h *holder) usualLatency() time.Duration {
+	latencies := make([]time.Duration, 0, len(h.stats))
+	for _, stats := range h.stats {
+		if stats.latency > 0 {
+			latencies = append(latencies, stats.latency)
+		}
+	}
+	return medianLatency(latencies)
+}
+
+// takeReports returns and resets the counts since the previous ask.
+func (h *holder) takeReports() []*slotpb.ServerReport {
+	var reports []*slotpb.ServerReport
+	for _, stats := range h.stats {
+		r := &stats.report
+		if r.Ok+r.Failed+r.Refused+r.Unreachable+r.Overdue == 0 && !r.Draining {
+			continue
+		}
+		reports = append(reports, &slotpb.ServerReport{
+			Server: r.Server, Ok: r.Ok, Failed: r.Failed, Refused: r.Refused,
+			Unreachable: r.Unreachable, Overdue: r.Overdue, LatencyUs: r.LatencyUs, Draining: r.Draining,
+		})
+		r.Ok, r.Failed, r.Refused, r.Unreachable, r.Overdue, r.LatencyUs, r.Draining = 0, 0, 0, 0, 0, 0, false
+	}
+	return reports
+}
--- /dev/null
+++ b/slot/service.go
@@ -0,0 +1,279 @@
+package slot
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pomelolock/pomelolock/loadbalancer"
+	"github.com/pomelolock/pomelolock/slot/slotpb"
+	"github.com/pomelolock/pomelolock/table"
+)
+
+const (
+	// spillAfter is the wait from which other data centres are asked.
+	spillAfter = 5 * time.Millisecond
+	// minIdleTime is how long an idle lease is kept while messages are few.
+	minIdleTime = 50 * time.Millisecond
+	// maxIdleTime is how long one is kept when messages near their budget.
+	maxIdleTime = 2 * time.Second
+	// remoteIdleTime is how long a lease of another data centre is kept.
+	remoteIdleTime = 20 * time.Millisecond
+)
+
+// service leases slots for the requests of one service at this instance.
+type service struct {
+	name string
+	// kick wakes the manager; it never blocks.
+	kick   func()
+	usable func(server string) (table.Server, bool)
+
+	mu sync.Mutex
+	// holders has the local data centre first.
+	holders []*holder
+	queue   *queue
+	removed bool
+}
+
+// acquire takes an idle lease, or queues and asks.
+func (s *service) acquire(ctx context.Context, req loadbalancer.Request) (*loadbalancer.Permit, error) {
+	now := time.Now()
+	skip := func(server string) bool { return s.skip(server, req.Exclude) }
+	s.mu.Lock()
+	if s.removed {
+		s.mu.Unlock()
+		return nil, &loadbalancer.NoServerError{Service: s.name}
+	}
+	if s.queue.size == 0 || req.NoWait {
+		if permit := s.takeIdle(skip, now); permit != nil {
+			s.mu.Unlock()
+			return permit, nil
+		}
+	}
+	w, err := s.enqueue(ctx, req, now)
+	s.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	s.kick()
+	return s.wait(ctx, w)
+}
+
+func (s *service) skip(server string, exclude []string) bool {
+	if slices.Contains(exclude, server) {
+		return true
+	}
+	_, ok := s.usable(server)
+	return !ok
+}
+
+func (s *service) takeIdle(skip func(string) bool, now time.Time) *loadbalancer.Permit {
+	for _, h := range s.holders {
+		if l := h.take(skip, now); l != nil {
+			if server, ok := s.usable(l.server); ok {
+				return s.permit(h, l, server)
+			}
+			h.idle(l, now)
+		}
+	}
+	return nil
+}
+
+func (s *service) permit(h *holder, l *lease, server table.Server) *loadbalancer.Permit {
+	return loadbalancer.NewPermit(server, func(result loadbalancer.Result) { s.release(h, l, result) })
+}
+
+func (s *service) enqueue(ctx context.Context, req loadbalancer.Request, now time.Time) (*waiter, error) {
+	if len(s.holders) == 0 {
+		return nil, &loadbalancer.NoServerError{Service: s.name}
+	}
+	if req.NoWait {
+		return nil, &loadbalancer.OverloadError{Service: s.name, RetryAfter: s.queue.retryAfter()}
+	}
+	w := &waiter{flow: req.Flow, exclude: req.Exclude, enqueued: now, result: make(chan waitResult, 1)}
+	w.deadline, _ = ctx.Deadline()
+	if retryAfter, ok := s.queue.admit(w, now); !ok {
+		return nil, &loadbalancer.OverloadError{Service: s.name, RetryAfter: retryAfter}
+	}
+	s.updateWant(now)
+	return w, nil
+}
+
+func (s *service) wait(ctx context.Context, w *waiter) (*loadbalancer.Permit, error) {
+	select {
+	case r := <-w.result:
+		return s.answer(r)
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	waiting := s.queue.remove(w)
+	s.updateWant(time.Now())
+	s.mu.Unlock()
+	if waiting {
+		return nil, ctx.Err()
+	}
+	permit, err := s.answer(<-w.result)
+	if permit != nil {
+		permit.Release(loadbalancer.Result{Class: loadbalancer.ClassCancelled})
+		return nil, ctx.Err()
+	}
+	return nil, err
+}
+
+func (s *service) answer(r waitResult) (*loadbalancer.Permit, error) {
+	if r.lease == nil {
+		return nil, &loadbalancer.OverloadError{Service: s.name, RetryAfter: r.retryAfter}
+	}
+	return s.permit(r.holder, r.lease, r.server), nil
+}
+
+func (s *service) release(h *holder, l *lease, result loadbalancer.Result) {
+	now := time.Now()
+	s.mu.Lock()
+	if result.Class == loadbalancer.ClassOK {
+		s.queue.addLatency(result.Latency)
+	}
+	h.release(l, result, now)
+	if s.queue.size > 0 {
+		s.serve(now)
+	}
+	due := h.due
+	s.mu.Unlock()
+	if due {
+		s.kick()
+	}
+}
+
+// serve gives idle leases to waiters.
+func (s *service) serve(now time.Time) {
+	for s.queue.size > 0 {
+		var r waitResult
+		w := s.queue.pop(func(w *waiter) bool {
+			r = s.match(w, now)
+			return r.lease != nil
+		}, now)
+		if w == nil {
+			break
+		}
+		w.result <- r
+	}
+	s.updateWant(now)
+}
+
+func (s *service) match(w *waiter, now time.Time) waitResult {
+	for _, h := range s.holders {
+		l := h.take(func(server string) bool { return s.skip(server, w.exclude) }, now)
+		if l == nil {
+			continue
+		}
+		if server, ok := s.usable(l.server); ok {
+			return waitResult{lease: l, holder: h, server: server}
+		}
+		h.idle(l, now)
+	}
+	return waitResult{}
+}
+
+// updateWant spreads the waiting requests over the data centres: the local one
+// at first, the others too once that gave none in time.
+func (s *service) updateWant(now time.Time) {
+	spill := s.queue.size > 0 && now.Sub(s.queue.oldest()) >= spillAfter
+	for i, h := range s.holders {
+		switch {
+		case i == 0:
+			h.setWant(s.queue.size)
+		case spill || s.holders[0].suspect(now):
+			others := len(s.holders) - 1
+			h.setWant((s.queue.size + others - 1) / others)
+		default:
+			h.setWant(0)
+		}
+	}
+}
+
+// tick refuses late waiters, expires idle leases and serves from cooled ones.
+func (s *service) tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.queue.late(now) {
+		w.result <- waitResult{retryAfter: s.queue.retryAfter()}
+	}
+	for _, h := range s.holders {
+		h.tick(now)
+	}
+	s.serve(now)
+}
+
+func (s *service) onGrant(from string, grant *slotpb.Grant, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.holders {
+		if h.group == groupOf(grant.GetGroup()) {
+			h.onGrant(from, grant, now)
+		}
+	}
+	s.serve(now)
+}
+
+// serviceConfig is what the table says about a service, as far as the holders
+// need it.
+type serviceConfig struct {
+	groups     []group
+	queueLimit int
+	drain      time.Duration
+}
+
+// configure takes over the table's rows; holders of vanished groups go.
+func (s *service) configure(cfg serviceConfig) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removed = false
+	s.queue.limit = cfg.queueLimit
+	old := s.holders
+	s.holders = nil
+	for i, g := range cfg.groups {
+		at := slices.IndexFunc(old, func(h *holder) bool { return h.group == g })
+		h := newHolder(g, cfg.drain, remoteIdleTime)
+		if at >= 0 {
+			h = old[at]
+		}
+		h.drain = cfg.drain
+		if i == 0 {
+			h.idleTime = minIdleTime
+		}
+		s.holders = append(s.holders, h)
+	}
+}
+
+func (s *service) setIdleTime(idleTime time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, h := range s.holders {
+		if i == 0 {
+			h.idleTime = idleTime
+		}
+	}
+}
+
+// returnAll gives every lease back at the end of the instance.
+func (s *service) returnAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.holders {
+		if len(h.leases) > 0 {
+			clear(h.leases)
+			h.due = true
+		}
+		h.want = 0
+	}
+}
+
+// addLatency takes in the time that a served request needed.
+func (q *queue) addLatency(latency time.Duration) {
+	if q.latency == 0 {
+		q.latency = latency
+		return
+	}
+	q.latency += time.Duration(latencyWeight * float64(latency-q.latency))
+}
--- /dev/null
+++ b/slot/stats.go
@@ -0,0 +1,137 @@
+package slot
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+type counters struct {
+	asks, grants, messages, bytes, unsent           atomic.Uint64
+	storeReads, storeWrites, storeErrors, takeovers atomic.Uint64
+}
+
+// Stats are counts since the start and present sizes of a [Manager].
+type Stats struct {
+	// Asks are states sent to coordinators, Grants the leases granted by
+	// coordinators here, Recalls the recalls received.
+	Asks    uint64
+	Grants  uint64
+	Recalls uint64
+	// Messages and Bytes are those sent to other instances.
+	Messages uint64
+	Bytes    uint64
+	// Unsent counts messages for which there was no session.
+	Unsent uint64
+	// StoreReads, StoreWrites and StoreErrors are table service accesses.
+	StoreReads  uint64
+	StoreWrites uint64
+	StoreErrors uint64
+	Takeovers   uint64
+	// Held is the number of leases held now, Busy that of those in use.
+	Held int
+	Busy int
+	// Queued is the number of waiting requests.
+	Queued int
+	// Coordinated is the number of groups coordinated here.
+	Coordinated int
+}
+
+// Stats returns the present figures.
+func (m *Manager) Stats() Stats {
+	c := &m.counters
+	stats := Stats{
+		Asks: c.asks.Load(), Grants: c.grants.Load(), Messages: c.messages.Load(), Bytes: c.bytes.Load(),
+		Unsent: c.unsent.Load(), StoreReads: c.storeReads.Load(), StoreWrites: c.storeWrites.Load(),
+		StoreErrors: c.storeErrors.Load(), Takeovers: c.takeovers.Load(), Coordinated: len(m.allDuties()),
+	}
+	for _, s := range m.allServices() {
+		s.mu.Lock()
+		stats.Queued += s.queue.size
+		for _, h := range s.holders {
+			stats.Held += len(h.leases)
+			stats.Recalls += h.recalls
+			for _, l := range h.leases {
+				if l.state != leaseIdle {
+					stats.Busy++
+				}
+			}
+		}
+		s.mu.Unlock()
+	}
+	return stats
+}
+
+// Backend is a coordinator's view of one backend server.
+type Backend struct {
+	Service    string
+	DataCentre string
+	Server     string
+	// Slots is the table's number, Leased that of leases out, Window the
+	// number that the server is trusted with at once.
+	Slots  int
+	Leased int
+	Window float64
+	// Latency is the average of whole answers; zero if unknown.
+	Latency time.Duration
+	// Usable is false for a server that takes no new work by the table or
+	// the instance list; Draining and Failing come from its answers.
+	Usable   bool
+	Draining bool
+	Failing  bool
+}
+
+// Backends returns the servers of the groups that are coordinated here.
+func (m *Manager) Backends() []Backend {
+	var backends []Backend
+	for g, d := range m.allDuties() {
+		d.mu.Lock()
+		for _, server := range d.c.servers {
+			q := &server.quality
+			backends = append(backends, Backend{
+				Service: g.service, DataCentre: g.dataCentre, Server: server.name, Slots: server.slots,
+				Leased: server.leased, Window: q.window, Latency: q.latency, Usable: server.usable,
+				Draining: q.draining, Failing: q.failing,
+			})
+		}
+		d.mu.Unlock()
+	}
+	return backends
+}
+
+// ConnLimit returns how many connections this instance may have open to the
+// server: one for each lease, and a share of the connections that the table
+// allows beyond the server's slots. Over the fleet the limits add up to the
+// table's number at most.
+func (m *Manager) ConnLimit(name string) int {
+	snapshot := m.opts.Current.Load()
+	if snapshot == nil {
+		return 0
+	}
+	server, ok := snapshot.Server(name)
+	if !ok {
+		return 0
+	}
+	m.mu.RLock()
+	s := m.services[server.Service]
+	m.mu.RUnlock()
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := 0
+	for _, h := range s.holders {
+		if h.group.dataCentre != server.DataCentre {
+			continue
+		}
+		for id := range h.leases {
+			if id.server() == idOfServer(name) {
+				limit++
+			}
+		}
+		if h.divisor > 0 {
+			limit += max(server.Connections-server.Slots, 0) / h.divisor
+		}
+	}
+	return limit
+}
