--- a/claim/journal.go
+++ b/claim/journal.go
@@ -20,6 +20,12 @@
 const (
 	// finishQueue bounds the ends that wait to be sent to owners.
 	finishQueue = 4096
+	// busyShare is the percentage of a call's timeout after which the owner
+	// answers that it is busy, so that the answer still arrives.
+	busyShare = 90
+	// maxBusyCalls is how often a busy owner is asked before another
+	// instance is.
+	maxBusyCalls = 4
 	// startPause is the time between two tries to read the layout.
 	startPause = 200 * time.Millisecond
 	// retryAfterDown is when a caller may come back after a failed claim.
@@ -29,6 +35,7 @@
 var (
 	errNotStarted = errors.New("journal not started")
 	errLeaving    = errors.New("instance is leaving")
+	errBusy       = errors.New("partition is busy")
 	errNoOwner    = errors.New("no instance could decide the claim")
 )
 
@@ -202,7 +209,7 @@
 		if target == self {
 			return s.partitions[number].submit(ctx, c)
 		}
-		decision, retry, err := j.call(ctx, target, c)
+		decision, retry, err := j.callUntilServed(ctx, target, c)
 		if !retry {
 			return decision, err
 		}
@@ -214,12 +221,24 @@
 	return Decision{}, last
 }
 
+// callUntilServed asks a peer again if it answers that it is busy.
+func (j *Journal) callUntilServed(ctx context.Context, target string, c *claimpb.Claim) (decision Decision, retry bool, err error) {
+	for range maxBusyCalls {
+		decision, retry, err = j.call(ctx, target, c)
+		if !errors.Is(err, errBusy) || ctx.Err() != nil {
+			break
+		}
+	}
+	return decision, retry, err
+}
+
 // call asks a peer. It reports retry if another instance should be asked.
 func (j *Journal) call(ctx context.Context, target string, c *claimpb.Claim) (decision Decision, retry bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, j.opts.PeerTimeout)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
-	req := &claimpb.ClaimRequest{Claim: c, WaitMs: time.Until(deadline).Milliseconds()}
+	wait := time.Until(deadline) * busyShare / 100
+	req := &claimpb.ClaimRequest{Claim: c, WaitMs: wait.Milliseconds()}
 	reply := new(claimpb.ClaimReply)
 	if err := j.opts.Messenger.Call(ctx, target, peerpb.Kind_KIND_CLAIM, req, reply); err != nil {
 		return Decision{}, true, err
@@ -227,6 +246,9 @@
 	if reply.GetLeaving() {
 		return Decision{}, true, errLeaving
 	}
+	if reply.GetBusy() {
+		return Decision{}, true, errBusy
+	}
 	decision, err = decisionOf(reply)
 	return decision, false, err
 }
@@ -269,7 +291,8 @@
 
 func replyOf(decision Decision, err error) *claimpb.ClaimReply {
 	if err != nil {
-		return &claimpb.ClaimReply{Error: err.Error()}
+		busy := errors.Is(err, context.DeadlineExceeded)
+		return &claimpb.ClaimReply{Error: err.Error(), Busy: busy}
 	}
 	reply := &claimpb.ClaimReply{
 		Verdict:      int32(decision.Verdict),
--- a/claim/journal_test.go
+++ b/claim/journal_test.go
@@ -21,6 +21,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(limits, options)
+		defer time.Sleep(time.Second) // Messages in flight arrive.
 		defer f.stop()
 		for range n {
 			f.start()
