Tracker of the fleet's membership

Cause: the view was an interface only. Change: membership.Tracker merges the instance list with the peer sessions, registers and re-registers the local row, announces leaving to peers and list, and shares leaving backend servers. An instance that has lost most sessions keeps the others in view, as it is presumably the one cut off.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -1,6 +1,13 @@
 // Package membership merges the platform's instance list with the peer
 // sessions into one view of the fleet.
 //
+// A [Tracker] polls the list, follows the peer sessions and tells peers at
+// once which backend servers and entry instances are leaving. An entry
+// instance with an open session stays in view although the list lost its row
+// or is down. An instance without a session leaves the view after a while,
+// unless most other sessions are down as well, in which case the local
+// instance is presumably the one that is cut off.
+//
 // Both sources lag, so the view is a hint: it decides whom to ask, and never
 // whether an action is safe. Safety rests on epochs, conditional writes and
 // expiries.
--- /dev/null
+++ b/membership/tracker_test.go
@@ -0,0 +1,408 @@
+package membership_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/pomelolock/pomelolock/membership"
+	"github.com/pomelolock/pomelolock/peer/peertest"
+	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/platform/memory"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	linkDelay = time.Millisecond
+	// settled is longer than any timeout of the view.
+	settled = 15 * time.Second
+)
+
+// targetRecorder keeps the targets that a tracker sets.
+type targetRecorder struct {
+	mu      sync.Mutex
+	targets []platform.Instance
+}
+
+func (r *targetRecorder) SetTargets(instances []platform.Instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.targets = instances
+}
+
+func (r *targetRecorder) addresses() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var addresses []string
+	for _, instance := range r.targets {
+		addresses = append(addresses, instance.PeerAddress)
+	}
+	return addresses
+}
+
+// fleet runs trackers over an in-memory network and list.
+type fleet struct {
+	t        *testing.T
+	net      *peertest.Network
+	list     *memory.Store
+	trackers map[string]*membership.Tracker
+	targets  map[string]*targetRecorder
+	stops    map[string]func()
+}
+
+func newFleet(t *testing.T, ids ...string) *fleet {
+	f := &fleet{
+		t: t, net: peertest.NewNetwork(linkDelay), list: memory.New(),
+		trackers: make(map[string]*membership.Tracker),
+		targets:  make(map[string]*targetRecorder),
+		stops:    make(map[string]func()),
+	}
+	for _, id := range ids {
+		f.start(id)
+	}
+	return f
+}
+
+func instance(id string) platform.Instance {
+	return platform.Instance{
+		ID: id, Role: platform.RoleEntry, DataCentre: "dc-1", PeerAddress: id + ":7000", State: platform.StateLive,
+	}
+}
+
+func (f *fleet) start(id string, cutFrom ...string) {
+	node := f.net.Join(id)
+	for _, other := range cutFrom {
+		f.net.SetCut(id, other, true)
+	}
+	f.targets[id] = &targetRecorder{}
+	tracker := membership.NewTracker(membership.Options{
+		Self: instance(id), List: f.list, Messenger: node, Targets: f.targets[id],
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = tracker.Run(ctx) })
+	f.trackers[id] = tracker
+	f.stops[id] = func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// crash ends an instance without a word.
+func (f *fleet) crash(id string) {
+	f.net.Leave(id)
+	f.stops[id]()
+	delete(f.trackers, id)
+	delete(f.stops, id)
+}
+
+func (f *fleet) stop() {
+	for _, stop := range f.stops {
+		stop()
+	}
+	f.net.Close()
+}
+
+func (f *fleet) setRow(row platform.Instance) {
+	f.t.Helper()
+	if err := f.list.SetInstance(context.Background(), row); err != nil {
+		f.t.Fatalf("set row: %v", err)
+	}
+}
+
+func (f *fleet) ids(id string) []string {
+	var ids []string
+	for _, instance := range f.trackers[id].Entries() {
+		ids = append(ids, instance.ID)
+	}
+	return ids
+}
+
+func (f *fleet) want(id string, want ...string) {
+	f.t.Helper()
+	if got := f.ids(id); !slices.Equal(got, want) {
+		f.t.Fatalf("entries of %s: got %v, want %v", id, got, want)
+	}
+}
+
+// cutOff cuts or heals all links of an instance.
+func (f *fleet) cutOff(id string, cut bool) {
+	for other := range f.trackers {
+		if other != id {
+			f.net.SetCut(id, other, cut)
+		}
+	}
+}
+
+func TestStartInListOutageUsesSessionsAndRegistersLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.list.SetFaults(memory.Faults{ListDown: true})
+		f.start("a")
+		f.start("b")
+		defer f.stop()
+		time.Sleep(settled)
+		f.want("a", "a", "b")
+		if got := f.trackers["a"].Entries()[1]; got.PeerAddress != "b:7000" || got.DataCentre != "dc-1" {
+			t.Fatalf("unlisted peer: %+v", got)
+		}
+		f.list.SetFaults(memory.Faults{})
+		time.Sleep(settled)
+		rows, err := f.list.ListInstances(t.Context())
+		if err != nil || len(rows) != 2 {
+			t.Fatalf("list after the outage: %v, error %v", rows, err)
+		}
+	})
+}
+
+func TestSessionKeepsVanishedRowInView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c")
+		defer f.stop()
+		time.Sleep(settled)
+		for range 20 {
+			_ = f.list.RemoveInstance(t.Context(), "b")
+			time.Sleep(time.Second)
+			f.want("a", "a", "b", "c")
+		}
+		time.Sleep(settled)
+		if rows, err := f.list.ListInstances(t.Context()); err != nil || len(rows) != 3 {
+			t.Fatalf("the vanished row was not written again: %v, error %v", rows, err)
+		}
+		f.crash("b")
+		_ = f.list.RemoveInstance(t.Context(), "b")
+		time.Sleep(settled)
+		f.want("a", "a", "c")
+		if got := f.targets["a"].addresses(); !slices.Equal(got, []string{"c:7000"}) {
+			t.Fatalf("targets: %v", got)
+		}
+	})
+}
+
+func TestSilentInstanceLeavesViewButIsolatedInstanceKeepsOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c", "d")
+		defer f.stop()
+		time.Sleep(settled)
+		f.cutOff("d", true)
+		time.Sleep(settled)
+		f.want("a", "a", "b", "c")
+		f.want("d", "a", "b", "c", "d")
+		f.cutOff("d", false)
+		time.Sleep(time.Second)
+		f.want("a", "a", "b", "c", "d")
+	})
+}
+
+func TestStaleListIsCompletedByReachedPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c")
+		defer f.stop()
+		time.Sleep(settled)
+		f.list.SetFaults(memory.Faults{ListDown: true})
+		f.start("z", "b", "c")
+		time.Sleep(time.Second)
+		if got := f.targets["z"].addresses(); !slices.Equal(got, []string{"a:7000", "b:7000", "c:7000"}) {
+			t.Fatalf("targets: %v", got)
+		}
+	})
+}
+
+func TestLeaveReachesPeersAtOnceAndListAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c")
+		defer f.stop()
+		time.Sleep(settled)
+		f.net.SetCut("a", "c", true)
+		f.list.SetFaults(memory.Faults{ListDown: true})
+		done := make(chan error, 1)
+		go func() { done <- f.trackers["a"].Leave(t.Context()) }()
+		time.Sleep(2 * linkDelay)
+		f.want("b", "b", "c")
+		f.want("a", "b", "c")
+		f.net.SetCut("a", "c", false)
+		time.Sleep(2 * linkDelay)
+		f.want("c", "b", "c")
+		f.list.SetFaults(memory.Faults{ListLag: 5 * time.Second})
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(settled)
+		f.want("b", "b", "c")
+		rows, err := f.list.ListInstances(t.Context())
+		if err != nil || rows[0].State != platform.StateLeaving {
+			t.Fatalf("list: %v, error %v", rows, err)
+		}
+	})
+}
+
+func backend(id, address string, state platform.InstanceState) platform.Instance {
+	return platform.Instance{ID: id, Role: platform.RoleBackend, Address: address, State: state}
+}
+
+func TestLeavingServerIsKnownEverywhereAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c")
+		defer f.stop()
+		f.setRow(backend("s1", "10.0.0.1:80", platform.StateLive))
+		time.Sleep(settled)
+		knows := func(want bool, address string, ids ...string) {
+			t.Helper()
+			for _, id := range ids {
+				if f.trackers[id].LeavingServer(address) != want {
+					t.Fatalf("%s: leaving of %s is not %v", id, address, want)
+				}
+			}
+		}
+		f.net.SetCut("a", "c", true)
+		f.trackers["a"].ReportLeavingServer("10.0.0.1:80")
+		time.Sleep(2 * linkDelay)
+		knows(true, "10.0.0.1:80", "a", "b")
+		knows(false, "10.0.0.1:80", "c")
+		f.net.SetCut("a", "c", false)
+		time.Sleep(2 * linkDelay)
+		knows(true, "10.0.0.1:80", "c")
+		time.Sleep(settled) // The lagging list still holds it as live.
+		knows(true, "10.0.0.1:80", "a", "b", "c")
+		f.start("late")
+		time.Sleep(2 * linkDelay)
+		knows(true, "10.0.0.1:80", "late")
+
+		_ = f.list.RemoveInstance(t.Context(), "s1")
+		f.setRow(backend("s2", "10.0.0.1:80", platform.StateLive))
+		time.Sleep(2 * time.Second)
+		knows(false, "10.0.0.1:80", "a", "b", "c", "late")
+
+		f.setRow(backend("s2", "10.0.0.1:80", platform.StateLeaving))
+		time.Sleep(2 * time.Second)
+		knows(true, "10.0.0.1:80", "a", "b", "c", "late")
+		f.trackers["b"].ReportServingServer("10.0.0.1:80")
+		knows(true, "10.0.0.1:80", "b")
+		f.setRow(backend("s2", "10.0.0.1:80", platform.StateLive))
+		time.Sleep(2 * time.Second)
+		knows(false, "10.0.0.1:80", "a", "b", "c", "late")
+	})
+}
+
+func TestReportsOfTheSameMillisecondAgreeOnLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b")
+		defer f.stop()
+		const address = "10.0.0.1:80"
+		time.Sleep(settled)
+		f.net.SetCut("a", "b", true)
+		f.trackers["b"].ReportLeavingServer(address)
+		time.Sleep(time.Millisecond)
+		f.trackers["b"].ReportServingServer(address)
+		f.trackers["a"].ReportLeavingServer(address)
+		f.net.SetCut("a", "b", false)
+		time.Sleep(settled)
+		if !f.trackers["a"].LeavingServer(address) || !f.trackers["b"].LeavingServer(address) {
+			t.Fatal("the views differ")
+		}
+	})
+}
+
+// step is one random event of a fleet.
+type step struct {
+	action          int
+	instance, other int
+	server          int
+	flag            bool
+	millis          int
+}
+
+func drawStep(t *rapid.T) step {
+	return step{
+		action:   rapid.IntRange(0, 7).Draw(t, "action"),
+		instance: rapid.IntRange(0, 4).Draw(t, "instance"),
+		other:    rapid.IntRange(0, 4).Draw(t, "other"),
+		server:   rapid.IntRange(1, 3).Draw(t, "server"),
+		flag:     rapid.Bool().Draw(t, "flag"),
+		millis:   rapid.IntRange(0, 5000).Draw(t, "millis"),
+	}
+}
+
+// TestViewsConverge applies any sequence of reports, cuts, crashes and list
+// faults, heals everything, and expects all views to agree.
+func TestViewsConverge(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 25).Draw(rt, "steps")
+		var disagreement error
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, "a", "b", "c", "d", "e")
+			defer f.stop()
+			for _, step := range steps {
+				f.apply(step)
+			}
+			f.list.SetFaults(memory.Faults{})
+			for id := range f.trackers {
+				f.cutOff(id, false)
+			}
+			time.Sleep(settled)
+			disagreement = f.disagreement()
+		})
+		if disagreement != nil {
+			rt.Fatal(disagreement)
+		}
+	})
+}
+
+func (f *fleet) apply(s step) {
+	ids := slices.Sorted(maps.Keys(f.trackers))
+	id, other := ids[s.instance%len(ids)], ids[s.other%len(ids)]
+	address := fmt.Sprintf("10.0.0.%d:80", s.server)
+	switch s.action {
+	case 0:
+		f.trackers[id].ReportLeavingServer(address)
+	case 1:
+		f.trackers[id].ReportServingServer(address)
+	case 2:
+		f.net.SetCut(id, other, s.flag)
+	case 3:
+		f.list.SetFaults(memory.Faults{ListDown: s.flag, ListLag: time.Duration(s.millis) * time.Millisecond})
+	case 4:
+		if len(ids) > 2 {
+			f.crash(id)
+		}
+	case 5:
+		_ = f.list.RemoveInstance(context.Background(), id)
+	case 6:
+		state := platform.StateLive
+		if s.flag {
+			state = platform.StateLeaving
+		}
+		_ = f.list.SetInstance(context.Background(), backend("row-"+address, address, state))
+	default:
+		time.Sleep(time.Duration(s.millis) * time.Millisecond)
+	}
+}
+
+// disagreement returns an error unless each running instance is in each view
+// and the same servers are leaving everywhere.
+func (f *fleet) disagreement() error {
+	ids := slices.Sorted(maps.Keys(f.trackers))
+	for _, id := range ids {
+		for _, other := range ids {
+			if !slices.Contains(f.ids(id), other) {
+				return fmt.Errorf("%s misses %s: %v", id, other, f.ids(id))
+			}
+		}
+		for server := range 3 {
+			address := fmt.Sprintf("10.0.0.%d:80", server+1)
+			if f.trackers[id].LeavingServer(address) != f.trackers[ids[0]].LeavingServer(address) {
+				return fmt.Errorf("%s and %s differ on %s", id, ids[0], address)
+			}
+		}
+	}
+	return nil
+}
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -151,15 +151,15 @@
 }
 
 func echo(_ context.Context, from string, payload []byte) (proto.Message, error) {
-	notice := &peerpb.Notice{}
-	if err := proto.Unmarshal(payload, notice); err != nil {
+	message := &peerpb.Hello{}
+	if err := proto.Unmarshal(payload, message); err != nil {
 		return nil, err
 	}
-	if notice.GetLeavingInstance() == "fail" {
+	if message.GetInstanceId() == "fail" {
 		return nil, errors.New("asked to fail\xff")
 	}
-	notice.LeavingServers = append(notice.LeavingServers, from)
-	return notice, nil
+	message.Fleet = from
+	return message, nil
 }
 
 func TestMeshKeepsOneSessionPerPairAndPairsCalls(t *testing.T) {
@@ -192,9 +192,9 @@
 	defer cancel()
 	for i := range 200 {
 		want := fmt.Sprintf("%s-%s-%d", from.Self(), to, i)
-		resp := &peerpb.Notice{}
-		err := from.Call(ctx, to, testKind, &peerpb.Notice{LeavingInstance: want}, resp)
-		if err != nil || resp.GetLeavingInstance() != want || resp.GetLeavingServers()[0] != from.Self() {
+		resp := &peerpb.Hello{}
+		err := from.Call(ctx, to, testKind, &peerpb.Hello{InstanceId: want}, resp)
+		if err != nil || resp.GetInstanceId() != want || resp.GetFleet() != from.Self() {
 			t.Errorf("call %s: got %v, error %v", want, resp, err)
 			return
 		}
@@ -213,21 +213,21 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	var unreachable *UnreachableError
-	if err := a.Call(ctx, "b", testKind, &peerpb.Notice{}, &peerpb.Notice{}); !errors.As(err, &unreachable) {
+	if err := a.Call(ctx, "b", testKind, &peerpb.Hello{}, &peerpb.Hello{}); !errors.As(err, &unreachable) {
 		t.Fatalf("call without session: %v", err)
 	}
 	join(a, b)
 	awaitPeers(t, a, "b")
 	var remote *RemoteError
-	err := a.Call(ctx, "b", testKind, &peerpb.Notice{LeavingInstance: "fail"}, &peerpb.Notice{})
+	err := a.Call(ctx, "b", testKind, &peerpb.Hello{InstanceId: "fail"}, &peerpb.Hello{})
 	if !errors.As(err, &remote) || !strings.Contains(remote.Message, "asked to fail") {
 		t.Fatalf("failing handler: %v", err)
 	}
-	if err := a.Call(ctx, "b", peerpb.Kind_KIND_POISON, &peerpb.Notice{}, &peerpb.Notice{}); !errors.As(err, &remote) {
+	if err := a.Call(ctx, "b", peerpb.Kind_KIND_POISON, &peerpb.Hello{}, &peerpb.Hello{}); !errors.As(err, &remote) {
 		t.Fatalf("missing handler: %v", err)
 	}
 	result := make(chan error, 1)
-	go func() { result <- a.Call(ctx, "b", peerpb.Kind_KIND_STATUS, &peerpb.Notice{}, &peerpb.Notice{}) }()
+	go func() { result <- a.Call(ctx, "b", peerpb.Kind_KIND_STATUS, &peerpb.Hello{}, &peerpb.Hello{}) }()
 	<-entered
 	b.Close()
 	var lost *LostError
@@ -246,7 +246,7 @@
 	awaitPeers(t, b, "a")
 	thaw := b.gate.freeze()
 	defer thaw()
-	err := a.Call(context.Background(), "b", testKind, &peerpb.Notice{}, &peerpb.Notice{})
+	err := a.Call(context.Background(), "b", testKind, &peerpb.Hello{}, &peerpb.Hello{})
 	var lost *LostError
 	var silence *SilenceError
 	if !errors.As(err, &lost) || !errors.As(err, &silence) {
@@ -280,10 +280,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	first := make(chan error, 1)
-	go func() { first <- a.Call(ctx, "b", testKind, &peerpb.Notice{}, &peerpb.Notice{}) }()
+	go func() { first <- a.Call(ctx, "b", testKind, &peerpb.Hello{}, &peerpb.Hello{}) }()
 	<-entered
 	var unreachable *UnreachableError
-	if err := a.Call(ctx, "b", testKind, &peerpb.Notice{}, &peerpb.Notice{}); !errors.As(err, &unreachable) {
+	if err := a.Call(ctx, "b", testKind, &peerpb.Hello{}, &peerpb.Hello{}); !errors.As(err, &unreachable) {
 		t.Fatalf("call beyond the handlers: %v", err)
 	}
 	close(release)
@@ -293,7 +293,7 @@
 	thaw := a.gate.freeze()
 	defer thaw()
 	full := func() error {
-		return a.Send("b", testKind, &peerpb.Notice{LeavingInstance: strings.Repeat("x", 1000)})
+		return a.Send("b", testKind, &peerpb.Hello{InstanceId: strings.Repeat("x", 1000)})
 	}
 	gomega.NewWithT(t).Eventually(full, patience, time.Microsecond).Should(gomega.BeAssignableToTypeOf(unreachable))
 	if a.Stats().Dropped == 0 {
@@ -354,8 +354,8 @@
 			ctx, cancel := context.WithTimeout(context.Background(), patience)
 			defer cancel()
 			return errors.Join(
-				a.Call(ctx, "b", testKind, &peerpb.Notice{}, &peerpb.Notice{}),
-				b.Call(ctx, "a", testKind, &peerpb.Notice{}, &peerpb.Notice{}))
+				a.Call(ctx, "b", testKind, &peerpb.Hello{}, &peerpb.Hello{}),
+				b.Call(ctx, "a", testKind, &peerpb.Hello{}, &peerpb.Hello{}))
 		}, patience, time.Millisecond).Should(gomega.Succeed())
 		if s, err := a.session("b"); err == nil {
 			s.conn.Close()
@@ -377,3 +377,30 @@
 	}
 	t.Fatalf("got %+v", a.Stats())
 }
+
+func TestCrossingDialIsToldFromRedial(t *testing.T) {
+	mesh := NewMesh(Options{Fleet: "test", Self: platform.Instance{ID: "m"}})
+	defer mesh.Close()
+	dialling := &target{dialing: true}
+	tests := []struct {
+		name     string
+		previous *session
+		target   *target
+		peer     string
+		last     uint64
+		want     bool
+	}{
+		{"first session", nil, nil, "z", 0, false},
+		{"both dial, lower ID here", nil, dialling, "z", 0, true},
+		{"both dial, lower ID there", nil, dialling, "a", 0, false},
+		{"peer did not know our session", &session{id: 7, dialed: true}, nil, "a", 0, true},
+		{"peer knew an older session", &session{id: 7, dialed: true}, nil, "a", 6, true},
+		{"peer lost our session", &session{id: 7, dialed: true}, nil, "a", 7, false},
+		{"peer lost its own session", &session{id: 7}, nil, "a", 0, false},
+	}
+	for _, test := range tests {
+		if got := mesh.crossesLocked(test.previous, test.target, test.peer, test.last); got != test.want {
+			t.Errorf("%s: got %v", test.name, got)
+		}
+	}
+}
