--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -58,7 +58,7 @@
 func (a *attempt) run(ctx context.Context) (*answer, *failure) {
 	server := a.permit.Server
 	a.start = time.Now()
-	resp, err := a.x.p.transport(server).RoundTrip(a.request(a.sent.trace(ctx), server))
+	resp, err := a.x.p.transports.get(server).RoundTrip(a.request(a.sent.trace(ctx), server))
 	if err != nil {
 		return nil, a.sendFailed(ctx, err)
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -55,7 +55,8 @@
 	Recorder   Recorder
 	Observer   ServerObserver
 	// ConnLimit returns how many connections this instance may open to a
-	// backend server. Nil allows one for each slot.
+	// backend server. It is asked when the first request goes there and
+	// when the table changes. Nil allows one for each slot.
 	ConnLimit func(server table.Server) int
 	// HoldBytes is the size up to which bodies of requests and answers are
 	// held in memory. Zero selects 64 KiB.
@@ -111,10 +112,13 @@
 	if opts.HoldBytes == 0 {
 		opts.HoldBytes = defaultHoldBytes
 	}
+	if opts.ConnLimit == nil {
+		opts.ConnLimit = func(server table.Server) int { return server.Slots }
+	}
 	return &Proxy{
 		opts:       opts,
 		prefix:     opts.Instance + "-" + strings.ToLower(rand.Text()[:prefixLength]) + "-",
-		transports: newTransports(),
+		transports: newTransports(opts.ConnLimit),
 		services:   make(map[string]*serviceState),
 	}
 }
@@ -179,14 +183,6 @@
 	return state
 }
 
-func (p *Proxy) transport(server table.Server) *http.Transport {
-	limit := server.Slots
-	if p.opts.ConnLimit != nil {
-		limit = p.opts.ConnLimit(server)
-	}
-	return p.transports.get(server, limit)
-}
-
 func (p *Proxy) observe(server table.Server, service string, result loadbalancer.Result) {
 	if result.Class == loadbalancer.ClassOK {
 		p.service(service).latencies.add(result.Latency)
--- a/proxy/transport.go
+++ b/proxy/transport.go
@@ -20,6 +20,9 @@
 
 // transports keeps one transport per backend server address.
 type transports struct {
+	// limit returns the connections that may be open to a server.
+	limit func(table.Server) int
+
 	mu        sync.RWMutex
 	byAddress map[string]*serverTransport
 }
@@ -29,47 +32,44 @@
 	*http.Transport
 }
 
-func newTransports() *transports {
-	return &transports{byAddress: make(map[string]*serverTransport)}
+func newTransports(limit func(table.Server) int) *transports {
+	return &transports{limit: limit, byAddress: make(map[string]*serverTransport)}
 }
 
-// get returns the transport to the server, which opens at most connLimit
-// connections.
-func (t *transports) get(server table.Server, connLimit int) *http.Transport {
+// get returns the transport to the server.
+func (t *transports) get(server table.Server) *http.Transport {
 	t.mu.RLock()
 	transport := t.byAddress[server.Address]
 	t.mu.RUnlock()
-	if transport != nil && transport.limit == connLimit {
+	if transport != nil {
 		return transport.Transport
 	}
-	return t.replace(server.Address, connLimit)
+	return t.create(server)
 }
 
-func (t *transports) replace(address string, connLimit int) *http.Transport {
+func (t *transports) create(server table.Server) *http.Transport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	old := t.byAddress[address]
-	if old != nil && old.limit == connLimit {
-		return old.Transport
-	}
-	if old != nil {
-		old.CloseIdleConnections()
+	if transport := t.byAddress[server.Address]; transport != nil {
+		return transport.Transport
 	}
-	created := &serverTransport{limit: connLimit, Transport: newTransport(connLimit)}
-	t.byAddress[address] = created
+	limit := t.limit(server)
+	created := &serverTransport{limit: limit, Transport: newTransport(limit)}
+	t.byAddress[server.Address] = created
 	return created.Transport
 }
 
-// retain closes the transports of addresses that the snapshot lacks.
+// retain closes the transports of addresses that the snapshot lacks or gives
+// another limit.
 func (t *transports) retain(snapshot *table.Snapshot) {
-	present := make(map[string]bool)
+	limits := make(map[string]int)
 	for _, server := range snapshot.Document().Servers {
-		present[server.Address] = true
+		limits[server.Address] = t.limit(server)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for address, transport := range t.byAddress {
-		if present[address] {
+		if limits[address] == transport.limit {
 			continue
 		}
 		transport.CloseIdleConnections()
