--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -11,6 +11,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/pomelolock/pomelolock/claim"
+	"github.com/pomelolock/pomelolock/peer/peertest"
 	"github.com/pomelolock/pomelolock/platform/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
@@ -22,15 +23,29 @@
 		for _, callers := range []int{1, 300} {
 			for _, batch := range []int{claim.DefaultMaxBatch, 1} {
 				name := fmt.Sprintf("delay=%v/callers=%d/batch=%d", delay, callers, batch)
-				b.Run(name, func(b *testing.B) { benchmarkClaim(b, delay, callers, batch) })
+				b.Run(name, func(b *testing.B) {
+					benchmarkClaim(b, delay, callers, claim.Options{MaxBatch: batch})
+				})
 			}
 		}
 	}
 }
 
-func benchmarkClaim(b *testing.B, delay time.Duration, callers, batch int) {
+// BenchmarkTail measures what the size of the head records costs.
+func BenchmarkTail(b *testing.B) {
+	for _, tail := range []int{4 << 10, 8 << 10, 16 << 10, 32 << 10} {
+		for _, callers := range []int{1, 100} {
+			b.Run(fmt.Sprintf("tail=%dKiB/callers=%d", tail>>10, callers), func(b *testing.B) {
+				benchmarkClaim(b, time.Millisecond, callers, claim.Options{TailBytes: tail})
+			})
+		}
+	}
+}
+
+func benchmarkClaim(b *testing.B, delay time.Duration, callers int, options claim.Options) {
 	limits := table.Fleet{ClaimWritesPerSecond: 300, ClaimRetentionMS: 3_600_000}
-	f := newFleet(limits, claim.Options{MaxBatch: batch})
+	f := newFleet(limits, options)
+	f.net = peertest.NewNetwork(0)
 	defer f.stop()
 	for range 3 {
 		f.start()
--- a/claim/codec.go
+++ b/claim/codec.go
@@ -28,7 +28,7 @@
 }
 
 func validClaim(c *claimpb.Claim) bool {
-	return len(c.GetKey()) == hashBytes && len(c.GetFingerprint()) == hashBytes
+	return len(c.GetKey()) == hashBytes && len(c.GetFingerprint()) == fingerprintBytes
 }
 
 func validEnd(end *claimpb.End) bool {
--- a/claim/decide.go
+++ b/claim/decide.go
@@ -41,6 +41,9 @@
 		return plan, nil, true
 	}
 	p.answerTaken(plan)
+	if p.full() {
+		p.fail(errKeysFull)
+	}
 	for _, o := range p.claims {
 		decisions = append(decisions, plan.claim(o.claim))
 	}
--- a/claim/index.go
+++ b/claim/index.go
@@ -6,64 +6,88 @@
 	"github.com/pomelolock/pomelolock/claim/claimpb"
 )
 
+// fingerprintBytes is the length of a fingerprint in memory and in the journal.
+const fingerprintBytes = 8
+
 // keyID is the truncated hash of a service and its Idempotency-Key.
 type keyID [16]byte
 
-// entry is what a partition remembers of a key.
+// entry is what a partition remembers of a key. It holds no pointers, so that
+// the garbage collector need not look at it.
 type entry struct {
-	fingerprint [16]byte
+	fingerprint [fingerprintBytes]byte
 	attempt     uint64
 	timeMS      int64
-	runningMS   int32
-	state       claimpb.State
-	answer      *claimpb.Answer
+	runningMS   uint32
+	state       uint8
 }
 
 // index holds the keys of one partition as of one version of its head.
-type index map[keyID]entry
+type index struct {
+	keys    map[keyID]entry
+	answers answers
+}
+
+func newIndex(answerBytes int) *index {
+	return &index{keys: make(map[keyID]entry), answers: newAnswers(answerBytes)}
+}
 
 // apply adds a batch of the journal.
-func (x index) apply(batch *claimpb.Batch) {
+func (x *index) apply(batch *claimpb.Batch) {
 	for _, end := range batch.GetEnds() {
 		x.applyEnd(end)
 	}
 	for _, c := range batch.GetClaims() {
-		x[keyID(c.GetKey())] = entryOf(c)
+		id := keyID(c.GetKey())
+		x.keys[id] = entryOf(c)
+		x.answers.set(id, c.GetAnswer())
 	}
 }
 
-func (x index) applyEnd(end *claimpb.End) {
+func (x *index) applyEnd(end *claimpb.End) {
 	id := keyID(end.GetKey())
-	e, ok := x[id]
+	e, ok := x.keys[id]
 	if !ok || !e.endsWith(end) {
 		return
 	}
 	if end.GetState() == claimpb.State_STATE_NOT_RUN {
-		delete(x, id)
+		delete(x.keys, id)
 		return
 	}
-	e.state, e.answer = end.GetState(), end.GetAnswer()
-	x[id] = e
+	e.state = uint8(end.GetState())
+	x.keys[id] = e
+	x.answers.set(id, end.GetAnswer())
+}
+
+// prune deletes expired entries.
+func (x *index) prune(nowMS, retentionMS int64) {
+	for id, e := range x.keys {
+		if e.expired(nowMS, retentionMS) {
+			delete(x.keys, id)
+			x.answers.set(id, nil)
+		}
+	}
 }
 
 // endsWith reports whether the end belongs to the attempt that holds the key
 // and that attempt has not ended before.
 func (e entry) endsWith(end *claimpb.End) bool {
-	return e.attempt == end.GetAttempt() && e.state == claimpb.State_STATE_TAKEN
+	return e.attempt == end.GetAttempt() && e.is(claimpb.State_STATE_TAKEN)
 }
 
+func (e entry) is(state claimpb.State) bool { return e.state == uint8(state) }
+
 func entryOf(c *claimpb.Claim) entry {
 	state := c.GetState()
 	if state == claimpb.State_STATE_UNSPECIFIED {
 		state = claimpb.State_STATE_TAKEN
 	}
 	return entry{
-		fingerprint: [16]byte(c.GetFingerprint()),
+		fingerprint: [fingerprintBytes]byte(c.GetFingerprint()),
 		attempt:     c.GetAttempt(),
 		timeMS:      c.GetTimeMs(),
-		runningMS:   int32(min(c.GetRunningMs(), 1<<31-1)),
-		state:       state,
-		answer:      c.GetAnswer(),
+		runningMS:   uint32(min(c.GetRunningMs(), 1<<32-1)),
+		state:       uint8(state),
 	}
 }
 
@@ -72,27 +96,18 @@
 	return e.timeMS+retentionMS <= nowMS
 }
 
-// prune deletes expired entries.
-func (x index) prune(nowMS, retentionMS int64) {
-	for id, e := range x {
-		if e.expired(nowMS, retentionMS) {
-			delete(x, id)
-		}
-	}
-}
-
-// decide returns the verdict about a claim of a key that has an entry.
-func (e entry) decide(c *claimpb.Claim, nowMS int64) Decision {
-	if e.fingerprint != [16]byte(c.GetFingerprint()) {
+// decide returns the verdict about a claim of a key that has an entry, with the
+// answer kept for it if there is one.
+func (e entry) decide(c *claimpb.Claim, answer *claimpb.Answer, nowMS int64) Decision {
+	if e.fingerprint != [fingerprintBytes]byte(c.GetFingerprint()) {
 		return Decision{Verdict: Mismatch}
 	}
-	switch e.state {
-	case claimpb.State_STATE_FINISHED:
-		if e.answer == nil {
-			return Decision{Verdict: Finished}
-		}
-		return Decision{Verdict: Replay, Answer: answerOf(e.answer)}
-	case claimpb.State_STATE_TAKEN:
+	switch {
+	case e.is(claimpb.State_STATE_FINISHED) && answer == nil:
+		return Decision{Verdict: Finished}
+	case e.is(claimpb.State_STATE_FINISHED):
+		return Decision{Verdict: Replay, Answer: answerOf(answer)}
+	case e.is(claimpb.State_STATE_TAKEN):
 		return e.decideTaken(c.GetAttempt(), nowMS)
 	default:
 		return Decision{Verdict: Unknown}
--- a/claim/index_test.go
+++ b/claim/index_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"reflect"
 	"testing"
 
@@ -13,9 +14,9 @@
 
 // drawLog draws the batches that plans append for random claims and ends, and
 // the index after each.
-func drawLog(t *rapid.T) ([]*claimpb.Batch, []index) {
-	x := make(index)
-	indexes := []index{clone(x)}
+func drawLog(t *rapid.T) ([]*claimpb.Batch, []*index) {
+	x := newIndex(unlimited)
+	indexes := []*index{clone(x)}
 	var batches []*claimpb.Batch
 	var nowMS int64
 	for n := range rapid.IntRange(1, 12).Draw(t, "batches") {
@@ -23,10 +24,14 @@
 		p := newPlan(x, nowMS, 100)
 		for range rapid.IntRange(0, 3).Draw(t, "ends") {
 			state := rapid.SampledFrom([]claimpb.State{2, 2, 3, 4}).Draw(t, "state")
-			p.end(&claimpb.End{Key: testKey(t), Attempt: testAttempt(t), State: state})
+			end := &claimpb.End{Key: testKey(t), Attempt: testAttempt(t), State: state}
+			if state == claimpb.State_STATE_FINISHED {
+				end.Answer = &claimpb.Answer{Status: int32(n)}
+			}
+			p.end(end)
 		}
 		for range rapid.IntRange(0, 3).Draw(t, "claims") {
-			p.claim(&claimpb.Claim{Key: testKey(t), Fingerprint: make([]byte, 16), Attempt: testAttempt(t)})
+			p.claim(&claimpb.Claim{Key: testKey(t), Fingerprint: make([]byte, fingerprintBytes), Attempt: testAttempt(t)})
 		}
 		p.batch.Sequence = uint64(n + 1)
 		x.apply(p.batch)
@@ -42,11 +47,10 @@
 
 func testAttempt(t *rapid.T) uint64 { return rapid.Uint64Range(0, 2).Draw(t, "attempt") }
 
-func clone(x index) index {
-	c := make(index, len(x))
-	for id, e := range x {
-		c[id] = e
-	}
+func clone(x *index) *index {
+	c := newIndex(unlimited)
+	maps.Copy(c.keys, x.keys)
+	maps.Copy(c.answers.held, x.answers.held)
 	return c
 }
 
@@ -61,8 +65,8 @@
 		want := clone(indexes[to])
 		got.prune(nowMS, 100)
 		want.prune(nowMS, 100)
-		if !reflect.DeepEqual(got, want) {
-			t.Fatalf("folded %v\nwant %v", got, want)
+		if !reflect.DeepEqual(got.keys, want.keys) || !reflect.DeepEqual(got.answers.held, want.answers.held) {
+			t.Fatalf("folded %v\nwant %v", got.keys, want.keys)
 		}
 	})
 }
--- a/claim/journal.go
+++ b/claim/journal.go
@@ -182,7 +182,7 @@
 	id := keyOf(req)
 	return &claimpb.Claim{
 		Key:         id[:],
-		Fingerprint: req.Fingerprint[:hashBytes],
+		Fingerprint: req.Fingerprint[:fingerprintBytes],
 		Attempt:     newNonce(),
 		RunningMs:   j.running(req.Service).Milliseconds(),
 	}
--- a/claim/journal_test.go
+++ b/claim/journal_test.go
@@ -146,6 +146,7 @@
 		time.Sleep(10 * time.Second)
 		wantVerdict(t, in, orderRequest("key-99", "third", "a"), claim.Run)
 		wantVerdict(t, in, orderRequest("other", "a", "a"), claim.Run)
+		time.Sleep(2 * time.Minute)
 		objects, err := f.store.ListObjects(t.Context(), "")
 		if err != nil || len(objects) > 1 || in.journal.Stats().Keys > 2 {
 			t.Fatalf("%d objects, %d keys, %v", len(objects), in.journal.Stats().Keys, err)
@@ -153,6 +154,33 @@
 	})
 }
 
+func TestMemoryIsBounded(t *testing.T) {
+	limits := table.Fleet{ClaimWritesPerSecond: 400, ClaimRetentionMS: 3_600_000}
+	options := claim.Options{Partitions: 1, MaxKeys: 20, AnswerBytes: 200}
+	inBubble(t, limits, options, 1, func(t *testing.T, f *fleet) {
+		in := f.instances[0]
+		request := func(i int) claim.Request { return orderRequest(fmt.Sprint("key-", i), "a", "a") }
+		for i := range 20 {
+			wantVerdict(t, in, request(i), claim.Run)
+			in.journal.Finish(request(i), claim.EndFinished, &claim.Answer{Body: make([]byte, 90)})
+		}
+		time.Sleep(time.Second)
+		wantVerdict(t, in, request(19), claim.Replay)
+		wantVerdict(t, in, request(0), claim.Finished)
+		var full *claim.UnavailableError
+		if _, err := in.journal.Claim(t.Context(), request(20)); !errors.As(err, &full) {
+			t.Fatalf("claim above the limit: %v", err)
+		}
+		time.Sleep(20 * time.Minute)
+		if keys := in.journal.Stats().Keys; keys != 0 {
+			t.Fatalf("%d keys of an idle partition in memory", keys)
+		}
+		wantVerdict(t, in, request(0), claim.Finished)
+		time.Sleep(time.Hour)
+		wantVerdict(t, in, request(20), claim.Run)
+	})
+}
+
 func TestHandoverWritesEndsAndWarmsSuccessor(t *testing.T) {
 	options := claim.Options{Partitions: 1, FlushInterval: time.Hour}
 	inBubble(t, testLimits, options, 2, func(t *testing.T, f *fleet) {
--- a/claim/merge.go
+++ b/claim/merge.go
@@ -21,7 +21,7 @@
 
 // foldedRange is the net effect of a range of batches.
 type foldedRange struct {
-	index index
+	index *index
 	order []keyID
 	// ends belong to claims before the range.
 	ends []*claimpb.End
@@ -31,7 +31,7 @@
 // before the range, it has the effect of the batches one by one, but for
 // claims that are expired.
 func foldBatches(batches []*claimpb.Batch, nowMS, retentionMS int64) *claimpb.Batch {
-	f := foldedRange{index: make(index)}
+	f := foldedRange{index: newIndex(unlimited)}
 	folded := &claimpb.Batch{}
 	for _, batch := range batches {
 		f.add(batch)
@@ -45,17 +45,16 @@
 
 func (f *foldedRange) add(batch *claimpb.Batch) {
 	for _, end := range batch.GetEnds() {
-		if _, ok := f.index[keyID(end.GetKey())]; ok {
+		if _, ok := f.index.keys[keyID(end.GetKey())]; ok {
 			f.index.applyEnd(end)
 			continue
 		}
 		f.ends = append(f.ends, end)
 	}
 	for _, c := range batch.GetClaims() {
-		id := keyID(c.GetKey())
-		f.index[id] = entryOf(c)
-		f.order = append(f.order, id)
+		f.order = append(f.order, keyID(c.GetKey()))
 	}
+	f.index.apply(&claimpb.Batch{Claims: batch.GetClaims()})
 }
 
 // claims returns the claims that hold at the end of the range, in the order in
@@ -63,24 +62,24 @@
 func (f *foldedRange) claims(nowMS, retentionMS int64) []*claimpb.Claim {
 	var claims []*claimpb.Claim
 	for _, id := range f.order {
-		e, ok := f.index[id]
-		delete(f.index, id)
+		e, ok := f.index.keys[id]
+		delete(f.index.keys, id)
 		if ok && !e.expired(nowMS, retentionMS) {
-			claims = append(claims, e.record(id))
+			claims = append(claims, e.record(id, f.index.answers.held[id]))
 		}
 	}
 	return claims
 }
 
-func (e entry) record(id keyID) *claimpb.Claim {
+func (e entry) record(id keyID, answer *claimpb.Answer) *claimpb.Claim {
 	return &claimpb.Claim{
 		Key:         id[:],
 		Fingerprint: e.fingerprint[:],
 		Attempt:     e.attempt,
 		TimeMs:      e.timeMS,
 		RunningMs:   int64(e.runningMS),
-		State:       e.state,
-		Answer:      e.answer,
+		State:       claimpb.State(e.state),
+		Answer:      answer,
 	}
 }
 
--- a/claim/options.go
+++ b/claim/options.go
@@ -13,9 +13,11 @@
 // Defaults of [Options].
 const (
 	DefaultPartitions     = 16
-	DefaultTailBytes      = 32 << 10
+	DefaultTailBytes      = 8 << 10
 	DefaultMaxBatch       = 256
 	DefaultMaxAnswerBytes = 2 << 10
+	DefaultAnswerBytes    = 512 << 10
+	DefaultMaxKeys        = 400_000
 	DefaultQueue          = 1024
 	DefaultFlushInterval  = 100 * time.Millisecond
 	DefaultStoreTimeout   = 2 * time.Second
@@ -25,7 +27,7 @@
 // Limits used while no table is in force.
 const (
 	defaultWritesPerSecond = 100
-	defaultRetention       = 24 * time.Hour
+	unboundedRetention     = 100 * 365 * 24 * time.Hour
 	defaultRunning         = 30 * time.Second
 )
 
@@ -53,6 +55,11 @@
 	MaxBatch int
 	// MaxAnswerBytes is the largest encoded answer that is kept.
 	MaxAnswerBytes int
+	// AnswerBytes bounds the answers that are kept in memory for one
+	// partition; the oldest are dropped.
+	AnswerBytes int
+	// MaxKeys bounds the keys in memory; above it new keys are refused.
+	MaxKeys int
 	// Queue bounds the claims and the ends that wait at one partition.
 	Queue int
 	// FlushInterval is how long an end waits for a claim to share its
@@ -69,6 +76,8 @@
 	setDefault(&o.TailBytes, DefaultTailBytes)
 	setDefault(&o.MaxBatch, DefaultMaxBatch)
 	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	setDefault(&o.AnswerBytes, DefaultAnswerBytes)
+	setDefault(&o.MaxKeys, DefaultMaxKeys)
 	setDefault(&o.Queue, DefaultQueue)
 	setDefault(&o.FlushInterval, DefaultFlushInterval)
 	setDefault(&o.StoreTimeout, DefaultStoreTimeout)
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/pomelolock/pomelolock/claim/claimpb"
 	"github.com/pomelolock/pomelolock/platform"
 )
@@ -21,6 +23,7 @@
 	errContended = errors.New("too many writers of the partition")
 	errStopped   = errors.New("journal stopped")
 	errQueueFull = errors.New("queue full")
+	errKeysFull  = errors.New("too many keys in memory")
 )
 
 type result struct {
@@ -59,16 +62,18 @@
 	flush chan chan struct{}
 
 	// The goroutine of run owns the fields below.
-	claims    []*op
-	pending   []pendingEnd
-	pace      pace
-	downUntil time.Time
-	downErr   error
-	paced     bool
-	prunedAt  time.Time
-	sweptAt   time.Time
-	merging   bool
-	mergeDone chan *merged
+	claims  []*op
+	pending []pendingEnd
+	// pendingBytes is the encoded size of pending.
+	pendingBytes int
+	pace         pace
+	downUntil    time.Time
+	downErr      error
+	paced        bool
+	usedAt       time.Time
+	sweptAt      time.Time
+	merging      bool
+	mergeDone    chan *merged
 }
 
 func newPartition(number, partitions int, opts *Options, stats *counters) *partition {
@@ -113,8 +118,10 @@
 
 func (p *partition) run(ctx context.Context) {
 	defer p.awaitMerge()
+	ticker := time.NewTicker(upkeepInterval)
+	defer ticker.Stop()
 	for {
-		flushed, ok := p.wait(ctx)
+		flushed, ok := p.wait(ctx, ticker.C)
 		if !ok {
 			p.collect()
 			p.fail(errStopped)
@@ -136,7 +143,7 @@
 }
 
 // wait blocks until there is something to do.
-func (p *partition) wait(ctx context.Context) (flushed chan struct{}, ok bool) {
+func (p *partition) wait(ctx context.Context, upkeep <-chan time.Time) (flushed chan struct{}, ok bool) {
 	var flushDue <-chan time.Time
 	if len(p.pending) > 0 {
 		timer := time.NewTimer(p.opts.FlushInterval)
@@ -145,7 +152,7 @@
 	}
 	for {
 		var ends chan *claimpb.End
-		if len(p.pending) < p.opts.MaxBatch {
+		if p.takesEnds() {
 			ends = p.ends
 		}
 		select {
@@ -155,13 +162,13 @@
 			p.claims = append(p.claims, o)
 			return nil, true
 		case end := <-ends:
-			p.pending = append(p.pending, pendingEnd{end: end})
+			p.addEnd(end)
 			if flushDue == nil {
 				timer := time.NewTimer(p.opts.FlushInterval)
 				defer timer.Stop()
 				flushDue = timer.C
 			}
-			if len(p.pending) >= p.opts.MaxBatch {
+			if !p.takesEnds() {
 				return nil, true
 			}
 		case <-flushDue:
@@ -170,6 +177,8 @@
 			return flushed, true
 		case <-p.warm:
 			p.preload(ctx)
+		case <-upkeep:
+			p.upkeep(ctx)
 		}
 	}
 }
@@ -177,7 +186,8 @@
 // preload reads the partition ahead of its first claim.
 func (p *partition) preload(ctx context.Context) {
 	p.store.stale = true
-	if err := p.store.load(ctx); err != nil {
+	p.usedAt = time.Now()
+	if err := p.load(ctx); err != nil {
 		p.opts.Logger.Warn("claim_preload_failed", "partition", p.store.number, "err", err)
 	}
 }
@@ -193,10 +203,10 @@
 		}
 		break
 	}
-	for len(p.pending) < p.opts.MaxBatch {
+	for p.takesEnds() {
 		select {
 		case end := <-p.ends:
-			p.pending = append(p.pending, pendingEnd{end: end})
+			p.addEnd(end)
 			continue
 		default:
 		}
@@ -204,12 +214,28 @@
 	}
 }
 
+// takesEnds reports whether the next batch has room for an end.
+func (p *partition) takesEnds() bool {
+	return len(p.pending) < p.opts.MaxBatch && p.pendingBytes < p.opts.TailBytes
+}
+
+func (p *partition) addEnd(end *claimpb.End) {
+	p.pending = append(p.pending, pendingEnd{end: end})
+	p.pendingBytes += proto.Size(end)
+}
+
+func (p *partition) clearEnds() {
+	p.pending = nil
+	p.pendingBytes = 0
+}
+
 // step decides the waiting claims and appends what they and the ends need.
 func (p *partition) step(ctx context.Context) {
 	p.collect()
 	if len(p.claims) == 0 && len(p.pending) == 0 {
 		return
 	}
+	p.usedAt = time.Now()
 	if time.Now().Before(p.downUntil) {
 		p.refuse(p.downErr)
 		return
@@ -256,7 +282,7 @@
 	}
 	if plan.empty() {
 		p.answer(decisions)
-		p.pending = nil
+		p.clearEnds()
 		return true, nil
 	}
 	writes, err := p.store.append(ctx, plan)
@@ -264,9 +290,8 @@
 	switch {
 	case err == nil:
 		p.answer(decisions)
-		p.pending = nil
+		p.clearEnds()
 		p.startMerge(ctx)
-		p.prune(ctx)
 		return true, nil
 	case isRetryable(err):
 		p.store.stale = true
@@ -286,13 +311,23 @@
 			return err
 		}
 	}
-	if err := p.store.load(ctx); err != nil {
+	if err := p.load(ctx); err != nil {
 		return err
 	}
 	p.notePeers()
 	return nil
 }
 
+func (p *partition) load(ctx context.Context) error {
+	if err := p.store.load(ctx); err != nil {
+		return err
+	}
+	if p.store.rebuilt {
+		p.store.prune(p.retentionMS())
+	}
+	return nil
+}
+
 // isRetryable reports whether reading the head again settles the failure.
 func isRetryable(err error) bool {
 	var conflict *platform.ConflictError
--- a/claim/plan.go
+++ b/claim/plan.go
@@ -8,18 +8,20 @@
 // without changing it. The decisions hold once the batch has been appended to
 // the head that the index reflects.
 type plan struct {
-	index       index
+	index       *index
 	overlay     map[keyID]entry
+	answers     map[keyID]*claimpb.Answer
 	freed       map[keyID]bool
 	nowMS       int64
 	retentionMS int64
 	batch       *claimpb.Batch
 }
 
-func newPlan(x index, nowMS, retentionMS int64) *plan {
+func newPlan(x *index, nowMS, retentionMS int64) *plan {
 	return &plan{
 		index:       x,
 		overlay:     make(map[keyID]entry),
+		answers:     make(map[keyID]*claimpb.Answer),
 		freed:       make(map[keyID]bool),
 		nowMS:       nowMS,
 		retentionMS: retentionMS,
@@ -34,10 +36,17 @@
 	if p.freed[id] {
 		return entry{}, false
 	}
-	e, ok := p.index[id]
+	e, ok := p.index.keys[id]
 	return e, ok && !e.expired(p.nowMS, p.retentionMS)
 }
 
+func (p *plan) answer(id keyID) *claimpb.Answer {
+	if answer, ok := p.answers[id]; ok {
+		return answer
+	}
+	return p.index.answers.held[id]
+}
+
 // end adds the end of an attempt and reports whether it has an effect. Ends
 // must be added before claims.
 func (p *plan) end(end *claimpb.End) bool {
@@ -52,8 +61,11 @@
 		p.freed[id] = true
 		return true
 	}
-	e.state, e.answer = end.GetState(), end.GetAnswer()
+	e.state = uint8(end.GetState())
 	p.overlay[id] = e
+	if end.GetAnswer() != nil {
+		p.answers[id] = end.GetAnswer()
+	}
 	return true
 }
 
@@ -61,7 +73,7 @@
 func (p *plan) claim(c *claimpb.Claim) Decision {
 	id := keyID(c.GetKey())
 	if e, ok := p.lookup(id); ok {
-		return e.decide(c, p.nowMS)
+		return e.decide(c, p.answer(id), p.nowMS)
 	}
 	taken := &claimpb.Claim{
 		Key:         c.GetKey(),
@@ -77,11 +89,12 @@
 
 // decideTaken decides a claim of a taken key.
 func (p *plan) decideTaken(c *claimpb.Claim) (Decision, bool) {
-	e, ok := p.lookup(keyID(c.GetKey()))
+	id := keyID(c.GetKey())
+	e, ok := p.lookup(id)
 	if !ok {
 		return Decision{}, false
 	}
-	return e.decide(c, p.nowMS), true
+	return e.decide(c, p.answer(id), p.nowMS), true
 }
 
 // empty reports whether nothing has to be written.
--- a/claim/stats.go
+++ b/claim/stats.go
@@ -60,6 +60,17 @@
 	c.keys[partition] = n
 }
 
+// keyCount returns the number of keys in memory.
+func (c *counters) keyCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	total := 0
+	for _, n := range c.keys {
+		total += n
+	}
+	return total
+}
+
 func (c *counters) read() Stats {
 	stats := Stats{
 		Verdicts:    make(map[Verdict]uint64),
@@ -73,14 +84,10 @@
 		Claims:      c.claims.Load(),
 		Ends:        c.ends.Load(),
 		DroppedEnds: c.dropped.Load(),
+		Keys:        c.keyCount(),
 	}
 	for v := Run; v <= Mismatch; v++ {
 		stats.Verdicts[v] = c.verdicts[v].Load()
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, n := range c.keys {
-		stats.Keys += n
-	}
 	return stats
 }
--- a/claim/store.go
+++ b/claim/store.go
@@ -45,8 +45,10 @@
 	version platform.Version
 	head    *claimpb.Head
 	// index reflects head, which is the record at version.
-	index index
+	index *index
 	clock journalClock
+	// rebuilt tells that the index may hold expired keys.
+	rebuilt bool
 	// seen are the writes of others found since the last takeSeen.
 	seen []seenWrite
 	// merged is a segment that waits to be taken into the head.
@@ -61,7 +63,7 @@
 		self:   opts.Messenger.Self(),
 		start:  time.Now(),
 		head:   &claimpb.Head{},
-		index:  make(index),
+		index:  newIndex(opts.AnswerBytes),
 	}
 }
 
@@ -137,7 +139,7 @@
 	s.clock.observe(head.GetTimeMs(), time.Now().UnixMilli(), s.monotonicMS())
 	s.version, s.head = version, head
 	s.loaded, s.stale = true, false
-	s.stats.setKeys(s.number, len(s.index))
+	s.stats.setKeys(s.number, len(s.index.keys))
 	return nil
 }
 
@@ -163,7 +165,7 @@
 		applyAfter(s.index, head.GetBatches(), s.head.GetSequence())
 		return nil
 	}
-	fresh := make(index)
+	fresh := newIndex(s.opts.AnswerBytes)
 	for _, segment := range head.GetSegments() {
 		batches, err := s.readSegment(ctx, segment.GetName())
 		if err != nil {
@@ -172,11 +174,11 @@
 		applyAfter(fresh, batches, 0)
 	}
 	applyAfter(fresh, head.GetBatches(), 0)
-	s.index = fresh
+	s.index, s.rebuilt = fresh, true
 	return nil
 }
 
-func applyAfter(x index, batches []*claimpb.Batch, sequence uint64) {
+func applyAfter(x *index, batches []*claimpb.Batch, sequence uint64) {
 	for _, batch := range batches {
 		if batch.GetSequence() > sequence {
 			x.apply(batch)
@@ -225,6 +227,7 @@
 	s.version, s.head = version, next
 	s.index.apply(p.batch)
 	s.stats.appended(p.batch)
+	s.stats.setKeys(s.number, len(s.index.keys))
 	s.deleteObjects(ctx, append(unused, replaced...))
 	return writes, nil
 }
@@ -300,6 +303,23 @@
 	return rotated(head, name, len(data)), nil
 }
 
+// prune forgets expired keys.
+func (s *partitionStore) prune(retentionMS int64) {
+	s.rebuilt = false
+	s.index.prune(s.nowMS(), retentionMS)
+	s.stats.setKeys(s.number, len(s.index.keys))
+}
+
+// unload forgets the index. The version stays known, so that a later read of
+// an older record is noticed.
+func (s *partitionStore) unload() {
+	s.loaded = false
+	s.index = newIndex(s.opts.AnswerBytes)
+	s.head = &claimpb.Head{}
+	s.merged = nil
+	s.stats.setKeys(s.number, 0)
+}
+
 // sweep deletes the objects that crashed writers left behind.
 func (s *partitionStore) sweep(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.StoreTimeout)
--- a/claim/upkeep.go
+++ b/claim/upkeep.go
@@ -6,8 +6,10 @@
 )
 
 const (
-	// pruneInterval is the time between two sweeps of expired keys.
-	pruneInterval = time.Minute
+	// upkeepInterval is the time between two calls of upkeep.
+	upkeepInterval = time.Minute
+	// idleInterval is how long a partition stays in memory without use.
+	idleInterval = 10 * time.Minute
 	// sweepInterval is the time between two sweeps of unused objects.
 	sweepInterval = 15 * time.Minute
 )
@@ -40,27 +42,37 @@
 	return time.Second * time.Duration(p.partitions) / time.Duration(writes)
 }
 
+// retentionMS is unbounded while no table is in force, so that an instance that
+// starts in an outage forgets nothing.
 func (p *partition) retentionMS() int64 {
 	if snapshot := p.opts.Current.Load(); snapshot != nil && snapshot.Fleet().ClaimRetentionMS > 0 {
 		return snapshot.Fleet().ClaimRetentionMS
 	}
-	return defaultRetention.Milliseconds()
+	return unboundedRetention.Milliseconds()
 }
 
-func (p *partition) prune(ctx context.Context) {
+// upkeep forgets expired keys, deletes unused objects, and forgets the whole
+// partition if it has not been used for a while.
+func (p *partition) upkeep(ctx context.Context) {
+	if !p.store.loaded {
+		return
+	}
 	now := time.Now()
-	if now.Sub(p.prunedAt) < pruneInterval {
+	if now.Sub(p.usedAt) >= idleInterval && len(p.pending) == 0 {
+		p.store.unload()
+		p.paced = false
 		return
 	}
-	p.prunedAt = now
-	p.store.index.prune(p.store.nowMS(), p.retentionMS())
-	p.stats.setKeys(p.store.number, len(p.store.index))
+	p.store.prune(p.retentionMS())
 	if now.Sub(p.sweptAt) >= sweepInterval {
 		p.sweptAt = now
 		p.store.sweep(ctx)
 	}
 }
 
+// full reports whether no more keys may be taken into memory.
+func (p *partition) full() bool { return p.stats.keyCount() >= p.opts.MaxKeys }
+
 // startMerge merges segments beside the goroutine of run, one merge at a time.
 func (p *partition) startMerge(ctx context.Context) {
 	from := mergeCandidates(p.store.head.GetSegments())
