A whole fleet on loopback and the demo

Package fleet starts the platform, the backend servers and the daemons on free ports, and stops, kills, freezes and wakes them one by one. It accepts the table straight at the platform until the operators' tool is here.

--- /dev/null
+++ b/cmd/demo/main.go
@@ -0,0 +1,166 @@
+// Command demo runs a whole fleet on loopback, drives lookups and orders
+// through it and prints a summary.
+//
+// Its exit code is 0 only if every answer was whole, no order ran twice and
+// every process stopped cleanly.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/pomelolock/pomelolock/internal/fleet"
+	"github.com/pomelolock/pomelolock/internal/loadgen"
+)
+
+const (
+	regionName  = "praha"
+	balancerLag = 500 * time.Millisecond
+)
+
+type cli struct {
+	Bin      string        `help:"Directory with the programs; that of this one if omitted."`
+	Entries  int           `default:"3" help:"Daemons to start."`
+	Rate     float64       `default:"400" help:"Mean calls a second."`
+	Duration time.Duration `default:"8s" help:"Time for which calls are sent."`
+	Seed     uint64        `default:"1" help:"Seed of load and stand-ins."`
+	Keep     bool          `help:"Keep the directory with settings, logs and executions."`
+}
+
+func main() {
+	var cli cli
+	kong.Parse(&cli, kong.Name("demo"), kong.Description("A fleet on loopback with lookups and orders."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	clean, err := cli.run(ctx)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+	}
+	if err != nil || !clean {
+		os.Exit(1)
+	}
+}
+
+func (c *cli) run(ctx context.Context) (clean bool, err error) {
+	spec, err := c.spec()
+	if err != nil {
+		return false, err
+	}
+	if c.Keep {
+		fmt.Println("files are kept in", spec.Dir)
+	} else {
+		defer func() { _ = os.RemoveAll(spec.Dir) }()
+	}
+	began := time.Now()
+	f, err := fleet.Start(ctx, spec)
+	if err != nil {
+		return false, err
+	}
+	fmt.Printf("started the platform, %d backend servers and %d daemons in %.1f s\n", len(f.Backends), len(f.Entries), time.Since(began).Seconds())
+	clean, err = c.drive(ctx, f)
+	began = time.Now()
+	stopErr := f.Stop()
+	fmt.Printf("stopped all processes in %.1f s\n", time.Since(began).Seconds())
+	return clean, errors.Join(err, stopErr)
+}
+
+func (c *cli) spec() (fleet.Spec, error) {
+	bin := c.Bin
+	if bin == "" {
+		program, err := os.Executable()
+		if err != nil {
+			return fleet.Spec{}, fmt.Errorf("find programs: %w", err)
+		}
+		bin = filepath.Dir(program)
+	}
+	dir, err := os.MkdirTemp("", "pomelolock-demo-")
+	if err != nil {
+		return fleet.Spec{}, fmt.Errorf("make directory: %w", err)
+	}
+	services, routes := fleet.Vltava()
+	return fleet.Spec{
+		Bin:         bin,
+		Dir:         dir,
+		Region:      regionName,
+		DataCentres: []string{"praha-1", "praha-2", "praha-3"},
+		Entries:     c.Entries,
+		Services:    services,
+		Routes:      routes,
+		Seed:        c.Seed,
+		BalancerLag: balancerLag,
+	}, nil
+}
+
+// drive accepts the table, sends the load and prints the summary.
+func (c *cli) drive(ctx context.Context, f *fleet.Fleet) (clean bool, err error) {
+	version, err := f.Accept(ctx, f.Document(), 0)
+	if err != nil {
+		return false, err
+	}
+	if err := f.WaitReady(ctx); err != nil {
+		return false, err
+	}
+	fmt.Printf("table version %d is in force on every daemon\n", version)
+	report, err := loadgen.Run(ctx, loadgen.Options{
+		Targets: f.Targets(),
+		Kinds: []loadgen.Kind{
+			{Path: "/patterns/search", Weight: 70},
+			{Path: "/stock/rolls", Weight: 15},
+			{Path: "/orders", Keyed: true, Weight: 10},
+			{Path: "/stock/reservations", Keyed: true, Weight: 5},
+		},
+		Rate:          c.Rate,
+		Duration:      c.Duration,
+		Seed:          c.Seed,
+		ResendPercent: 5,
+		ResendAfter:   5 * time.Millisecond,
+	})
+	if err != nil {
+		return false, err
+	}
+	judgement, err := f.Judge(ctx, report)
+	if err != nil {
+		return false, err
+	}
+	return summarize(report, judgement), nil
+}
+
+// summarize prints the figures and reports whether all was well. An order whose
+// second request overtook the first is answered whole to one of them and told
+// in progress to the other.
+func summarize(r *loadgen.Report, j loadgen.Judgement) bool {
+	calls := r.Sent - r.Resent
+	fmt.Printf("sent %d (%d orders also a second time, to another instance)\n", calls, r.Resent)
+	fmt.Printf("whole %d\n", r.AnsweredWhole)
+	fmt.Printf("failed %d\n", calls-r.AnsweredWhole)
+	fmt.Printf("ran twice %d\n", j.RepeatedKeys)
+	fmt.Printf("over the slot limit %d\n", j.OverLimit)
+	fmt.Printf("p50 %.1f ms\n", r.Latency.P50)
+	fmt.Printf("p99 %.1f ms\n", r.Latency.P99)
+	printVerdicts("first requests", r.Verdicts)
+	printVerdicts("second requests", r.Duplicates)
+	return r.AnsweredWhole == calls && noBroken(r.Verdicts) && noBroken(r.Duplicates) && j.Clean()
+}
+
+func printVerdicts(title string, verdicts map[loadgen.Verdict]int) {
+	fmt.Printf("%s:", title)
+	for _, verdict := range loadgen.Verdicts {
+		if n := verdicts[verdict]; n > 0 {
+			fmt.Printf(" %s %d", verdict, n)
+		}
+	}
+	fmt.Println()
+}
+
+// noBroken reports whether every request got an answer of its own.
+func noBroken(verdicts map[loadgen.Verdict]int) bool {
+	return verdicts[loadgen.Cut]+verdicts[loadgen.TimedOut]+verdicts[loadgen.Foreign]+verdicts[loadgen.Corrupt] == 0
+}
--- /dev/null
+++ b/internal/fleet/accept.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/pomelolock/pomelolock/platform/httpplatform"
+	"github.com/pomelolock/pomelolock/table"
+)
+
+const (
+	author = "fleet"
+
+	pathLive  = "/livez"
+	pathReady = "/readyz"
+)
+
+// ToolError reports a failed command of the operators' tool.
+type ToolError struct {
+	Args   []string
+	Output string
+	Err    error
+}
+
+func (e *ToolError) Error() string {
+	return fmt.Sprintf("fleet: pomelolock %s: %v: %s", strings.Join(e.Args, " "), e.Err, e.Output)
+}
+
+// Unwrap returns the cause.
+func (e *ToolError) Unwrap() error { return e.Err }
+
+// Accept writes doc as the next accepted table straight to the platform, as
+// the successor of version base, and returns the new version.
+func (f *Fleet) Accept(ctx context.Context, doc table.Document, base uint64) (uint64, error) {
+	client, err := httpplatform.New(httpplatform.Options{BaseURL: f.Platform.URL})
+	if err != nil {
+		return 0, err
+	}
+	defer client.Close()
+	accepted, err := table.NewStore(client, client).Accept(ctx, doc, base, author, "")
+	return accepted.Version, err
+}
+
+// Tool runs the operators' tool and returns its output.
+func (f *Fleet) Tool(ctx context.Context, args ...string) (string, error) {
+	output, err := exec.CommandContext(ctx, f.program("pomelolock"), args...).CombinedOutput()
+	if err != nil {
+		return "", &ToolError{Args: args, Output: string(output), Err: err}
+	}
+	return string(output), nil
+}
+
+// WriteTable writes the fleet's table to a file and returns its path.
+func (f *Fleet) WriteTable() (string, error) {
+	path := filepath.Join(f.spec.Dir, "table.json")
+	return path, writeJSON(path, f.Document())
+}
+
+// WaitReady waits until every daemon reports itself ready.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, entry := range f.Entries {
+		if err := entry.waitReady(ctx, entry.OperatorURL+pathReady); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,279 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pomelolock/pomelolock/internal/loadgen"
+	"github.com/pomelolock/pomelolock/internal/standin/backend"
+	"github.com/pomelolock/pomelolock/internal/standin/execlog"
+	"github.com/pomelolock/pomelolock/internal/standin/platformd"
+	"github.com/pomelolock/pomelolock/platform/memory"
+)
+
+const (
+	stopTimeout    = 30 * time.Second
+	standinTimeout = 5 * time.Second
+)
+
+// Platform is the platform stand-in.
+type Platform struct {
+	*Process
+	URL string
+}
+
+// Backend is one backend stand-in.
+type Backend struct {
+	*Process
+	Service    string
+	Address    string
+	DataCentre string
+	// AdminURL is the base URL of the switches and counts.
+	AdminURL string
+	// ExecutionLog is the file of its executions.
+	ExecutionLog string
+
+	args []string
+}
+
+// Entry is one daemon.
+type Entry struct {
+	*Process
+	DataCentre string
+	// URL is the base URL for callers and OperatorURL that for operators.
+	URL         string
+	OperatorURL string
+	PeerAddress string
+	// SettingsFile is the daemon's settings.
+	SettingsFile string
+}
+
+// Fleet is a running fleet. Its methods are for one goroutine at a time.
+type Fleet struct {
+	Platform *Platform
+	Backends []*Backend
+	Entries  []*Entry
+
+	spec      Spec
+	addresses *addresses
+}
+
+// StopError reports daemons that did not stop by themselves with exit code 0.
+type StopError struct {
+	Names []string
+}
+
+func (e *StopError) Error() string {
+	return fmt.Sprintf("fleet: not stopped cleanly: %v", e.Names)
+}
+
+// StartStandins starts the platform and the backend servers. On failure
+// nothing is left running.
+func StartStandins(ctx context.Context, spec Spec) (*Fleet, error) {
+	f := &Fleet{spec: spec, addresses: newAddresses()}
+	err := f.startPlatform(ctx)
+	if err == nil {
+		err = f.startBackends(ctx)
+	}
+	if err != nil {
+		return nil, errors.Join(err, f.Stop())
+	}
+	return f, nil
+}
+
+// Start starts the whole fleet. The daemons run, but have no table yet.
+func Start(ctx context.Context, spec Spec) (*Fleet, error) {
+	f, err := StartStandins(ctx, spec)
+	if err != nil {
+		return nil, err
+	}
+	for range spec.Entries {
+		if _, err := f.StartEntry(ctx); err != nil {
+			return nil, errors.Join(err, f.Stop())
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) program(name string) string { return filepath.Join(f.spec.Bin, name) }
+
+func (f *Fleet) startPlatform(ctx context.Context) error {
+	address, err := f.addresses.next()
+	if err != nil {
+		return err
+	}
+	process, err := startProcess(f.spec.Dir, "platform", f.program("standin"), "platform", "--listen", address)
+	if err != nil {
+		return err
+	}
+	f.Platform = &Platform{Process: process, URL: "http://" + address}
+	return process.waitReady(ctx, f.Platform.URL+platformd.PathReady)
+}
+
+func (f *Fleet) startBackends(ctx context.Context) error {
+	for _, service := range f.spec.Services {
+		for i := range service.Servers {
+			if err := f.startBackend(service, i); err != nil {
+				return err
+			}
+		}
+	}
+	for _, server := range f.Backends {
+		if err := server.waitReady(ctx, server.AdminURL+backend.PathReady); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startBackend(service Service, i int) error {
+	address, err := f.addresses.next()
+	if err != nil {
+		return err
+	}
+	admin, err := f.addresses.next()
+	if err != nil {
+		return err
+	}
+	faults, err := json.Marshal(service.Faults)
+	if err != nil {
+		return fmt.Errorf("fleet: encode faults: %w", err)
+	}
+	name := serverName(service.Row.Name, i)
+	server := &Backend{
+		Service:      service.Row.Name,
+		Address:      address,
+		DataCentre:   f.spec.dataCentre(i),
+		AdminURL:     "http://" + admin,
+		ExecutionLog: filepath.Join(f.spec.Dir, name+".executions"),
+	}
+	server.args = []string{
+		"backend", "--listen", address, "--admin", admin, "--name", name,
+		"--slots", strconv.Itoa(ServerSlots), "--connections", strconv.Itoa(ServerConnections),
+		"--service-time", service.ServiceTime.String(),
+		"--seed", strconv.FormatUint(f.spec.Seed+uint64(len(f.Backends)), 10),
+		"--log", server.ExecutionLog, "--faults", string(faults),
+		"--platform", f.Platform.URL, "--region", f.spec.Region, "--data-centre", server.DataCentre,
+	}
+	if server.Process, err = startProcess(f.spec.Dir, name, f.program("standin"), server.args...); err != nil {
+		return err
+	}
+	f.Backends = append(f.Backends, server)
+	return nil
+}
+
+// Restart starts a backend server again after it has ended, at its address.
+func (f *Fleet) Restart(ctx context.Context, server *Backend) error {
+	<-server.Done()
+	process, err := startProcess(f.spec.Dir, server.Name, f.program("standin"), server.args...)
+	if err != nil {
+		return err
+	}
+	server.Process = process
+	return process.waitReady(ctx, server.AdminURL+backend.PathReady)
+}
+
+// Stop ends every process and fails with [StopError] if a daemon that was
+// still running did not stop cleanly.
+func (f *Fleet) Stop() error {
+	unclean := f.stopEntries()
+	processes := make([]*Process, 0, len(f.Backends)+1)
+	for _, server := range f.Backends {
+		processes = append(processes, server.Process)
+	}
+	if f.Platform != nil {
+		processes = append(processes, f.Platform.Process)
+	}
+	var group sync.WaitGroup
+	for _, process := range processes {
+		group.Go(func() { process.stop(standinTimeout) })
+	}
+	group.Wait()
+	if len(unclean) > 0 {
+		return &StopError{Names: unclean}
+	}
+	return nil
+}
+
+// stopEntries stops all daemons at once and returns the names of those that
+// did not stop cleanly.
+func (f *Fleet) stopEntries() []string {
+	var (
+		mu      sync.Mutex
+		unclean []string
+		group   sync.WaitGroup
+	)
+	for _, entry := range f.Entries {
+		select {
+		case <-entry.Done():
+			continue
+		default:
+		}
+		group.Go(func() {
+			if entry.stop(stopTimeout+f.spec.BalancerLag) && entry.ExitCode() == 0 {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			unclean = append(unclean, entry.Name)
+		})
+	}
+	group.Wait()
+	return unclean
+}
+
+// Targets returns the callers' URLs of all daemons.
+func (f *Fleet) Targets() []string {
+	targets := make([]string, 0, len(f.Entries))
+	for _, entry := range f.Entries {
+		targets = append(targets, entry.URL)
+	}
+	return targets
+}
+
+// Judge compares a report with the backend servers' logs and counts.
+func (f *Fleet) Judge(ctx context.Context, report *loadgen.Report) (loadgen.Judgement, error) {
+	paths := make([]string, 0, len(f.Backends))
+	counts := make([]backend.Counts, len(f.Backends))
+	for i, server := range f.Backends {
+		paths = append(paths, server.ExecutionLog)
+		if err := loadgen.GetJSON(ctx, server.AdminURL+backend.PathCounts, &counts[i]); err != nil {
+			return loadgen.Judgement{}, err
+		}
+	}
+	entries, err := execlog.Read(paths...)
+	if err != nil {
+		return loadgen.Judgement{}, err
+	}
+	return loadgen.Judge(report, entries, counts), nil
+}
+
+// ResetCounts zeroes the backend servers' counts and empties their logs.
+func (f *Fleet) ResetCounts(ctx context.Context) error {
+	for _, server := range f.Backends {
+		if err := loadgen.Reset(ctx, server.AdminURL+backend.PathCounts); err != nil {
+			return err
+		}
+		if err := os.Truncate(server.ExecutionLog, 0); err != nil {
+			return fmt.Errorf("fleet: %w", err)
+		}
+	}
+	return nil
+}
+
+// SetFaults sets the faults of one backend server.
+func (b *Backend) SetFaults(ctx context.Context, faults backend.Faults) error {
+	return loadgen.PutJSON(ctx, b.AdminURL+backend.PathFaults, faults)
+}
+
+// SetFaults sets the platform's faults.
+func (p *Platform) SetFaults(ctx context.Context, faults memory.Faults) error {
+	return loadgen.PutJSON(ctx, p.URL+platformd.PathFaults, faults)
+}
--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -23,6 +23,9 @@
 	// Sent counts every request, Resent those sent for a second time.
 	Sent   int `json:"sent"`
 	Resent int `json:"resent"`
+	// AnsweredWhole counts the calls of which at least one request was
+	// answered whole.
+	AnsweredWhole int `json:"answered_whole"`
 	// Verdicts and Codes exclude resent requests, Duplicates holds theirs.
 	Verdicts   map[Verdict]int `json:"verdicts"`
 	Duplicates map[Verdict]int `json:"duplicate_verdicts,omitempty"`
@@ -132,7 +135,9 @@
 	told.Sent++
 	switch verdict {
 	case Whole:
-		told.Whole++
+		if told.Whole++; told.Whole == 1 {
+			r.result.AnsweredWhole++
+		}
 	case Refused, NotSent:
 		told.NotRun++
 	}
