--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,240 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pomelolock/pomelolock/burn"
+	"github.com/pomelolock/pomelolock/claim"
+	"github.com/pomelolock/pomelolock/loadbalancer"
+	"github.com/pomelolock/pomelolock/metrics"
+	"github.com/pomelolock/pomelolock/peer"
+	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/platform/httpplatform"
+	"github.com/pomelolock/pomelolock/proxy"
+	"github.com/pomelolock/pomelolock/settings"
+	"github.com/pomelolock/pomelolock/slot"
+	"github.com/pomelolock/pomelolock/table"
+)
+
+// Daemon is one instance.
+type Daemon struct {
+	set    *settings.Settings
+	logger *slog.Logger
+	self   platform.Instance
+
+	platform *httpplatform.Client
+	current  *table.Current
+	store    *table.Store
+	sync     *table.Sync
+	mesh     *peer.Mesh
+	tracker  *listView
+	slots    *slot.Manager
+	claims   *claim.Journal
+	recorder *burn.Recorder
+	burn     *burn.Keeper
+	proxy    *proxy.Proxy
+	metrics  *metrics.Registry
+
+	callers   *http.Server
+	operators *http.Server
+	listeners listeners
+
+	leaving atomic.Bool
+}
+
+type listeners struct {
+	caller, peer, operator net.Listener
+}
+
+// ListenError reports an address that can't be listened on.
+type ListenError struct {
+	Address string
+	Err     error
+}
+
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("daemon: listen on %s: %v", e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// New wires an instance and opens its listeners.
+func New(set *settings.Settings, logger *slog.Logger) (*Daemon, error) {
+	client, err := httpplatform.New(httpplatform.Options{BaseURL: set.Platform.URL, Timeout: set.Platform.Timeout()})
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{set: set, logger: logger, self: instanceOf(set), current: table.NewCurrent(), platform: client}
+	if err := d.wireFleet(); err != nil {
+		return nil, err
+	}
+	d.wireRequests()
+	if err := d.wireMetrics(); err != nil {
+		return nil, err
+	}
+	if err := d.wireServers(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func instanceOf(set *settings.Settings) platform.Instance {
+	return platform.Instance{
+		ID:              set.Instance.ID,
+		Role:            platform.RoleEntry,
+		Region:          set.Instance.Region,
+		DataCentre:      set.Instance.DataCentre,
+		PeerAddress:     orElse(set.Advertise.Peer, set.Listen.Peer),
+		Address:         orElse(set.Advertise.Caller, set.Listen.Caller),
+		OperatorAddress: orElse(set.Advertise.Operator, set.Listen.Operator),
+		State:           platform.StateLive,
+	}
+}
+
+func orElse(value, fallback string) string {
+	if value == "" {
+		return fallback
+	}
+	return value
+}
+
+// wireFleet creates what instances share: sessions, membership, the table.
+func (d *Daemon) wireFleet() error {
+	tlsConfig, err := d.peerTLS()
+	if err != nil {
+		return err
+	}
+	d.mesh = peer.NewMesh(peer.Options{
+		Fleet:  d.set.Fleet,
+		Self:   d.self,
+		TLS:    tlsConfig,
+		Logger: d.logger.With("part", "peer"),
+	})
+	d.tracker = newListView(d.self, d.platform, d.mesh)
+	d.store = table.NewStore(d.platform, d.platform)
+	d.sync = table.NewSync(table.SyncOptions{
+		Store:     d.store,
+		Messenger: d.mesh,
+		View:      d.tracker,
+		Current:   d.current,
+		Logger:    d.logger.With("part", "table"),
+	})
+	return nil
+}
+
+// wireRequests creates what serves callers.
+func (d *Daemon) wireRequests() {
+	d.slots = slot.New(slot.Options{
+		Messenger: d.mesh,
+		View:      d.tracker,
+		Tables:    d.platform,
+		Current:   d.current,
+		Logger:    d.logger.With("part", "slot"),
+	})
+	d.claims = claim.New(claim.Options{
+		Messenger: d.mesh,
+		View:      d.tracker,
+		Tables:    d.platform,
+		Objects:   d.platform,
+		Current:   d.current,
+		Logger:    d.logger.With("part", "claim"),
+	})
+	d.recorder = burn.NewRecorder()
+	d.burn = burn.NewKeeper(burn.Options{
+		Recorder: d.recorder,
+		Objects:  d.platform,
+		View:     d.tracker,
+		Current:  d.current,
+		Logger:   d.logger.With("part", "burn"),
+	})
+	leaving := func(s table.Server) bool { return d.tracker.LeavingServer(s.Address) }
+	d.proxy = proxy.New(proxy.Options{
+		Current: d.current,
+		Balancer: loadbalancer.NewByPolicy(d.current, map[table.Policy]loadbalancer.Balancer{
+			table.PolicyLeases:    d.slots,
+			table.PolicyBestOfTwo: loadbalancer.NewBestOfTwo(d.current, leaving),
+			table.PolicyRandom:    loadbalancer.NewRandom(d.current, leaving),
+		}),
+		Claimer:   d.claims,
+		Recorder:  d.recorder,
+		Observer:  d.tracker,
+		ConnLimit: d.connLimit,
+		Logger:    d.logger.With("part", "proxy"),
+		Instance:  d.self.ID,
+	})
+}
+
+// connLimit returns this instance's share of a server's connections. While a
+// fleet is replaced two generations of instances hold connections.
+func (d *Daemon) connLimit(server table.Server) int {
+	const generations = 2
+	instances := max(len(d.tracker.Entries()), 1)
+	return max(min(server.Slots, server.Connections/(generations*instances)), 1)
+}
+
+// Run serves until ctx ends and then shuts down gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer endDuties()
+	failed := make(chan error, dutyCount)
+	var wg sync.WaitGroup
+	for _, duty := range d.duties() {
+		wg.Go(func() {
+			if err := duty.run(duties); err != nil && duties.Err() == nil {
+				failed <- fmt.Errorf("duty %s: %w", duty.name, err)
+			}
+		})
+	}
+	d.logger.Info("serving", "instance", d.self.ID, "caller", d.listeners.caller.Addr(),
+		"peer", d.listeners.peer.Addr(), "operator", d.listeners.operator.Addr())
+	var err error
+	select {
+	case <-ctx.Done():
+		err = d.stop()
+	case err = <-failed:
+	}
+	endDuties()
+	_ = d.operators.Close()
+	_ = d.callers.Close()
+	d.mesh.Close()
+	wg.Wait()
+	return err
+}
+
+// duty is one long-running part of the instance.
+type duty struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// endless makes a duty of a function that only ends with its context.
+func endless(run func(context.Context)) func(context.Context) error {
+	return func(ctx context.Context) error {
+		run(ctx)
+		return nil
+	}
+}
+
+// dutyCount bounds the failures that duties can report.
+const dutyCount = 16
+
+func (d *Daemon) duties() []duty {
+	return []duty{
+		{"callers", func(context.Context) error { return serveHTTP(d.callers, d.listeners.caller) }},
+		{"operators", func(context.Context) error { return serveHTTP(d.operators, d.listeners.operator) }},
+		{"peers", func(ctx context.Context) error { return d.mesh.Serve(ctx, d.listeners.peer) }},
+		{"membership", d.tracker.Run},
+		{"table", endless(d.sync.Run)},
+		{"burn", endless(d.burn.Run)},
+		{"slots", d.slots.Run},
+		{"claims", d.claims.Run},
+		{"transports", d.proxy.Run},
+	}
+}
--- /dev/null
+++ b/internal/daemon/servers.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+
+	"github.com/pomelolock/pomelolock/certs"
+	"github.com/pomelolock/pomelolock/settings"
+)
+
+// wireServers opens the listeners and creates their servers.
+func (d *Daemon) wireServers() error {
+	for _, l := range []struct {
+		address  string
+		cert     *settings.Certificate
+		listener *net.Listener
+	}{
+		{d.set.Listen.Caller, d.set.TLS.Caller, &d.listeners.caller},
+		{d.set.Listen.Peer, nil, &d.listeners.peer},
+		{d.set.Listen.Operator, d.set.TLS.Operator, &d.listeners.operator},
+	} {
+		opened, err := d.listen(l.address, l.cert)
+		if err != nil {
+			d.closeListeners()
+			return err
+		}
+		*l.listener = opened
+	}
+	d.callers = d.server(d.proxy)
+	d.operators = d.server(d.operatorHandler())
+	return nil
+}
+
+func (d *Daemon) listen(address string, cert *settings.Certificate) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &ListenError{Address: address, Err: err}
+	}
+	if cert == nil {
+		return listener, nil
+	}
+	source, err := d.certSource(cert)
+	if err != nil {
+		listener.Close()
+		return nil, err
+	}
+	return tls.NewListener(listener, source.ServerConfig(false)), nil
+}
+
+func (d *Daemon) certSource(cert *settings.Certificate) (*certs.Source, error) {
+	return certs.NewSource(certs.Options{
+		Cert: cert.Cert, Key: cert.Key, Authorities: cert.ClientCA,
+		OnError: func(err error) { d.logger.Error("certificate not reloaded", "error", err) },
+	})
+}
+
+func (d *Daemon) peerTLS() (*tls.Config, error) {
+	if d.set.TLS.Peer == nil {
+		return nil, nil
+	}
+	source, err := d.certSource(d.set.TLS.Peer)
+	if err != nil {
+		return nil, err
+	}
+	return source.PeerConfig(d.set.Fleet), nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range []net.Listener{d.listeners.caller, d.listeners.peer, d.listeners.operator} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
+func (d *Daemon) server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: d.set.Limits.ReadHeaderTimeout(),
+		IdleTimeout:       d.set.Limits.IdleTimeout(),
+		MaxHeaderBytes:    d.set.Limits.MaxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
+	}
+}
+
+func serveHTTP(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// ready returns the reason for which the instance should get no requests.
+func (d *Daemon) ready(context.Context) error {
+	if d.leaving.Load() {
+		return &LeavingError{}
+	}
+	return d.sync.Ready()
+}
+
+// LeavingError reports an instance that is shutting down.
+type LeavingError struct{}
+
+func (*LeavingError) Error() string { return "daemon: the instance is leaving" }
