--- a/slot/holder.go
+++ b/slot/holder.go
@@ -131,6 +131,19 @@
 	return best
 }
 
+// anyIdle reports whether a lease can be taken.
+func (h *holder) anyIdle(now time.Time) bool {
+	if !h.valid(now) {
+		return false
+	}
+	for _, l := range h.leases {
+		if l.state == leaseIdle && !l.recalled {
+			return true
+		}
+	}
+	return false
+}
+
 // score orders idle leases: the lower, the better.
 func (h *holder) score(l *lease, now time.Time) time.Duration {
 	stats := h.stats[l.id.server()]
--- a/slot/manager_test.go
+++ b/slot/manager_test.go
@@ -76,7 +76,7 @@
 	done     sync.WaitGroup
 }
 
-func fleetTable(servers int) table.Document {
+func fleetTable() table.Document {
 	doc := table.Document{
 		Version: 1,
 		Services: []table.Service{{
@@ -84,7 +84,7 @@
 			QueueLimit: 1000, CancelGraceMS: 100,
 		}},
 	}
-	for i := range servers {
+	for i := range fleetServers {
 		doc.Servers = append(doc.Servers, table.Server{
 			Service: "lookup", Name: fmt.Sprintf("server-%d", i), Address: fmt.Sprintf("127.0.0.1:%d", 9000+i),
 			DataCentre: "dc-1", Weight: 1, Slots: fleetSlots, Connections: 250, State: table.ServerServing,
@@ -93,14 +93,14 @@
 	return doc
 }
 
-func newFleet(t *testing.T, size, servers int) *fleet {
+func newFleet(t *testing.T) *fleet {
 	f := &fleet{
 		t: t, random: rand.New(rand.NewPCG(1, 2)), net: peertest.NewNetwork(250 * time.Microsecond), store: memory.New(), current: table.NewCurrent(),
 		leaving: make(map[string]bool), changed: make(chan struct{}),
 		running: make(map[string]int), most: make(map[string]int),
 	}
-	f.current.Swap(table.Compile(fleetTable(servers)))
-	for i := range size {
+	f.current.Swap(table.Compile(fleetTable()))
+	for i := range fleetSize {
 		f.entries = append(f.entries, platform.Instance{ID: fmt.Sprintf("entry-%02d", i), Role: platform.RoleEntry, DataCentre: "dc-1"})
 	}
 	for _, instance := range f.entries {
@@ -241,7 +241,7 @@
 // TestFleetAtHalfLoad runs 18 instances over 20 servers at half load.
 func TestFleetAtHalfLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, fleetSize, fleetServers)
+		f := newFleet(t)
 		defer f.close()
 		f.drive(half, time.Second, nil)
 		before := f.total()
@@ -271,7 +271,7 @@
 // the leases they hold, and a successor takes over.
 func TestCoordinatorCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, fleetSize, fleetServers)
+		f := newFleet(t)
 		defer f.close()
 		f.drive(half, time.Second, nil)
 		dead := coordinatorOf(f)
@@ -296,7 +296,7 @@
 // table service is not needed for it.
 func TestHandover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, fleetSize, fleetServers)
+		f := newFleet(t)
 		defer f.close()
 		f.drive(half, time.Second, nil)
 		f.store.SetFaults(memory.Faults{Down: true})
@@ -315,3 +315,25 @@
 		f.checkSlots()
 	})
 }
+
+// TestOverloadKeepsGoodput sends twice what the servers can do. Requests that
+// can't be served in time are refused early, so that slots serve only requests
+// that end in time.
+func TestOverloadKeepsGoodput(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		f.drive(2*half, time.Second, nil)
+		full := f.drive(2*half, 2*time.Second, nil)
+		f.drive(4*half, time.Second, nil)
+		over := f.drive(4*half, 2*time.Second, nil)
+		for name, l := range map[string]*load{"full": full, "twofold": over} {
+			t.Logf("%s load: sent %d whole %d refused %d late %d, wait p50 %v p99 %v",
+				name, l.sent, l.whole, l.refused, l.late, l.percentile(0.5), l.percentile(0.99))
+		}
+		if float64(over.whole) < 0.9*float64(full.whole) {
+			t.Errorf("goodput fell from %d to %d", full.whole, over.whole)
+		}
+		f.checkSlots()
+	})
+}
--- a/slot/service.go
+++ b/slot/service.go
@@ -147,7 +147,7 @@
 
 // serve gives idle leases to waiters.
 func (s *service) serve(now time.Time) {
-	for s.queue.size > 0 {
+	for s.queue.size > 0 && s.anyIdle(now) {
 		var r waitResult
 		w := s.queue.pop(func(w *waiter) bool {
 			r = s.match(w, now)
@@ -161,6 +161,15 @@
 	s.updateWant(now)
 }
 
+func (s *service) anyIdle(now time.Time) bool {
+	for _, h := range s.holders {
+		if h.anyIdle(now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *service) match(w *waiter, now time.Time) waitResult {
 	for _, h := range s.holders {
 		l := h.take(func(server string) bool { return s.skip(server, w.exclude) }, now)
