--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,114 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/pomelolock/pomelolock/burn"
+)
+
+const maxAnswerBytes = 64 << 20
+
+// UnreachableError reports an instance that could not be asked, or whose answer
+// did not arrive.
+type UnreachableError struct {
+	Address string
+	Err     error
+}
+
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("operator: %s unreachable: %v", e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
+// Client asks one instance.
+type Client struct {
+	// URL is the base of the operator listener, as in "http://10.0.0.1:8082".
+	URL string
+	// Token is the operators' token; "" if a certificate is used.
+	Token string
+	// HTTP sends the requests. Its timeout bounds each of them.
+	HTTP *http.Client
+}
+
+// Status returns the instance's state.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var status Status
+	err := c.do(ctx, http.MethodGet, "/status", nil, &status)
+	return status, err
+}
+
+// Backends returns what the instance sees of the backend servers.
+func (c *Client) Backends(ctx context.Context) (Backends, error) {
+	var backends Backends
+	err := c.do(ctx, http.MethodGet, "/backends", nil, &backends)
+	return backends, err
+}
+
+// Burn returns the burn report of the fleet.
+func (c *Client) Burn(ctx context.Context) (burn.Report, error) {
+	var report burn.Report
+	err := c.do(ctx, http.MethodGet, "/burn", nil, &report)
+	return report, err
+}
+
+// Accept sends a table. A lost answer leaves the outcome open; send the same
+// request again to settle it.
+func (c *Client) Accept(ctx context.Context, request AcceptRequest) (AcceptAnswer, error) {
+	var answer AcceptAnswer
+	body, err := json.Marshal(request)
+	if err != nil {
+		return answer, fmt.Errorf("operator: encode request: %w", err)
+	}
+	err = c.do(ctx, http.MethodPost, "/table", body, &answer)
+	return answer, err
+}
+
+// do fails with [UnreachableError] or [Failure].
+func (c *Client) do(ctx context.Context, method, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("operator: %w", err)
+	}
+	if c.Token != "" && method != http.MethodGet {
+		req.Header.Set("Authorization", bearer+c.Token)
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return &UnreachableError{Address: c.URL, Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return &UnreachableError{Address: c.URL, Err: err}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return failureFrom(resp.StatusCode, data)
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return &UnreachableError{Address: c.URL, Err: err}
+	}
+	return nil
+}
+
+func failureFrom(status int, data []byte) error {
+	failure := &Failure{}
+	if err := json.Unmarshal(data, failure); err != nil {
+		failure.Detail = string(bytes.TrimSpace(data))
+	}
+	failure.Status = status
+	return failure
+}
+
+// HasCode reports whether err is a [Failure] with that code.
+func HasCode(err error, code Code) bool {
+	var failure *Failure
+	return errors.As(err, &failure) && failure.Code == code
+}
