Probe budget and prober

Cause: active probes need a fleet-wide bound that holds whatever instances believe of each other. Conclusion: the sum of any second stays within the limit.

--- /dev/null
+++ b/probe/budget_test.go
@@ -0,0 +1,229 @@
+package probe
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/pomelolock/pomelolock/outcome"
+	"github.com/pomelolock/pomelolock/platform/memory"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// probing runs budgets of several instances that take all they can.
+type probing struct {
+	budgets []*Budget
+	mu      sync.Mutex
+	taken   []time.Time
+	wg      sync.WaitGroup
+	cancel  context.CancelFunc
+}
+
+func startProbing(store *memory.Store, instances, limit int) *probing {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &probing{cancel: cancel}
+	for range instances {
+		b := NewBudget(Options{Tables: store, Limit: func() Limit { return Limit{PerSecond: limit, TableVersion: 1} }})
+		p.budgets = append(p.budgets, b)
+		p.wg.Go(func() { _ = b.Run(ctx) })
+		p.wg.Go(func() { p.drain(ctx, b) })
+	}
+	return p
+}
+
+func (p *probing) drain(ctx context.Context, b *Budget) {
+	for ctx.Err() == nil {
+		if b.TryTake(1) {
+			p.mu.Lock()
+			p.taken = append(p.taken, time.Now())
+			p.mu.Unlock()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (p *probing) stop() {
+	p.cancel()
+	p.wg.Wait()
+}
+
+func (p *probing) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.taken)
+}
+
+func TestBudgetSharesLimitWithFewWrites(t *testing.T) {
+	const instances, limit, seconds = 18, 20, 600
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		p := startProbing(store, instances, limit)
+		time.Sleep(seconds * time.Second)
+		p.stop()
+		for i := limit; i < len(p.taken); i++ {
+			if p.taken[i].Sub(p.taken[i-limit]) < time.Second {
+				t.Fatalf("more than %d probes in the second from %v", limit, p.taken[i-limit])
+			}
+		}
+		used := float64(len(p.taken)) / (limit * seconds)
+		counts := store.Counts()
+		t.Logf("limit used %.2f, %.2f writes/s, %.2f reads/s", used,
+			float64(counts.Writes)/seconds, float64(counts.Reads)/seconds)
+		if used < 0.25 || counts.Writes > 4*seconds {
+			t.Fatalf("limit used %.2f with %d writes", used, counts.Writes)
+		}
+	})
+}
+
+func TestBudgetStopsWithoutStoreAndCountsLostAnswersAsSpent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		p := startProbing(store, 3, 10)
+		defer p.stop()
+		time.Sleep(time.Minute)
+		if p.count() == 0 {
+			t.Fatal("no probes")
+		}
+		store.SetFaults(memory.Faults{Down: true})
+		time.Sleep(leaseLength)
+		before := p.count()
+		time.Sleep(time.Minute)
+		if p.count() != before {
+			t.Fatal("probes without the store")
+		}
+		store.SetFaults(memory.Faults{LoseAnswers: 1000})
+		time.Sleep(time.Minute)
+		if p.count() != before {
+			t.Fatal("probes on a lease whose outcome is unknown")
+		}
+		store.SetFaults(memory.Faults{})
+		time.Sleep(time.Minute)
+		if p.count() == before {
+			t.Fatal("no probes after the outage")
+		}
+	})
+}
+
+func TestBudgetWithoutNeedCostsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		b := NewBudget(Options{Tables: store, Limit: func() Limit { return Limit{PerSecond: 5} }})
+		prober := NewProber(ProberOptions{Budget: b, Report: func(Result) { t.Error("a probe was sent") }})
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = b.Run(ctx) })
+		wg.Go(func() { _ = prober.Run(ctx) })
+		for range 600 {
+			// A server that fails now and then under traffic.
+			prober.NoteFailure("10.0.0.1:80")
+			time.Sleep(100 * time.Millisecond)
+			prober.NoteAnswer("10.0.0.1:80")
+		}
+		cancel()
+		wg.Wait()
+		if counts := store.Counts(); counts.Reads+counts.Writes > 0 || b.Spent() > 0 {
+			t.Fatalf("steady traffic cost %+v, %d probes", counts, b.Spent())
+		}
+	})
+}
+
+// allowance grants a fixed number of probes.
+type allowance struct{ left int }
+
+func (a *allowance) TryTake(n int) bool {
+	if a.left < n {
+		return false
+	}
+	a.left -= n
+	return true
+}
+
+// pipeServer answers HTTP over in-memory connections.
+type pipeServer struct {
+	mu       sync.Mutex
+	down     bool
+	draining bool
+}
+
+func (s *pipeServer) set(down, draining bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.draining = down, draining
+}
+
+func (s *pipeServer) dial(context.Context, string, string) (net.Conn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+	}
+	header := ""
+	if s.draining {
+		header = outcome.HeaderDraining + ": true\r\n"
+	}
+	client, server := net.Pipe()
+	go func() {
+		defer server.Close()
+		buf := make([]byte, 4096)
+		n, _ := server.Read(buf)
+		if strings.HasPrefix(string(buf[:n]), http.MethodGet) {
+			_, _ = server.Write([]byte("HTTP/1.1 204 No Content\r\n" + header + "\r\n"))
+		}
+	}()
+	return client, nil
+}
+
+func TestProberRetriesQuietServerUntilItAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := &pipeServer{down: true}
+		budget := &allowance{left: 100}
+		results := make(chan Result, 100)
+		prober := NewProber(ProberOptions{
+			Budget: budget, Dial: server.dial, Report: func(r Result) { results <- r },
+			Owns: func(address string) bool { return address != "10.0.0.2:80" },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = prober.Run(ctx) })
+		prober.NoteFailure("10.0.0.1:80")
+		prober.NoteFailure("10.0.0.2:80")
+		time.Sleep(quietFor / 2)
+		if len(results) > 0 {
+			t.Fatal("probe of a server with recent traffic")
+		}
+		time.Sleep(time.Minute)
+		failed := len(results)
+		if failed < 3 || failed > 8 {
+			t.Fatalf("%d probes in a minute", failed)
+		}
+		server.set(false, true)
+		time.Sleep(2 * retryMax)
+		server.set(false, false)
+		time.Sleep(10 * retryMax)
+		cancel()
+		wg.Wait()
+		close(results)
+		var last Result
+		var drained bool
+		for last = range results {
+			if last.Address != "10.0.0.1:80" {
+				t.Fatalf("probe of a server that another instance owns: %+v", last)
+			}
+			drained = drained || last.Draining
+		}
+		if !drained || !last.Answered || last.Draining {
+			t.Fatalf("drained %v, last %+v", drained, last)
+		}
+		if used := 100 - budget.left; used > failed+5 {
+			t.Fatalf("%d probes although the server answers", used)
+		}
+	})
+}
