Quarantine of requests that crash backend servers

Cause: a request that crashes each server that runs it costs a server for each resend to each instance. Change: losses are shared among instances at once; a second loss quarantines the request for a doubling period, a first holds it back for 2 s unless the server lost several requests or the request was answered recently. Any answer clears it. Figures: a caller that resends to 17 instances in turn costs 2 servers in the first minute, 5 in an hour, 6 in two (TestSequentialResends...).

--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,327 @@
+package quarantine_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	_ "github.com/pomelolock/pomelolock/internal/fixedseed"
+	"github.com/pomelolock/pomelolock/peer/peertest"
+	"github.com/pomelolock/pomelolock/quarantine"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	linkDelay = 2 * time.Millisecond
+	crashTime = 5 * time.Millisecond
+)
+
+// event is a copy of the poison request that was accepted, or a server lost.
+type event struct {
+	instance int
+	at       time.Time
+}
+
+// fleet runs quarantines of several instances over an in-memory network.
+type fleet struct {
+	net    *peertest.Network
+	parts  []*quarantine.Quarantine
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu       sync.Mutex
+	accepted []event
+	crashes  []event
+}
+
+func newFleet(n int) *fleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{net: peertest.NewNetwork(linkDelay), cancel: cancel}
+	for i := range n {
+		q := quarantine.New(quarantine.Options{Messenger: f.net.Join(name(i))})
+		f.parts = append(f.parts, q)
+		f.wg.Go(func() { _ = q.Run(ctx) })
+	}
+	return f
+}
+
+func (f *fleet) stop() {
+	f.cancel()
+	f.wg.Wait()
+	f.net.Close()
+}
+
+func name(i int) string { return fmt.Sprintf("entry-%02d", i) }
+
+func fingerprint(name string) (fp [32]byte) {
+	copy(fp[:], name)
+	return fp
+}
+
+var poison = fingerprint("poison")
+
+// crash loses a server that no other request crashes.
+func (f *fleet) crash(instance int) {
+	time.Sleep(crashTime)
+	f.mu.Lock()
+	f.crashes = append(f.crashes, event{instance, time.Now()})
+	server := fmt.Sprintf("server-%d", len(f.crashes))
+	f.mu.Unlock()
+	f.parts[instance].ReportLoss(poison, server)
+}
+
+// send runs one copy of the poison request as the proxy does.
+func (f *fleet) send(instance int) {
+	if refused, _ := f.parts[instance].Check(poison); refused {
+		return
+	}
+	f.mu.Lock()
+	f.accepted = append(f.accepted, event{instance, time.Now()})
+	f.mu.Unlock()
+	f.crash(instance)
+	if f.parts[instance].AllowSecondTry(poison) {
+		f.crash(instance)
+	}
+}
+
+// resend is one copy of the request, sent some time after the start.
+type resend struct {
+	instance int
+	after    time.Duration
+}
+
+func drawResend(t *rapid.T) resend {
+	return resend{
+		instance: rapid.IntRange(0, 5).Draw(t, "instance"),
+		after:    time.Duration(rapid.IntRange(0, 1500).Draw(t, "after")) * time.Millisecond,
+	}
+}
+
+// TestServersLostPerPoisonRequest sends any number of copies to any instances
+// at any times, with cuts that heal. Each copy costs at most two servers, and
+// none is accepted where an earlier loss can be known.
+func TestServersLostPerPoisonRequest(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		copies := rapid.SliceOfN(rapid.Custom(drawResend), 1, 30).Draw(rt, "copies")
+		cut := rapid.SliceOfN(rapid.Bool(), 15, 15).Draw(rt, "cut")
+		heal := time.Duration(rapid.IntRange(0, 1500).Draw(rt, "heal")) * time.Millisecond
+		var failure error
+		synctest.Test(t, func(*testing.T) {
+			f := newFleet(6)
+			defer f.stop()
+			start := time.Now()
+			isCut := f.cutLinks(cut, true)
+			var wg sync.WaitGroup
+			for _, c := range copies {
+				wg.Go(func() {
+					time.Sleep(c.after)
+					f.send(c.instance)
+				})
+			}
+			wg.Go(func() {
+				time.Sleep(heal)
+				f.cutLinks(cut, false)
+			})
+			wg.Wait()
+			failure = f.judge(isCut, start.Add(heal))
+		})
+		if failure != nil {
+			rt.Fatal(failure)
+		}
+	})
+}
+
+// cutLinks cuts or heals the chosen links and returns them.
+func (f *fleet) cutLinks(chosen []bool, cut bool) map[[2]int]bool {
+	links := make(map[[2]int]bool)
+	next := 0
+	for a := range f.parts {
+		for b := range a {
+			if chosen[next] {
+				f.net.SetCut(name(a), name(b), cut)
+				links[[2]int{a, b}], links[[2]int{b, a}] = true, true
+			}
+			next++
+		}
+	}
+	return links
+}
+
+func (f *fleet) judge(cut map[[2]int]bool, healed time.Time) error {
+	if len(f.crashes) > 2*len(f.accepted) {
+		return fmt.Errorf("%d servers lost to %d copies", len(f.crashes), len(f.accepted))
+	}
+	const known = 2 * linkDelay
+	for _, a := range f.accepted {
+		for _, c := range f.crashes {
+			reachable := !cut[[2]int{a.instance, c.instance}] || c.at.After(healed)
+			told := c.at.Add(known)
+			if !reachable {
+				told = healed.Add(known)
+			}
+			if a.at.After(told) {
+				return fmt.Errorf("copy accepted at %v, loss known since %v", a.at, told)
+			}
+		}
+	}
+	return nil
+}
+
+func TestSequentialResendsCostTwoServersThenOneEachPeriod(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(17)
+		defer f.stop()
+		start := time.Now()
+		lost := make(map[time.Duration]int)
+		for i := 0; time.Since(start) < 2*time.Hour; i++ {
+			f.send(i * 5 % 17)
+			time.Sleep(3 * linkDelay)
+			for _, mark := range []time.Duration{time.Second, time.Minute, time.Hour} {
+				if time.Since(start) <= mark {
+					lost[mark] = len(f.crashes)
+				}
+			}
+			if i > 100 {
+				time.Sleep(time.Second)
+			}
+		}
+		if lost[time.Second] != 2 || lost[time.Minute] != 2 || lost[time.Hour] != 5 || len(f.crashes) != 6 {
+			t.Fatalf("servers lost: %v, %d in two hours", lost, len(f.crashes))
+		}
+	})
+}
+
+// lose reports that a server died while it ran the requests for instance 0.
+func (f *fleet) lose(server string, names ...string) {
+	for _, name := range names {
+		f.parts[0].ReportLoss(fingerprint(name), server)
+	}
+	time.Sleep(2 * linkDelay)
+}
+
+func (f *fleet) wantRefused(t *testing.T, want bool, name string) {
+	t.Helper()
+	for i, q := range f.parts {
+		if refused, _ := q.Check(fingerprint(name)); refused != want {
+			t.Fatalf("instance %d: request %q refused: %v", i, name, refused)
+		}
+	}
+}
+
+func TestServerThatFailsByItselfHoldsNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3)
+		defer f.stop()
+		f.lose("s1", "alone")
+		f.wantRefused(t, true, "alone")
+		f.lose("s2", "a", "b", "c", "d")
+		f.wantRefused(t, false, "a")
+		f.wantRefused(t, false, "d")
+		for _, q := range f.parts {
+			q.ReportOK(fingerprint("popular"))
+		}
+		f.lose("s3", "popular")
+		f.wantRefused(t, false, "popular")
+		if !f.parts[0].AllowSecondTry(fingerprint("popular")) {
+			t.Fatal("no second try for a request that was answered recently")
+		}
+	})
+}
+
+func TestPoisonIsFoundAmongItsVictims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3)
+		defer f.stop()
+		f.lose("s1", "a", "b", "c", "d", "poison")
+		f.lose("s2", "e", "f", "g", "h", "poison")
+		f.wantRefused(t, true, "poison")
+		for _, innocent := range []string{"a", "d", "e", "h"} {
+			f.wantRefused(t, false, innocent)
+		}
+		time.Sleep(4 * time.Minute)
+		f.wantRefused(t, true, "poison")
+	})
+}
+
+func TestRequestsOfFailedRackReturnSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3)
+		defer f.stop()
+		requests := []string{"a", "b", "c", "d", "e"}
+		f.lose("s1", requests...)
+		f.lose("s2", requests...)
+		time.Sleep(3 * time.Second)
+		for _, request := range requests {
+			f.parts[1].Check(fingerprint(request)) // Notices that the hold is over.
+			if refused, _ := f.parts[1].Check(fingerprint(request)); refused {
+				t.Fatalf("request %q still refused", request)
+			}
+			f.parts[1].ReportOK(fingerprint(request))
+		}
+		time.Sleep(2 * linkDelay)
+		for _, request := range requests {
+			f.wantRefused(t, false, request)
+		}
+	})
+}
+
+func TestAnswerClearsEverywhereAndLateNewsDoesNotBringItBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3)
+		defer f.stop()
+		f.lose("s1", "x")
+		f.lose("s2", "x")
+		f.wantRefused(t, true, "x")
+		f.net.SetCut(name(1), name(2), true)
+		f.parts[1].ReportOK(fingerprint("x"))
+		time.Sleep(2 * linkDelay)
+		for i, want := range []bool{false, false, true} {
+			if refused, _ := f.parts[i].Check(fingerprint("x")); refused != want {
+				t.Fatalf("instance %d: refused %v", i, refused)
+			}
+		}
+		f.net.SetCut(name(1), name(2), false)
+		time.Sleep(3 * linkDelay)
+		f.wantRefused(t, false, "x")
+	})
+}
+
+func TestOneTryAtATimeForSuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3)
+		defer f.stop()
+		f.lose("s1", "x", "x") // Two copies on the server that crashed.
+		if !f.parts[0].AllowSecondTry(fingerprint("x")) || f.parts[0].AllowSecondTry(fingerprint("x")) {
+			t.Fatal("not exactly one second try")
+		}
+		time.Sleep(3 * time.Second)
+		if refused, _ := f.parts[1].Check(fingerprint("x")); refused {
+			t.Fatal("refused after the hold")
+		}
+		time.Sleep(2 * linkDelay)
+		f.wantRefused(t, true, "x")
+	})
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1)
+		defer f.stop()
+		for i := range 4_600 {
+			f.parts[0].ReportLoss(fingerprint(fmt.Sprint("r", i)), fmt.Sprint("s", i))
+		}
+		if refused, _ := f.parts[0].Check(fingerprint("r4599")); !refused {
+			t.Fatal("the latest loss was dropped")
+		}
+		if refused, _ := f.parts[0].Check(fingerprint("r0")); refused {
+			t.Fatal("the oldest loss was kept")
+		}
+	})
+}
