--- a/slot/grant.go
+++ b/slot/grant.go
@@ -28,8 +28,9 @@
 	authoritative := c.authoritative(now)
 	if authoritative {
 		c.recallUnusable(now)
-		c.grantFree(ids, now)
-		c.bound(ids, now)
+		shares := c.fairShares(ids, now)
+		c.grantFree(ids, shares, now)
+		c.bound(ids, shares)
 	}
 	for _, id := range ids {
 		if grant := c.message(c.holders[id], authoritative, now); grant != nil {
@@ -44,12 +45,12 @@
 	return h.admitted && h.session != 0 && c.recorded[h.id] && now.Sub(h.askedAt) < leaseTTL
 }
 
-// grantFree gives free slots to waiting holders, each time to the one that
-// holds least.
-func (c *coordinator) grantFree(ids []string, now time.Time) {
+// grantFree gives free slots to waiting holders below their shares, each time to
+// the one that holds least.
+func (c *coordinator) grantFree(ids []string, shares map[string]int, now time.Time) {
 	median := c.median()
 	for {
-		h := c.neediest(ids, now)
+		h := c.neediest(ids, shares, now)
 		if h == nil {
 			return
 		}
@@ -66,11 +67,11 @@
 	}
 }
 
-func (c *coordinator) neediest(ids []string, now time.Time) *holderState {
+func (c *coordinator) neediest(ids []string, shares map[string]int, now time.Time) *holderState {
 	var neediest *holderState
 	for _, id := range ids {
 		h := c.holders[id]
-		if h.want <= 0 || !c.eligible(h, now) {
+		if h.want <= 0 || len(h.held) >= shares[id] || !c.eligible(h, now) {
 			continue
 		}
 		if neediest == nil || moreNeedy(h, neediest) {
@@ -171,33 +172,39 @@
 	return 0
 }
 
-// bound limits each holder to its max-min fair share while others wait, and
-// lifts the bounds once nobody does.
-func (c *coordinator) bound(ids []string, now time.Time) {
-	waiting := c.neediest(ids, now) != nil
-	if !waiting {
-		for _, h := range c.holders {
-			h.keep = -1
-		}
-		return
-	}
-	shares := c.fairShares(ids, now)
+// bound asks holders above their shares for as many slots as waiting holders
+// lack to theirs, those first that hold most.
+func (c *coordinator) bound(ids []string, shares map[string]int) {
+	lacking := 0
+	var above []*holderState
 	for _, id := range ids {
 		h := c.holders[id]
-		share, ok := shares[id]
-		if !ok || len(h.held) <= share {
+		if h.want > 0 {
+			lacking += max(shares[id]-len(h.held), 0)
+		}
+		if len(h.held) > shares[id] {
+			above = append(above, h)
+		} else {
 			h.keep = -1
-			continue
 		}
-		if h.keep != share {
-			h.keep, h.stateDue = share, true
+	}
+	slices.SortStableFunc(above, func(a, b *holderState) int { return len(b.held) - len(a.held) })
+	for _, h := range above {
+		take := min(len(h.held)-shares[h.id], lacking)
+		lacking -= take
+		keep := len(h.held) - take
+		switch {
+		case take <= 0:
+			h.keep = -1
+		case h.keep < 0 || keep < h.keep:
+			h.keep, h.stateDue = keep, true
 			c.recallCount++
 		}
 	}
 }
 
-// fairShares divides the usable slots: nobody gets more than it needs, and
-// nobody gets less than another unless it needs no more.
+// fairShares divides the usable slots if there are waiting holders: nobody gets
+// more than it needs, and nobody less than another unless it needs no more.
 func (c *coordinator) fairShares(ids []string, now time.Time) map[string]int {
 	left := 0
 	for _, server := range c.servers {
