--- a/slot/grant.go
+++ b/slot/grant.go
@@ -203,6 +203,15 @@
 	}
 }
 
+// need is how many leases the holder can use: one that waits uses all it has,
+// and one that doesn't uses what it did on average.
+func (h *holderState) need() int {
+	if h.want > 0 {
+		return len(h.held) + h.want
+	}
+	return min(h.busy, len(h.held))
+}
+
 // fairShares divides the usable slots if there are waiting holders: nobody gets
 // more than it needs, and nobody less than another unless it needs no more.
 func (c *coordinator) fairShares(ids []string, now time.Time) map[string]int {
@@ -219,7 +228,7 @@
 	var needs []need
 	for _, id := range ids {
 		if h := c.holders[id]; len(h.held) > 0 || h.want > 0 {
-			needs = append(needs, need{id, h.busy + h.want})
+			needs = append(needs, need{id, h.need()})
 		}
 	}
 	slices.SortStableFunc(needs, func(a, b need) int { return a.count - b.count })
--- a/slot/holder.go
+++ b/slot/holder.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -15,6 +16,8 @@
 	renewRetry = leaseTTL / 10
 	// suspectAfter is the silence from which a coordinator is taken for lost.
 	suspectAfter = leaseTTL / 5
+	// busyWeight is the weight of one tick in the average of busy leases.
+	busyWeight = 0.2
 )
 
 type leaseState int
@@ -84,6 +87,8 @@
 	usual time.Duration
 
 	want int
+	// busy is the average number of leases in use.
+	busy float64
 	// due tells that the coordinator should hear the present state now.
 	due    bool
 	sentAt time.Time
@@ -190,7 +195,11 @@
 // tick ends cooling, returns leases that were idle for long, and renews.
 func (h *holder) tick(now time.Time) {
 	h.usual = h.usualLatency()
+	inUse := 0
 	for _, l := range h.leases {
+		if l.state != leaseIdle {
+			inUse++
+		}
 		switch l.state {
 		case leaseCooling:
 			if !now.Before(l.coolUntil) {
@@ -204,6 +213,7 @@
 			h.noteOverdue(l, now)
 		}
 	}
+	h.busy += busyWeight * (float64(inUse) - h.busy)
 	if len(h.leases) > 0 && now.Sub(h.basis) >= renewAfter && now.Sub(h.sentAt) >= renewRetry {
 		h.due = true
 	}
@@ -251,13 +261,11 @@
 		Stale:   now.Before(h.staleUntil),
 	}
 	ids := make([]leaseID, 0, len(h.leases))
-	for id, l := range h.leases {
+	for id := range h.leases {
 		ids = append(ids, id)
-		if l.state != leaseIdle {
-			ask.Busy++
-		}
 	}
 	ask.Held = packIDs(ids)
+	ask.Busy = uint32(math.Ceil(h.busy))
 	return ask
 }
 
