--- a/slot/manager_test.go
+++ b/slot/manager_test.go
@@ -70,6 +70,11 @@
 	// running are the requests on each server, most the highest seen.
 	running map[string]int
 	most    map[string]int
+	// slow are the servers that take slowBy as long, failing those that fail
+	// at once.
+	slow    map[string]bool
+	failing map[string]bool
+	served  map[string]int
 
 	managers []*slot.Manager
 	stop     []context.CancelFunc
@@ -98,6 +103,7 @@
 		t: t, random: rand.New(rand.NewPCG(1, 2)), net: peertest.NewNetwork(250 * time.Microsecond), store: memory.New(), current: table.NewCurrent(),
 		leaving: make(map[string]bool), changed: make(chan struct{}),
 		running: make(map[string]int), most: make(map[string]int),
+		slow: make(map[string]bool), failing: make(map[string]bool), served: make(map[string]int),
 	}
 	f.current.Swap(table.Compile(fleetTable()))
 	for i := range fleetSize {
@@ -130,24 +136,49 @@
 	f.stop[i]()
 }
 
-func (f *fleet) run(i int, work, deadline time.Duration, flow string) (time.Duration, error) {
+// slowBy is the factor by which slow servers are slower.
+const slowBy = 8
+
+var errFailed = errors.New("server failed")
+
+func (f *fleet) run(i int, need time.Duration) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(f.t.Context(), deadline)
 	defer cancel()
 	started := time.Now()
-	permit, err := f.managers[i].Acquire(ctx, loadbalancer.Request{Service: "lookup", Flow: flow})
+	permit, err := f.managers[i].Acquire(ctx, loadbalancer.Request{Service: "lookup"})
 	if err != nil {
 		return 0, err
 	}
-	f.enter(permit.Server.Name, 1)
-	time.Sleep(work)
-	f.enter(permit.Server.Name, -1)
-	permit.Release(loadbalancer.Result{Class: loadbalancer.ClassOK, Latency: work})
-	if time.Since(started) > deadline {
+	sent := time.Now()
+	class := f.serve(permit.Server.Name, need)
+	permit.Release(loadbalancer.Result{Class: class, Latency: time.Since(sent)})
+	switch {
+	case class != loadbalancer.ClassOK:
+		return 0, errFailed
+	case time.Since(started) > deadline:
 		return 0, context.DeadlineExceeded
 	}
 	return time.Since(started), nil
 }
 
+// serve takes as long as the server needs for a request.
+func (f *fleet) serve(server string, need time.Duration) loadbalancer.Class {
+	f.mu.Lock()
+	f.served[server]++
+	failing, slow := f.failing[server], f.slow[server]
+	f.mu.Unlock()
+	if failing {
+		return loadbalancer.ClassFailed
+	}
+	if slow {
+		need *= slowBy
+	}
+	f.enter(server, 1)
+	defer f.enter(server, -1)
+	time.Sleep(need)
+	return loadbalancer.ClassOK
+}
+
 func (f *fleet) enter(server string, change int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -157,16 +188,17 @@
 
 // load is what a run of open-loop requests gave.
 type load struct {
-	sent, whole, refused, late int
-	waits                      []time.Duration
+	sent, whole, refused, late, failed int
+	waits                              []time.Duration
+	took                               []time.Duration
 }
 
-func (l *load) percentile(share float64) time.Duration {
-	if len(l.waits) == 0 {
+func percentile(of []time.Duration, share float64) time.Duration {
+	if len(of) == 0 {
 		return 0
 	}
-	slices.Sort(l.waits)
-	return l.waits[int(share*float64(len(l.waits)-1))]
+	slices.Sort(of)
+	return of[int(share*float64(len(of)-1))]
 }
 
 // half is half of what the servers of a fleet can do, in requests per second;
@@ -189,7 +221,7 @@
 		if alive == nil || alive(i) {
 			l.sent++
 			wg.Go(func() {
-				latency, err := f.run(i, need, deadline, "")
+				latency, err := f.run(i, need)
 				mu.Lock()
 				defer mu.Unlock()
 				l.count(latency, err, need)
@@ -201,12 +233,15 @@
 	return l
 }
 
-func (l *load) count(latency time.Duration, err error, work time.Duration) {
+func (l *load) count(latency time.Duration, err error, need time.Duration) {
 	var overload *loadbalancer.OverloadError
 	switch {
 	case err == nil:
 		l.whole++
-		l.waits = append(l.waits, latency-work)
+		l.waits = append(l.waits, latency-need)
+		l.took = append(l.took, latency)
+	case errors.Is(err, errFailed):
+		l.failed++
 	case errors.As(err, &overload):
 		l.refused++
 	default:
@@ -248,12 +283,12 @@
 		l := f.drive(half, 2*time.Second, nil)
 		after := f.total()
 		t.Logf("sent %d whole %d refused %d late %d, wait p50 %v p99 %v, messages per request %.3f, bytes per second and instance %.0f, store writes %d",
-			l.sent, l.whole, l.refused, l.late, l.percentile(0.5), l.percentile(0.99),
+			l.sent, l.whole, l.refused, l.late, percentile(l.waits, 0.5), percentile(l.waits, 0.99),
 			float64(after.Messages-before.Messages)/float64(l.sent), float64(after.Bytes-before.Bytes)/2/fleetSize, after.StoreWrites-before.StoreWrites)
 		if l.whole != l.sent {
 			t.Errorf("%d of %d requests were whole", l.whole, l.sent)
 		}
-		if p99 := l.percentile(0.99); p99 > 5*time.Millisecond {
+		if p99 := percentile(l.waits, 0.99); p99 > 5*time.Millisecond {
 			t.Errorf("p99 of the wait for a slot is %v", p99)
 		}
 		if writes := after.StoreWrites - before.StoreWrites; writes > 0 {
@@ -277,7 +312,7 @@
 		dead := coordinatorOf(f)
 		f.crash(dead)
 		l := f.drive(half, 4*time.Second, func(i int) bool { return i != dead })
-		t.Logf("during the takeover: sent %d whole %d refused %d late %d, wait p99 %v", l.sent, l.whole, l.refused, l.late, l.percentile(0.99))
+		t.Logf("during the takeover: sent %d whole %d refused %d late %d, wait p99 %v", l.sent, l.whole, l.refused, l.late, percentile(l.waits, 0.99))
 		if l.whole < l.sent*9/10 {
 			t.Errorf("%d of %d requests were whole", l.whole, l.sent)
 		}
@@ -308,7 +343,7 @@
 			t.Fatalf("coordinator is at %d after the handover from %d", next, old)
 		}
 		l := f.drive(half, 3*time.Second, nil)
-		t.Logf("store down: sent %d whole %d refused %d late %d, wait p99 %v", l.sent, l.whole, l.refused, l.late, l.percentile(0.99))
+		t.Logf("store down: sent %d whole %d refused %d late %d, wait p99 %v", l.sent, l.whole, l.refused, l.late, percentile(l.waits, 0.99))
 		if l.whole != l.sent {
 			t.Errorf("%d of %d requests were whole", l.whole, l.sent)
 		}
@@ -329,7 +364,7 @@
 		over := f.drive(4*half, time.Second, nil)
 		for name, l := range map[string]*load{"full": full, "twofold": over} {
 			t.Logf("%s load: sent %d whole %d refused %d late %d, wait p50 %v p99 %v",
-				name, l.sent, l.whole, l.refused, l.late, l.percentile(0.5), l.percentile(0.99))
+				name, l.sent, l.whole, l.refused, l.late, percentile(l.waits, 0.5), percentile(l.waits, 0.99))
 		}
 		if float64(over.whole) < 0.9*float64(full.whole) {
 			t.Errorf("goodput fell from %d to %d", full.whole, over.whole)
@@ -337,3 +372,59 @@
 		f.checkSlots()
 	})
 }
+
+// TestSlowServersGetLess lets servers turn 8 times slower for 200 ms at random,
+// each about 5% of the time.
+func TestSlowServersGetLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		ctx, stop := context.WithCancel(t.Context())
+		f.done.Go(func() { f.turnSlow(ctx) })
+		f.drive(half, time.Second, nil)
+		l := f.drive(half, 4*time.Second, nil)
+		stop()
+		t.Logf("sent %d whole %d, p50 %v p99 %v", l.sent, l.whole, percentile(l.took, 0.5), percentile(l.took, 0.99))
+		if p99 := percentile(l.took, 0.99); p99 > 12*work {
+			t.Errorf("p99 is %v at a mean work of %v", p99, work)
+		}
+		f.checkSlots()
+	})
+}
+
+func (f *fleet) turnSlow(ctx context.Context) {
+	random := rand.New(rand.NewPCG(3, 4))
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(random.ExpFloat64() * float64(4*time.Second/fleetServers)))
+		server := fmt.Sprintf("server-%d", random.IntN(fleetServers))
+		f.setSlow(server, true)
+		time.AfterFunc(200*time.Millisecond, func() { f.setSlow(server, false) })
+	}
+}
+
+func (f *fleet) setSlow(server string, slow bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.slow[server] = slow
+}
+
+// TestFastFailureIsNoMerit lets one server fail every request in no time.
+func TestFastFailureIsNoMerit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		f.failing["server-3"] = true
+		l := f.drive(half, 4*time.Second, nil)
+		t.Logf("sent %d failed %d; a fair share is %d", l.sent, l.failed, l.sent/fleetServers)
+		if l.failed > l.sent/fleetServers/5 {
+			t.Errorf("%d of %d requests went to the failing server", l.failed, l.sent)
+		}
+		f.failing["server-3"] = false
+		f.drive(half, 4*time.Second, nil)
+		before := f.served["server-3"]
+		l = f.drive(half, time.Second, nil)
+		if after := f.served["server-3"] - before; after < l.sent/fleetServers/4 {
+			t.Errorf("after its recovery the server got %d of %d requests", after, l.sent)
+		}
+	})
+}
