--- a/slot/manager_test.go
+++ b/slot/manager_test.go
@@ -191,6 +191,9 @@
 	sent, whole, refused, late, failed int
 	waits                              []time.Duration
 	took                               []time.Duration
+	// steady counts the whole answers in the second half of the time.
+	steady      int
+	from, until time.Time
 }
 
 func percentile(of []time.Duration, share float64) time.Duration {
@@ -214,8 +217,8 @@
 func (f *fleet) drive(rate int, length time.Duration, alive func(int) bool) *load {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	l := &load{}
-	for end := time.Now().Add(length); time.Now().Before(end); {
+	l := &load{from: time.Now().Add(length / 2), until: time.Now().Add(length)}
+	for time.Now().Before(l.until) {
 		i := f.random.IntN(len(f.managers))
 		need := time.Duration(f.random.ExpFloat64() * float64(work))
 		if alive == nil || alive(i) {
@@ -238,6 +241,9 @@
 	switch {
 	case err == nil:
 		l.whole++
+		if now := time.Now(); now.After(l.from) && now.Before(l.until) {
+			l.steady++
+		}
 		l.waits = append(l.waits, latency-need)
 		l.took = append(l.took, latency)
 	case errors.Is(err, errFailed):
@@ -358,16 +364,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		defer f.close()
-		f.drive(2*half, 500*time.Millisecond, nil)
-		full := f.drive(2*half, time.Second, nil)
-		f.drive(4*half, 500*time.Millisecond, nil)
-		over := f.drive(4*half, time.Second, nil)
+		full := f.drive(2*half, 2*time.Second, nil)
+		over := f.drive(4*half, 2*time.Second, nil)
 		for name, l := range map[string]*load{"full": full, "twofold": over} {
-			t.Logf("%s load: sent %d whole %d refused %d late %d, wait p50 %v p99 %v",
-				name, l.sent, l.whole, l.refused, l.late, percentile(l.waits, 0.5), percentile(l.waits, 0.99))
+			t.Logf("%s load: sent %d whole %d (%d in the second half) refused %d late %d, wait p50 %v p99 %v",
+				name, l.sent, l.whole, l.steady, l.refused, l.late, percentile(l.waits, 0.5), percentile(l.waits, 0.99))
+		}
+		if float64(over.steady) < 0.95*float64(full.steady) {
+			t.Errorf("goodput fell from %d to %d", full.steady, over.steady)
 		}
-		if float64(over.whole) < 0.9*float64(full.whole) {
-			t.Errorf("goodput fell from %d to %d", full.whole, over.whole)
+		if over.late > over.whole/100 {
+			t.Errorf("%d requests ran late", over.late)
 		}
 		f.checkSlots()
 	})
--- a/slot/queue.go
+++ b/slot/queue.go
@@ -10,9 +10,12 @@
 const (
 	// queueInterval is the time over which the shortest wait is taken.
 	queueInterval = 100 * time.Millisecond
-	// queueTargetShare is the share of the deadline from which a shortest
-	// wait tells of a standing queue.
-	queueTargetShare = 8
+	// admitShare is the share of a request's time that it may be expected to
+	// wait.
+	admitShare = 0.25
+	// standingShare is the share of the deadline from which a shortest wait
+	// tells that too many were admitted.
+	standingShare = 0.5
 	// rateWeight is the weight of one interval in the service rate.
 	rateWeight = 0.3
 )
@@ -54,8 +57,10 @@
 
 	// latency is what a request needs after it was given a lease.
 	latency time.Duration
-	// rate is the number of waiters served in a second.
-	rate          float64
+	// rate is the number of requests started in a second.
+	rate float64
+	// emptyAt is when the queue was last seen empty.
+	emptyAt       time.Time
 	served        int
 	intervalStart time.Time
 	// shortest is the least wait in this interval.
@@ -68,11 +73,15 @@
 // admit adds w, or tells when to come back if w can't be served in time.
 func (q *queue) admit(w *waiter, now time.Time) (retryAfter time.Duration, ok bool) {
 	q.roll(now)
+	if q.size == 0 {
+		q.emptyAt = now
+	}
 	if q.size >= q.limit {
 		return q.retryAfter(), false
 	}
 	if !w.deadline.IsZero() {
-		if left := w.deadline.Sub(now); left <= q.latency || !q.standing && q.expectedWait() > left-q.latency {
+		left := w.deadline.Sub(now) - q.latency
+		if left <= 0 || q.loaded(now) && q.expectedWait() > time.Duration(admitShare*float64(left)) {
 			return q.retryAfter(), false
 		}
 	}
@@ -93,6 +102,16 @@
 	return flow
 }
 
+// loaded reports whether the queue has not been empty for an interval, so that
+// the rate tells what the servers can do.
+func (q *queue) loaded(now time.Time) bool { return now.Sub(q.emptyAt) >= queueInterval }
+
+// started counts a request that needed no waiting.
+func (q *queue) started(now time.Time) {
+	q.roll(now)
+	q.served++
+}
+
 func (q *queue) expectedWait() time.Duration {
 	if q.rate <= 0 {
 		return 0
@@ -131,7 +150,7 @@
 			}
 		}
 	}
-	return max(deadline/queueTargetShare, q.latency)
+	return max(time.Duration(standingShare*float64(deadline)), q.latency)
 }
 
 // pop returns the next waiter that fits, in turn over the flows, or nil.
--- a/slot/service.go
+++ b/slot/service.go
@@ -47,6 +47,7 @@
 	}
 	if s.queue.size == 0 || req.NoWait {
 		if permit := s.takeIdle(skip, now); permit != nil {
+			s.queue.started(now)
 			s.mu.Unlock()
 			return permit, nil
 		}
