--- /dev/null
+++ b/slot/coordinator_test.go
@@ -0,0 +1,200 @@
+package slot
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pomelolock/pomelolock/slot/slotpb"
+)
+
+// desk is a coordinator whose holders are played by the test.
+type desk struct {
+	*coordinator
+	now time.Time
+	// last is the last grant of each holder.
+	last map[string]*slotpb.Grant
+	seq  uint64
+}
+
+func newDesk(cfg coordinatorConfig) *desk {
+	d := &desk{now: time.Unix(1000, 0), last: make(map[string]*slotpb.Grant)}
+	cfg.group, cfg.self, cfg.epoch, cfg.drain = simGroup, "entry-0", 5, simDrain
+	if cfg.confirmedAt.IsZero() {
+		cfg.confirmedAt = d.now
+	}
+	d.coordinator = newCoordinator(cfg, d.now)
+	d.setServers(simSpecs(), d.now)
+	d.flushAll()
+	return d
+}
+
+func (d *desk) flushAll() {
+	for _, out := range d.flush(d.now) {
+		d.last[out.to] = out.grant
+	}
+}
+
+// pass moves the time in steps, as ticks would.
+func (d *desk) pass(length time.Duration) {
+	for end := d.now.Add(length); d.now.Before(end); {
+		d.now = d.now.Add(10 * time.Millisecond)
+		d.tick(d.now)
+		d.flushAll()
+	}
+}
+
+// ask sends an ask that acknowledges the holder's last grant.
+func (d *desk) ask(from string, ask *slotpb.Ask) {
+	d.seq++
+	ask.Epoch, ask.Seq, ask.Ack = d.epoch, d.seq, d.last[from].GetSeq()
+	d.onAsk(from, ask, d.now)
+	d.tick(d.now)
+	d.flushAll()
+}
+
+func (d *desk) granted(to string) int { return len(d.holders[to].held) }
+
+func held(ids ...leaseID) []uint64 { return packIDs(ids) }
+
+func slotOf(server string, slot int) leaseID { return idOfServer(server).lease(slot) }
+
+func TestSuccessorWaitsForOldAuthority(t *testing.T) {
+	all := []string{"a", "b", "c"}
+	d := newDesk(coordinatorConfig{recorded: all, earlier: [][]string{all}})
+	for _, id := range all {
+		d.ask(id, &slotpb.Ask{Session: 7, Want: 1})
+	}
+	d.pass(authorityTTL - 50*time.Millisecond)
+	d.confirm(d.now)
+	d.pass(50 * time.Millisecond)
+	if d.granted("a") > 0 || d.last["a"].GetAck() > 0 {
+		t.Errorf("the successor answered while the old coordinator could still act")
+	}
+	d.pass(200 * time.Millisecond)
+	if d.granted("a") != 1 {
+		t.Errorf("no lease after the old coordinator's authority ended")
+	}
+}
+
+func TestSuccessorBlocksEveryUnsettledEpoch(t *testing.T) {
+	d := newDesk(coordinatorConfig{
+		recorded: []string{"a", "b", "c", "d", "e"},
+		earlier:  [][]string{{"a", "b"}, {"a", "b", "c", "d", "e"}},
+	})
+	for _, id := range []string{"c", "d", "e"} {
+		d.ask(id, &slotpb.Ask{Session: 7})
+	}
+	if d.pass(time.Second); !d.wonAt.IsZero() {
+		t.Errorf("the successor won though a and b can prove an earlier epoch")
+	}
+	d.ask("a", &slotpb.Ask{Session: 7})
+	if d.wonAt.IsZero() {
+		t.Errorf("the successor did not win though every quorum is broken")
+	}
+}
+
+func TestExpiredLeasesAreNotTakenOver(t *testing.T) {
+	all := []string{"a", "b"}
+	for _, age := range []time.Duration{leaseTTL / 2, leaseTTL} {
+		d := newDesk(coordinatorConfig{recorded: all, earlier: [][]string{all}})
+		d.ask("b", &slotpb.Ask{Session: 8, Want: 4})
+		d.ask("a", &slotpb.Ask{Session: 7, Held: held(slotOf("server-0", 0)), BasisMs: age.Milliseconds()})
+		d.pass(authorityTTL + 2*clockMargin)
+		d.confirm(d.now)
+		d.pass(10 * time.Millisecond)
+		kept := d.holders["a"].session == 7 && d.granted("a") == 1
+		if valid := age < leaseTTL-authorityTTL; kept != valid {
+			t.Errorf("lease of a holder acknowledged %v before the gather: kept %v", age, kept)
+		}
+		if _, taken := d.holders["b"].held[slotOf("server-0", 0)]; taken {
+			t.Errorf("a slot was granted while a request of its last holder may run on it")
+		}
+	}
+}
+
+func TestSlotsStayUnknownWhileVoidedRequestsRun(t *testing.T) {
+	all := []string{"a", "b"}
+	d := newDesk(coordinatorConfig{recorded: all, earlier: [][]string{all}})
+	d.ask("a", &slotpb.Ask{Session: 7, Stale: true})
+	d.ask("b", &slotpb.Ask{Session: 8, Want: 1})
+	for range 20 {
+		d.confirm(d.now)
+		d.pass(authorityTTL / 8)
+		d.ask("b", &slotpb.Ask{Session: 8, Want: 1})
+	}
+	if d.granted("b") > 0 {
+		t.Errorf("a slot was granted while voided requests may run on it")
+	}
+}
+
+func TestProofCountsFromSending(t *testing.T) {
+	all := []string{"a", "b", "c"}
+	d := newDesk(coordinatorConfig{recorded: all, fresh: true})
+	d.pass(authorityTTL - 100*time.Millisecond)
+	for _, id := range all {
+		d.ask(id, &slotpb.Ask{})
+	}
+	d.pass(150 * time.Millisecond)
+	if d.authoritative(d.now) {
+		t.Errorf("acknowledgements of old grants prove the epoch")
+	}
+}
+
+func TestProofNeedsQuorumOfWrittenRecord(t *testing.T) {
+	d := newDesk(coordinatorConfig{recorded: []string{"a", "b", "c"}, fresh: true})
+	d.pass(2 * authorityTTL)
+	d.setPending([]string{"a", "b", "c", "d", "e"})
+	d.askProof()
+	d.flushAll()
+	d.ask("a", &slotpb.Ask{})
+	if d.authoritative(d.now) {
+		t.Errorf("one holder of three proves the epoch")
+	}
+	d.ask("b", &slotpb.Ask{})
+	if d.authoritative(d.now) {
+		t.Errorf("two holders prove the epoch though the record may name five")
+	}
+	d.ask("c", &slotpb.Ask{})
+	if !d.authoritative(d.now) {
+		t.Errorf("three of five holders do not prove the epoch")
+	}
+}
+
+func TestOlderAskFreesNothing(t *testing.T) {
+	d := newDesk(coordinatorConfig{recorded: []string{"a", "b"}, fresh: true})
+	d.ask("a", &slotpb.Ask{Want: 2})
+	session, ids := d.holders["a"].session, d.last["a"].GetLeases()
+	d.ask("a", &slotpb.Ask{Session: session, Held: held(leaseID(ids[0].GetId()), leaseID(ids[1].GetId()))})
+	late := &slotpb.Ask{Epoch: d.epoch, Seq: 1, Ack: d.last["a"].GetSeq(), Session: session}
+	d.onAsk("a", late, d.now)
+	if d.granted("a") != 2 {
+		t.Errorf("a delayed ask returned leases that are in use")
+	}
+}
+
+func TestUnrecordedHolderGetsNothing(t *testing.T) {
+	d := newDesk(coordinatorConfig{recorded: []string{"a", "b"}, fresh: true})
+	d.ask("c", &slotpb.Ask{Want: 1})
+	if d.granted("c") > 0 {
+		t.Errorf("a holder got a lease before it was recorded")
+	}
+	d.setRecorded([]string{"a", "b", "c"}, d.now)
+	d.flushAll()
+	if d.granted("c") != 1 {
+		t.Errorf("a recorded holder got no lease")
+	}
+}
+
+func TestWakingCoordinatorExpiresNobody(t *testing.T) {
+	d := newDesk(coordinatorConfig{recorded: []string{"a", "b"}, fresh: true})
+	d.ask("a", &slotpb.Ask{Want: 1})
+	d.now = d.now.Add(10 * leaseTTL)
+	d.tick(d.now)
+	if d.granted("a") != 1 {
+		t.Errorf("silence during the coordinator's own pause expired a holder")
+	}
+	d.pass(d.expiry() + time.Second)
+	if d.granted("a") != 0 {
+		t.Errorf("a silent holder kept its lease")
+	}
+}
--- a/slot/safety_test.go
+++ b/slot/safety_test.go
@@ -68,6 +68,8 @@
 	cut       map[[2]int]bool
 	requests  []*simRequest
 	started   int
+	// long makes every request take as long as it may.
+	long bool
 }
 
 func newSim() *sim {
@@ -151,7 +153,10 @@
 		}
 		in.h.setWant(in.h.want - 1)
 		s.started++
-		length := simDrain / time.Duration(1+s.started%4)
+		length := simDrain
+		if !s.long {
+			length /= time.Duration(1 + s.started%4)
+		}
 		s.requests = append(s.requests, &simRequest{holder: i, lease: l, end: s.now.Add(length)})
 	}
 }
--- a/slot/service.go
+++ b/slot/service.go
@@ -15,7 +15,7 @@
 	// spillAfter is the wait from which other data centres are asked.
 	spillAfter = 5 * time.Millisecond
 	// minIdleTime is how long an idle lease is kept while messages are few.
-	minIdleTime = 50 * time.Millisecond
+	minIdleTime = 200 * time.Millisecond
 	// maxIdleTime is how long one is kept when messages near their budget.
 	maxIdleTime = 2 * time.Second
 	// remoteIdleTime is how long a lease of another data centre is kept.
--- a/slot/takeover_test.go
+++ b/slot/takeover_test.go
@@ -39,6 +39,7 @@
 func TestTakeoversWhileOldCoordinatorsLive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim()
+		s.long = rapid.Bool().Draw(t, "long")
 		s.write(0, true)
 		s.answerWrite(0)
 		s.rounds(t, 10, "store")
