--- a/slot/handover.go
+++ b/slot/handover.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pomelolock/pomelolock/membership"
+	"github.com/pomelolock/pomelolock/peer"
 	"github.com/pomelolock/pomelolock/peer/peerpb"
 	"github.com/pomelolock/pomelolock/slot/slotpb"
 )
@@ -57,10 +58,17 @@
 	if err != nil {
 		return err
 	}
-	to := m.successor(g)
-	if to == "" {
-		return errNoSuccessor
+	err = errNoSuccessor
+	for _, to := range m.successors(g) {
+		if err = m.offer(ctx, to, state); err == nil || !notTaken(err) {
+			return err
+		}
 	}
+	return err
+}
+
+// offer hands the state to one successor.
+func (m *Manager) offer(ctx context.Context, to string, state *slotpb.Handover) error {
 	var answer slotpb.HandoverAnswer
 	if err := m.opts.Messenger.Call(ctx, to, peerpb.Kind_KIND_SLOT_HANDOVER, state, &answer); err != nil {
 		return fmt.Errorf("call successor: %w", err)
@@ -71,8 +79,16 @@
 	return nil
 }
 
-// successor returns the connected instance that should coordinate the group.
-func (m *Manager) successor(g group) string {
+// notTaken reports whether the successor certainly doesn't act on the state, so
+// that another one may.
+func notTaken(err error) bool {
+	var unreachable *peer.UnreachableError
+	return errors.Is(err, errRefused) || errors.As(err, &unreachable)
+}
+
+// successors returns the connected instances that may coordinate the group, the
+// best first: those of its data centre, or all if it has none.
+func (m *Manager) successors(g group) []string {
 	var near, all []string
 	connected := m.opts.Messenger.Connected()
 	for _, instance := range m.opts.View.Entries() {
@@ -85,9 +101,9 @@
 		}
 	}
 	if len(near) > 0 {
-		return membership.Owner(g.key(), near)
+		return membership.Ranked(g.key(), near)
 	}
-	return membership.Owner(g.key(), all)
+	return membership.Ranked(g.key(), all)
 }
 
 // stop ends the coordinator and returns its state.
--- a/slot/manager_test.go
+++ b/slot/manager_test.go
@@ -99,15 +99,19 @@
 }
 
 func newFleet(t *testing.T) *fleet {
+	return newFleetOf(t, fleetTable(), func(int) string { return "dc-1" })
+}
+
+func newFleetOf(t *testing.T, doc table.Document, dataCentre func(entry int) string) *fleet {
 	f := &fleet{
 		t: t, random: rand.New(rand.NewPCG(1, 2)), net: peertest.NewNetwork(250 * time.Microsecond), store: memory.New(), current: table.NewCurrent(),
 		leaving: make(map[string]bool), changed: make(chan struct{}),
 		running: make(map[string]int), most: make(map[string]int),
 		slow: make(map[string]bool), failing: make(map[string]bool), served: make(map[string]int),
 	}
-	f.current.Swap(table.Compile(fleetTable()))
+	f.current.Swap(table.Compile(doc))
 	for i := range fleetSize {
-		f.entries = append(f.entries, platform.Instance{ID: fmt.Sprintf("entry-%02d", i), Role: platform.RoleEntry, DataCentre: "dc-1"})
+		f.entries = append(f.entries, platform.Instance{ID: fmt.Sprintf("entry-%02d", i), Role: platform.RoleEntry, DataCentre: dataCentre(i)})
 	}
 	for _, instance := range f.entries {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -279,6 +283,19 @@
 	return total
 }
 
+func (f *fleet) checkConnections() {
+	f.t.Helper()
+	for _, server := range f.current.Load().Servers("lookup") {
+		sum := 0
+		for _, m := range f.managers {
+			sum += m.ConnLimit(server.Name)
+		}
+		if sum > server.Connections || sum < server.Slots {
+			f.t.Errorf("the instances may open %d connections to %s, the table allows %d", sum, server.Name, server.Connections)
+		}
+	}
+}
+
 // TestFleetAtHalfLoad runs 18 instances over 20 servers at half load.
 func TestFleetAtHalfLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -301,6 +318,7 @@
 			t.Errorf("%d store writes in steady traffic", writes)
 		}
 		f.checkSlots()
+		f.checkConnections()
 	})
 }
 
@@ -333,20 +351,22 @@
 	})
 }
 
-// TestHandover passes the coordinator on under load; no request is lost and the
-// table service is not needed for it.
+// TestHandover passes the coordinator on three times under load, past instances
+// that are leaving too. No request is lost, and the table service is down.
 func TestHandover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		defer f.close()
 		f.drive(half, time.Second, nil)
 		f.store.SetFaults(memory.Faults{Down: true})
-		old := coordinatorOf(f)
-		if err := f.managers[old].Handover(t.Context()); err != nil {
-			t.Fatalf("handover: %v", err)
-		}
-		if next := coordinatorOf(f); next < 0 || next == old {
-			t.Fatalf("coordinator is at %d after the handover from %d", next, old)
+		for range 3 {
+			old := coordinatorOf(f)
+			if err := f.managers[old].Handover(t.Context()); err != nil {
+				t.Fatalf("handover: %v", err)
+			}
+			if next := coordinatorOf(f); next < 0 || next == old {
+				t.Fatalf("coordinator is at %d after the handover from %d", next, old)
+			}
 		}
 		l := f.drive(half, 3*time.Second, nil)
 		t.Logf("store down: sent %d whole %d refused %d late %d, wait p99 %v", l.sent, l.whole, l.refused, l.late, percentile(l.waits, 0.99))
@@ -435,3 +455,72 @@
 		}
 	})
 }
+
+// TestOtherDataCentreHelpsOut gives each of two data centres its own servers,
+// and one of them more load than its servers can take.
+func TestOtherDataCentreHelpsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		doc := fleetTable()
+		for i := range doc.Servers {
+			if i%2 == 1 {
+				doc.Servers[i].DataCentre = "dc-2"
+			}
+		}
+		f := newFleetOf(t, doc, func(entry int) string { return fmt.Sprintf("dc-%d", 1+entry%2) })
+		defer f.close()
+		first := func(i int) bool { return i%2 == 0 }
+		l := f.drive(half/2, 2*time.Second, first)
+		t.Logf("quarter load: sent %d whole %d, dc-2 served %d", l.sent, l.whole, f.servedIn("dc-2"))
+		if l.whole != l.sent || f.servedIn("dc-2") > l.sent/20 {
+			t.Errorf("%d of %d whole, %d in the other data centre", l.whole, l.sent, f.servedIn("dc-2"))
+		}
+		before := f.servedIn("dc-2")
+		l = f.drive(3*half, 2*time.Second, first)
+		t.Logf("local servers at 1.5 times their load: sent %d whole %d, dc-2 served %d", l.sent, l.whole, f.servedIn("dc-2")-before)
+		if l.whole < l.sent*95/100 {
+			t.Errorf("%d of %d requests were whole", l.whole, l.sent)
+		}
+		f.checkSlots()
+	})
+}
+
+func (f *fleet) servedIn(dataCentre string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	served := 0
+	for _, server := range f.current.Load().Servers("lookup") {
+		if server.DataCentre == dataCentre {
+			served += f.served[server.Name]
+		}
+	}
+	return served
+}
+
+// TestAcquireHonoursRequest covers exclusion and requests that don't wait.
+func TestAcquireHonoursRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		doc := fleetTable()
+		doc.Servers = doc.Servers[:2]
+		f := newFleetOf(t, doc, func(int) string { return "dc-1" })
+		defer f.close()
+		req := loadbalancer.Request{Service: "lookup", NoWait: true}
+		var overload *loadbalancer.OverloadError
+		if _, err := f.managers[0].Acquire(t.Context(), req); !errors.As(err, &overload) || overload.RetryAfter <= 0 {
+			t.Errorf("without a lease NoWait gave %v", err)
+		}
+		for range 2 * fleetSlots {
+			permit, err := f.managers[0].Acquire(t.Context(), loadbalancer.Request{Service: "lookup", Exclude: []string{"server-0"}})
+			if err != nil {
+				t.Fatalf("acquire: %v", err)
+			}
+			if permit.Server.Name == "server-0" {
+				t.Errorf("got the excluded server")
+			}
+			permit.Release(loadbalancer.Result{Latency: work})
+		}
+		var unknown *loadbalancer.NoServerError
+		if _, err := f.managers[0].Acquire(t.Context(), loadbalancer.Request{Service: "other"}); !errors.As(err, &unknown) {
+			t.Errorf("an unknown service gave %v", err)
+		}
+	})
+}
