Keep ended keys in 12 bytes

Cause: at 24 hours of retention the owner's map of 75 to 117 bytes a key is what bounds the claims of a fleet.

Change: keys whose attempt has ended, and whose answer is not kept, move to immutable sorted runs of 8 bytes of hash and 31 bits of fingerprint; they change no more but to expire. KeyBytes bounds the memory of both.

Tests seen failing without the mechanism: runs that lose the older half of a merge, move of taken keys, expiry by the oldest key of a run (TestCompactedIndexDecidesTheSame), lookup from the oldest run (TestNewestRunDecides).

--- a/claim/decide.go
+++ b/claim/decide.go
@@ -52,7 +52,7 @@
 
 // planEnds starts a plan with the waiting ends.
 func (p *partition) planEnds() (plan *plan, stale bool) {
-	plan = newPlan(p.store.index, p.store.nowMS(), p.retentionMS())
+	plan = newPlan(p.store.index, p.store.nowMS(), p.opts.retentionMS())
 	for _, pending := range p.pending {
 		if !plan.end(pending.end) && !pending.checked {
 			stale = true
--- a/claim/index.go
+++ b/claim/index.go
@@ -20,12 +20,18 @@
 	timeMS      int64
 	runningMS   uint32
 	state       uint8
+	// compacted tells that only 31 bits of the fingerprint are known.
+	compacted bool
 }
 
 // index holds the keys of one partition as of one version of its head.
 type index struct {
 	keys    map[keyID]entry
 	answers answers
+	// ended holds earlier keys, oldest run first.
+	ended []*endedRun
+	// left is the number of keys that the last compaction left in the map.
+	left int
 }
 
 func newIndex(answerBytes int) *index {
@@ -67,6 +73,7 @@
 			x.answers.set(id, nil)
 		}
 	}
+	x.pruneRuns(nowMS, retentionMS)
 }
 
 // endsWith reports whether the end belongs to the attempt that holds the key
@@ -99,7 +106,7 @@
 // decide returns the verdict about a claim of a key that has an entry, with the
 // answer kept for it if there is one.
 func (e entry) decide(c *claimpb.Claim, answer *claimpb.Answer, nowMS int64) Decision {
-	if e.fingerprint != [fingerprintBytes]byte(c.GetFingerprint()) {
+	if !e.matches([fingerprintBytes]byte(c.GetFingerprint())) {
 		return Decision{Verdict: Mismatch}
 	}
 	switch {
@@ -114,6 +121,13 @@
 	}
 }
 
+func (e entry) matches(fingerprint [fingerprintBytes]byte) bool {
+	if e.compacted {
+		return markOf(e.fingerprint) == markOf(fingerprint)
+	}
+	return e.fingerprint == fingerprint
+}
+
 // decideTaken answers Run again to the attempt that holds the key, because
 // only the one call of Claim of that attempt uses the answer.
 func (e entry) decideTaken(attempt uint64, nowMS int64) Decision {
--- a/claim/index_test.go
+++ b/claim/index_test.go
@@ -19,13 +19,13 @@
 	indexes := []*index{clone(x)}
 	var batches []*claimpb.Batch
 	var nowMS int64
-	for n := range rapid.IntRange(1, 12).Draw(t, "batches") {
+	for n := range rapid.IntRange(5, 40).Draw(t, "batches") {
 		nowMS += rapid.Int64Range(0, 30).Draw(t, "ms")
-		p := newPlan(x, nowMS, 100)
+		p := newPlan(x, nowMS, testRetentionMS)
 		for range rapid.IntRange(0, 3).Draw(t, "ends") {
-			state := rapid.SampledFrom([]claimpb.State{2, 2, 3, 4}).Draw(t, "state")
+			state := rapid.SampledFrom([]claimpb.State{2, 3, 3, 4}).Draw(t, "state")
 			end := &claimpb.End{Key: testKey(t), Attempt: testAttempt(t), State: state}
-			if state == claimpb.State_STATE_FINISHED {
+			if state == claimpb.State_STATE_FINISHED && n%4 == 0 {
 				end.Answer = &claimpb.Answer{Status: int32(n)}
 			}
 			p.end(end)
@@ -42,10 +42,12 @@
 }
 
 func testKey(t *rapid.T) []byte {
-	return append(make([]byte, 15), rapid.ByteRange(0, 3).Draw(t, "key"))
+	return append(make([]byte, 15), rapid.ByteRange(0, 7).Draw(t, "key"))
 }
 
-func testAttempt(t *rapid.T) uint64 { return rapid.Uint64Range(0, 2).Draw(t, "attempt") }
+const testRetentionMS = 300
+
+func testAttempt(t *rapid.T) uint64 { return rapid.Uint64Range(0, 1).Draw(t, "attempt") }
 
 func clone(x *index) *index {
 	c := newIndex(unlimited)
@@ -61,21 +63,48 @@
 		to := rapid.IntRange(from, len(batches)).Draw(t, "to")
 		nowMS := batches[len(batches)-1].GetTimeMs()
 		got := clone(indexes[from])
-		got.apply(foldBatches(batches[from:to], nowMS, 100))
+		got.apply(foldBatches(batches[from:to], nowMS, testRetentionMS))
 		want := clone(indexes[to])
-		got.prune(nowMS, 100)
-		want.prune(nowMS, 100)
+		got.prune(nowMS, testRetentionMS)
+		want.prune(nowMS, testRetentionMS)
 		if !reflect.DeepEqual(got.keys, want.keys) || !reflect.DeepEqual(got.answers.held, want.answers.held) {
 			t.Fatalf("folded %v\nwant %v", got.keys, want.keys)
 		}
 	})
 }
 
+func TestCompactedIndexDecidesTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		batches, indexes := drawLog(t)
+		compacted := newIndex(unlimited)
+		for _, batch := range batches {
+			compacted.apply(batch)
+			if rapid.Bool().Draw(t, "compact") {
+				compacted.moveEnded(rapid.SampledFrom([]int64{0, 100, 1000}).Draw(t, "span"))
+			}
+		}
+		nowMS := batches[len(batches)-1].GetTimeMs()
+		compacted.prune(nowMS, testRetentionMS)
+		plain := newPlan(indexes[len(batches)], nowMS, testRetentionMS)
+		for key := range 8 {
+			for body := range 2 {
+				fingerprint := append([]byte{byte(body)}, make([]byte, fingerprintBytes-1)...)
+				c := &claimpb.Claim{Key: append(make([]byte, 15), byte(key)), Fingerprint: fingerprint, Attempt: 9}
+				want, taken := plain.decideTaken(c)
+				got, still := newPlan(compacted, nowMS, testRetentionMS).decideTaken(c)
+				if taken && (!still || !reflect.DeepEqual(got, want)) {
+					t.Fatalf("key %d body %d: %+v, want %+v", key, body, got, want)
+				}
+			}
+		}
+	})
+}
+
 func TestHeadMergesLevels(t *testing.T) {
 	head := &claimpb.Head{}
 	for i := range 200 {
 		head = appended(head, &claimpb.Batch{TimeMs: int64(i)})
-		head = rotated(head, segmentName(1, head.GetSequence()), 100)
+		head = rotated(head, segmentName(1, head.GetSequence()), testRetentionMS)
 		from := mergeCandidates(head.GetSegments())
 		if from == nil {
 			continue
@@ -134,3 +163,16 @@
 		t.Fatalf("wall clock behind: %d", got)
 	}
 }
+
+func TestNewestRunDecides(t *testing.T) {
+	x := newIndex(unlimited)
+	for _, timeMS := range []int64{0, 250} {
+		c := &claimpb.Claim{Key: make([]byte, 16), Fingerprint: make([]byte, fingerprintBytes), TimeMs: timeMS}
+		c.State = claimpb.State_STATE_FINISHED
+		x.apply(&claimpb.Batch{Claims: []*claimpb.Claim{c}})
+		x.moveEnded(0)
+	}
+	if e, ok := x.lookup(keyID{}); !ok || len(x.ended) != 2 || e.expired(400, testRetentionMS) {
+		t.Fatalf("%+v, %v, %d runs", e, ok, len(x.ended))
+	}
+}
--- a/claim/journal_test.go
+++ b/claim/journal_test.go
@@ -156,7 +156,7 @@
 
 func TestMemoryIsBounded(t *testing.T) {
 	limits := table.Fleet{ClaimWritesPerSecond: 400, ClaimRetentionMS: 3_600_000}
-	options := claim.Options{Partitions: 1, MaxKeys: 20, AnswerBytes: 200}
+	options := claim.Options{Partitions: 1, KeyBytes: 20 * 96, AnswerBytes: 200}
 	inBubble(t, limits, options, 1, func(t *testing.T, f *fleet) {
 		in := f.instances[0]
 		request := func(i int) claim.Request { return orderRequest(fmt.Sprint("key-", i), "a", "a") }
--- a/claim/options.go
+++ b/claim/options.go
@@ -17,7 +17,7 @@
 	DefaultMaxBatch       = 256
 	DefaultMaxAnswerBytes = 2 << 10
 	DefaultAnswerBytes    = 512 << 10
-	DefaultMaxKeys        = 400_000
+	DefaultKeyBytes       = 24 << 20
 	DefaultQueue          = 1024
 	DefaultFlushInterval  = 100 * time.Millisecond
 	DefaultStoreTimeout   = 2 * time.Second
@@ -58,8 +58,8 @@
 	// AnswerBytes bounds the answers that are kept in memory for one
 	// partition; the oldest are dropped.
 	AnswerBytes int
-	// MaxKeys bounds the keys in memory; above it new keys are refused.
-	MaxKeys int
+	// KeyBytes bounds the memory for keys; above it new keys are refused.
+	KeyBytes int
 	// Queue bounds the claims and the ends that wait at one partition.
 	Queue int
 	// FlushInterval is how long an end waits for a claim to share its
@@ -77,7 +77,7 @@
 	setDefault(&o.MaxBatch, DefaultMaxBatch)
 	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	setDefault(&o.AnswerBytes, DefaultAnswerBytes)
-	setDefault(&o.MaxKeys, DefaultMaxKeys)
+	setDefault(&o.KeyBytes, DefaultKeyBytes)
 	setDefault(&o.Queue, DefaultQueue)
 	setDefault(&o.FlushInterval, DefaultFlushInterval)
 	setDefault(&o.StoreTimeout, DefaultStoreTimeout)
@@ -88,6 +88,15 @@
 	return o
 }
 
+// retentionMS is unbounded while no table is in force, so that an instance that
+// starts in an outage forgets nothing.
+func (o *Options) retentionMS() int64 {
+	if snapshot := o.Current.Load(); snapshot != nil && snapshot.Fleet().ClaimRetentionMS > 0 {
+		return snapshot.Fleet().ClaimRetentionMS
+	}
+	return unboundedRetention.Milliseconds()
+}
+
 func setDefault[T comparable](field *T, value T) {
 	var zero T
 	if *field == zero {
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -23,7 +23,7 @@
 	errContended = errors.New("too many writers of the partition")
 	errStopped   = errors.New("journal stopped")
 	errQueueFull = errors.New("queue full")
-	errKeysFull  = errors.New("too many keys in memory")
+	errKeysFull  = errors.New("no memory for more keys")
 )
 
 type result struct {
@@ -323,7 +323,7 @@
 		return err
 	}
 	if p.store.rebuilt {
-		p.store.prune(p.retentionMS())
+		p.store.prune()
 	}
 	return nil
 }
--- a/claim/plan.go
+++ b/claim/plan.go
@@ -36,7 +36,7 @@
 	if p.freed[id] {
 		return entry{}, false
 	}
-	e, ok := p.index.keys[id]
+	e, ok := p.index.lookup(id)
 	return e, ok && !e.expired(p.nowMS, p.retentionMS)
 }
 
--- a/claim/stats.go
+++ b/claim/stats.go
@@ -23,10 +23,12 @@
 	Claims, Ends uint64
 	// DroppedEnds counts ends that found a queue full.
 	DroppedEnds uint64
-	// Keys is the number of keys in memory.
-	Keys int
+	// Keys is the number of keys in memory, KeyBytes about their memory.
+	Keys, KeyBytes int
 }
 
+type keyCount struct{ keys, bytes int }
+
 type counters struct {
 	verdicts                                    [Mismatch + 1]atomic.Uint64
 	failures                                    atomic.Uint64
@@ -34,7 +36,7 @@
 	bytes, claims, ends, dropped                atomic.Uint64
 
 	mu   sync.Mutex
-	keys map[int]int
+	keys map[int]keyCount
 }
 
 func (c *counters) decided(v Verdict) { c.verdicts[v].Add(1) }
@@ -51,24 +53,24 @@
 	c.ends.Add(uint64(len(batch.GetEnds())))
 }
 
-func (c *counters) setKeys(partition, n int) {
+func (c *counters) setKeys(partition, keys, bytes int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.keys == nil {
-		c.keys = make(map[int]int)
+		c.keys = make(map[int]keyCount)
 	}
-	c.keys[partition] = n
+	c.keys[partition] = keyCount{keys, bytes}
 }
 
-// keyCount returns the number of keys in memory.
-func (c *counters) keyCount() int {
+// keyCount returns the number of keys in memory and about their bytes.
+func (c *counters) keyCount() (keys, bytes int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	total := 0
 	for _, n := range c.keys {
-		total += n
+		keys += n.keys
+		bytes += n.bytes
 	}
-	return total
+	return keys, bytes
 }
 
 func (c *counters) read() Stats {
@@ -84,10 +86,10 @@
 		Claims:      c.claims.Load(),
 		Ends:        c.ends.Load(),
 		DroppedEnds: c.dropped.Load(),
-		Keys:        c.keyCount(),
 	}
 	for v := Run; v <= Mismatch; v++ {
 		stats.Verdicts[v] = c.verdicts[v].Load()
 	}
+	stats.Keys, stats.KeyBytes = c.keyCount()
 	return stats
 }
--- a/claim/store.go
+++ b/claim/store.go
@@ -139,7 +139,7 @@
 	s.clock.observe(head.GetTimeMs(), time.Now().UnixMilli(), s.monotonicMS())
 	s.version, s.head = version, head
 	s.loaded, s.stale = true, false
-	s.stats.setKeys(s.number, len(s.index.keys))
+	s.countKeys()
 	return nil
 }
 
@@ -172,6 +172,7 @@
 			return err
 		}
 		applyAfter(fresh, batches, 0)
+		fresh.compact(s.opts.retentionMS())
 	}
 	applyAfter(fresh, head.GetBatches(), 0)
 	s.index, s.rebuilt = fresh, true
@@ -227,7 +228,7 @@
 	s.version, s.head = version, next
 	s.index.apply(p.batch)
 	s.stats.appended(p.batch)
-	s.stats.setKeys(s.number, len(s.index.keys))
+	s.countKeys()
 	s.deleteObjects(ctx, append(unused, replaced...))
 	return writes, nil
 }
@@ -304,10 +305,17 @@
 }
 
 // prune forgets expired keys.
-func (s *partitionStore) prune(retentionMS int64) {
+func (s *partitionStore) prune() {
+	retentionMS := s.opts.retentionMS()
 	s.rebuilt = false
 	s.index.prune(s.nowMS(), retentionMS)
-	s.stats.setKeys(s.number, len(s.index.keys))
+	s.index.compact(retentionMS)
+	s.countKeys()
+}
+
+func (s *partitionStore) countKeys() {
+	keys, bytes := s.index.size()
+	s.stats.setKeys(s.number, keys, bytes)
 }
 
 // unload forgets the index. The version stays known, so that a later read of
@@ -317,7 +325,7 @@
 	s.index = newIndex(s.opts.AnswerBytes)
 	s.head = &claimpb.Head{}
 	s.merged = nil
-	s.stats.setKeys(s.number, 0)
+	s.countKeys()
 }
 
 // sweep deletes the objects that crashed writers left behind.
--- a/claim/upkeep.go
+++ b/claim/upkeep.go
@@ -42,15 +42,6 @@
 	return time.Second * time.Duration(p.partitions) / time.Duration(writes)
 }
 
-// retentionMS is unbounded while no table is in force, so that an instance that
-// starts in an outage forgets nothing.
-func (p *partition) retentionMS() int64 {
-	if snapshot := p.opts.Current.Load(); snapshot != nil && snapshot.Fleet().ClaimRetentionMS > 0 {
-		return snapshot.Fleet().ClaimRetentionMS
-	}
-	return unboundedRetention.Milliseconds()
-}
-
 // upkeep forgets expired keys, deletes unused objects, and forgets the whole
 // partition if it has not been used for a while.
 func (p *partition) upkeep(ctx context.Context) {
@@ -63,7 +54,7 @@
 		p.paced = false
 		return
 	}
-	p.store.prune(p.retentionMS())
+	p.store.prune()
 	if now.Sub(p.sweptAt) >= sweepInterval {
 		p.sweptAt = now
 		p.store.sweep(ctx)
@@ -71,7 +62,10 @@
 }
 
 // full reports whether no more keys may be taken into memory.
-func (p *partition) full() bool { return p.stats.keyCount() >= p.opts.MaxKeys }
+func (p *partition) full() bool {
+	_, bytes := p.stats.keyCount()
+	return bytes >= p.opts.KeyBytes
+}
 
 // startMerge merges segments beside the goroutine of run, one merge at a time.
 func (p *partition) startMerge(ctx context.Context) {
@@ -80,7 +74,7 @@
 		return
 	}
 	p.merging = true
-	sequence, nowMS, retentionMS := p.store.head.GetSequence(), p.store.nowMS(), p.retentionMS()
+	sequence, nowMS, retentionMS := p.store.head.GetSequence(), p.store.nowMS(), p.opts.retentionMS()
 	go func() {
 		m, err := p.store.merge(ctx, sequence, from, nowMS, retentionMS)
 		if err != nil {
