--- a/claim/fleet_test.go
+++ b/claim/fleet_test.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
-	"testing"
-	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
-	"pgregory.net/rapid"
 
 	"github.com/pomelolock/pomelolock/claim"
-	_ "github.com/pomelolock/pomelolock/internal/fixedseed"
 	"github.com/pomelolock/pomelolock/peer"
 	"github.com/pomelolock/pomelolock/peer/peerpb"
 	"github.com/pomelolock/pomelolock/peer/peertest"
@@ -25,6 +22,25 @@
 type gate struct {
 	mu     sync.Mutex
 	frozen chan struct{}
+	dead   bool
+}
+
+var errDead = errors.New("instance killed")
+
+// kill makes all that passes afterwards fail.
+func (g *gate) kill() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dead = true
+}
+
+func (g *gate) check(op string) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.dead {
+		return &platform.UnavailableError{Op: op, Err: errDead}
+	}
+	return nil
 }
 
 func (g *gate) set(frozen bool) {
@@ -57,12 +73,18 @@
 func (s gatedTables) Get(ctx context.Context, key string) (platform.Record, error) {
 	s.gate.pass()
 	defer s.gate.pass()
+	if err := s.gate.check("get"); err != nil {
+		return platform.Record{}, err
+	}
 	return s.TableService.Get(ctx, key)
 }
 
 func (s gatedTables) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
 	s.gate.pass()
 	defer s.gate.pass()
+	if err := s.gate.check("put"); err != nil {
+		return platform.Absent, err
+	}
 	return s.TableService.Put(ctx, key, value, expect)
 }
 
@@ -198,6 +220,7 @@
 func (f *fleet) kill(i int) {
 	in := f.instances[i]
 	f.instances = append(f.instances[:i:i], f.instances[i+1:]...)
+	in.gate.kill()
 	f.net.Leave(in.id)
 	in.cancel()
 	in.gate.set(false)
@@ -216,170 +239,6 @@
 	return req
 }
 
-// judge records who was told to run which key.
-type judge struct {
-	mu sync.Mutex
-	// holder is the attempt that may have run a key and has not freed it.
-	holder  map[string]string
-	body    map[string]string
-	answers map[string]string
-	faults  []string
-}
-
-func newJudge() *judge {
-	return &judge{holder: make(map[string]string), body: make(map[string]string), answers: make(map[string]string)}
-}
-
-func (j *judge) decided(req claim.Request, d claim.Decision) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	body := string(req.Fingerprint[:1])
-	switch d.Verdict {
-	case claim.Run:
-		if holder, ok := j.holder[req.Key]; ok {
-			j.faults = append(j.faults, fmt.Sprintf("%s runs for %s while %s holds it", req.Key, req.Attempt, holder))
-		}
-		j.holder[req.Key], j.body[req.Key] = req.Attempt, body
-	case claim.Replay:
-		if string(d.Answer.Body) != j.answers[req.Key] || j.body[req.Key] != body {
-			j.faults = append(j.faults, fmt.Sprintf("%s replays %q", req.Key, d.Answer.Body))
-		}
-	}
-}
-
-func (j *judge) ending(req claim.Request, state claim.EndState, answer string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	switch state {
-	case claim.EndNotRun:
-		delete(j.holder, req.Key)
-	case claim.EndFinished:
-		j.answers[req.Key] = answer
-	}
-}
-
-func (j *judge) check(t *rapid.T) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if len(j.faults) > 0 {
-		t.Fatalf("%v", j.faults)
-	}
-}
-
-// attempt claims a key and, told to run, ends as drawn. State 0 stands for an
-// instance that dies before it can tell.
-func attempt(in *instance, j *judge, req claim.Request, wait time.Duration, state claim.EndState, took time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
-	defer cancel()
-	decision, err := in.journal.Claim(ctx, req)
-	if err != nil {
-		return
-	}
-	j.decided(req, decision)
-	if decision.Verdict != claim.Run || state == 0 {
-		return
-	}
-	time.Sleep(took)
-	var answer *claim.Answer
-	if state == claim.EndFinished {
-		answer = &claim.Answer{Status: 201, Body: []byte(req.Attempt)}
-	}
-	j.ending(req, state, req.Attempt)
-	in.journal.Finish(req, state, answer)
-}
-
-func TestKeyRunsAtMostOnceUnderFaults(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		// The embedding hides Deadline, which a bubble does not allow.
-		rapid.Check(struct{ testing.TB }{t}, checkAtMostOnce)
-	})
-}
-
-func checkAtMostOnce(t *rapid.T) {
-	f := newFleet(table.Fleet{ClaimWritesPerSecond: 400, ClaimRetentionMS: 3_600_000}, claim.Options{
-		Partitions: 2, TailBytes: 600, MaxBatch: rapid.SampledFrom([]int{1, 3, 64}).Draw(t, "batch"),
-	})
-	j := newJudge()
-	var group sync.WaitGroup
-	defer time.Sleep(time.Second) // Messages in flight arrive.
-	defer f.stop()
-	defer group.Wait()
-	defer f.heal()
-	for range 3 {
-		f.start()
-	}
-	synctest.Wait()
-	attempts := 0
-	pick := func(t *rapid.T) *instance {
-		return f.instances[rapid.IntRange(0, len(f.instances)-1).Draw(t, "instance")]
-	}
-	claimKey := func(t *rapid.T) {
-		key := fmt.Sprint("key-", rapid.IntRange(0, 11).Draw(t, "key"))
-		body := rapid.SampledFrom([]string{"a", "a", "a", "b"}).Draw(t, "body")
-		wait := time.Duration(rapid.SampledFrom([]int{3, 100, 2000}).Draw(t, "wait")) * time.Millisecond
-		state := claim.EndState(rapid.SampledFrom([]int{0, 1, 1, 1, 1, 1, 2, 3}).Draw(t, "state"))
-		took := time.Duration(rapid.IntRange(0, 30).Draw(t, "took")) * time.Millisecond
-		for range rapid.IntRange(1, 3).Draw(t, "copies") {
-			attempts++
-			in, req := pick(t), orderRequest(key, fmt.Sprint("attempt-", attempts), body)
-			group.Go(func() { attempt(in, j, req, wait, state, took) })
-		}
-	}
-	// claimMany moves the head past what the other instances have read.
-	claimMany := func(t *rapid.T) {
-		in := pick(t)
-		in.view.set([]string{in.id})
-		for range 10 {
-			attempts++
-			req := orderRequest(fmt.Sprint("key-", rapid.IntRange(0, 11).Draw(t, "key")), fmt.Sprint("attempt-", attempts), "a")
-			group.Go(func() { attempt(in, j, req, time.Second, claim.EndNotRun, time.Millisecond) })
-			time.Sleep(10 * time.Millisecond)
-		}
-	}
-	passTime := func(t *rapid.T) {
-		time.Sleep(time.Duration(rapid.SampledFrom([]int{0, 1, 5, 100, 1500}).Draw(t, "ms")) * time.Millisecond)
-	}
-	t.Repeat(map[string]func(*rapid.T){
-		"claim 1": claimKey, "claim 2": claimKey, "claim 3": claimKey, "claim 4": claimKey,
-		"claim many":  claimMany,
-		"pass time 1": passTime, "pass time 2": passTime,
-		"heal 1": func(*rapid.T) { f.heal() }, "heal 2": func(*rapid.T) { f.heal() },
-		"lose answers": func(t *rapid.T) {
-			f.setFaults(func(faults *memory.Faults) { faults.LoseAnswers = rapid.IntRange(1, 3).Draw(t, "n") })
-		},
-		"drop writes": func(t *rapid.T) {
-			f.setFaults(func(faults *memory.Faults) { faults.DropWrites = rapid.IntRange(1, 3).Draw(t, "n") })
-		},
-		"stale reads": func(t *rapid.T) {
-			f.setFaults(func(faults *memory.Faults) { faults.StaleReads = rapid.IntRange(1, 3).Draw(t, "n") })
-		},
-		"outage": func(t *rapid.T) {
-			f.setFaults(func(faults *memory.Faults) { faults.Down = true })
-		},
-		"slow": func(t *rapid.T) {
-			delay := rapid.SampledFrom([]int{0, 1, 1, 5, 5, 700}).Draw(t, "ms")
-			f.setFaults(func(faults *memory.Faults) { faults.Delay = time.Duration(delay) * time.Millisecond })
-		},
-		"freeze":    func(t *rapid.T) { pick(t).gate.set(true) },
-		"thaw":      func(t *rapid.T) { pick(t).gate.set(false) },
-		"cut":       func(t *rapid.T) { f.net.SetCut(pick(t).id, pick(t).id, rapid.Bool().Draw(t, "cut")) },
-		"kill":      func(t *rapid.T) { f.kill(rapid.IntRange(0, len(f.instances)-1).Draw(t, "i")); f.start() },
-		"lag views": func(t *rapid.T) { pick(t).view.set([]string{pick(t).id}) },
-		"":          j.check,
-	})
-	f.heal()
-	group.Wait()
-	time.Sleep(10 * time.Second)
-	last := f.start()
-	time.Sleep(time.Second)
-	for key := range 12 {
-		attempts++
-		req := orderRequest(fmt.Sprint("key-", key), fmt.Sprint("attempt-", attempts), "a")
-		attempt(last, j, req, time.Minute, 0, 0)
-	}
-	j.check(t)
-}
-
 func (f *fleet) setFaults(change func(*memory.Faults)) {
 	faults := f.store.Faults()
 	change(&faults)
--- a/claim/journal.go
+++ b/claim/journal.go
@@ -26,6 +26,8 @@
 	// maxBusyCalls is how often a busy owner is asked before another
 	// instance is.
 	maxBusyCalls = 4
+	// stopTimeout bounds the writing of ends when Run ends.
+	stopTimeout = time.Second
 	// startPause is the time between two tries to read the layout.
 	startPause = 200 * time.Millisecond
 	// retryAfterDown is when a caller may come back after a failed claim.
@@ -77,7 +79,8 @@
 // Stats returns the counts so far.
 func (j *Journal) Stats() Stats { return j.stats.read() }
 
-// Run serves claims until ctx ends. It waits for the store before it starts.
+// Run serves claims until ctx ends, and then writes the ends that are queued. It
+// waits for the store before it starts.
 func (j *Journal) Run(ctx context.Context) error {
 	partitions, err := j.awaitLayout(ctx)
 	if err != nil {
@@ -87,17 +90,30 @@
 	for number := range partitions {
 		s.partitions = append(s.partitions, newPartition(number, partitions, &j.opts, &j.stats))
 	}
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
 	var group sync.WaitGroup
 	for _, p := range s.partitions {
-		group.Go(func() { p.run(ctx) })
+		group.Go(func() { p.run(serving) })
 	}
-	group.Go(func() { j.sendFinishes(ctx, s) })
+	group.Go(func() { j.sendFinishes(serving, s) })
 	j.ready.Store(s)
 	j.opts.Logger.Info("claim_journal_started", "partitions", partitions)
+	<-ctx.Done()
+	j.flushAtStop(serving)
+	stop()
 	group.Wait()
 	return nil
 }
 
+func (j *Journal) flushAtStop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	if err := j.Handover(ctx); err != nil {
+		j.opts.Logger.Warn("claim_flush_failed", "err", err)
+	}
+}
+
 // awaitLayout reads or creates the record that fixes the number of partitions
 // for the life of the journal.
 func (j *Journal) awaitLayout(ctx context.Context) (int, error) {
--- a/claim/journal_test.go
+++ b/claim/journal_test.go
@@ -208,6 +208,22 @@
 	})
 }
 
+func TestRunWritesEndsBeforeItReturns(t *testing.T) {
+	options := claim.Options{Partitions: 1, FlushInterval: time.Hour}
+	inBubble(t, testLimits, options, 1, func(t *testing.T, f *fleet) {
+		first := f.instances[0]
+		req := orderRequest("key", "first", "a")
+		wantVerdict(t, first, req, claim.Run)
+		first.journal.Finish(req, claim.EndFinished, &claim.Answer{Status: 200})
+		first.cancel()
+		<-first.done
+		second := f.start()
+		time.Sleep(10 * time.Millisecond)
+		second.view.set([]string{second.id})
+		wantVerdict(t, second, orderRequest("key", "second", "a"), claim.Replay)
+	})
+}
+
 func TestStoreOutageRefusesNewKeysAtOnce(t *testing.T) {
 	inBubble(t, testLimits, claim.Options{Partitions: 1}, 1, func(t *testing.T, f *fleet) {
 		in := f.instances[0]
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -5,8 +5,6 @@
 	"errors"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/pomelolock/pomelolock/claim/claimpb"
 	"github.com/pomelolock/pomelolock/platform"
 )
@@ -66,14 +64,16 @@
 	pending []pendingEnd
 	// pendingBytes is the encoded size of pending.
 	pendingBytes int
-	pace         pace
-	downUntil    time.Time
-	downErr      error
-	paced        bool
-	usedAt       time.Time
-	sweptAt      time.Time
-	merging      bool
-	mergeDone    chan *merged
+	// flushDue fires when pending has waited long enough; nil if unset.
+	flushDue  <-chan time.Time
+	pace      pace
+	downUntil time.Time
+	downErr   error
+	paced     bool
+	usedAt    time.Time
+	sweptAt   time.Time
+	merging   bool
+	mergeDone chan *merged
 }
 
 func newPartition(number, partitions int, opts *Options, stats *counters) *partition {
@@ -90,32 +90,6 @@
 	}
 }
 
-// submit queues a claim and waits for its decision.
-func (p *partition) submit(ctx context.Context, c *claimpb.Claim) (Decision, error) {
-	o := &op{ctx: ctx, claim: c, reply: make(chan result, 1)}
-	select {
-	case p.ops <- o:
-	default:
-		return Decision{}, errQueueFull
-	}
-	select {
-	case r := <-o.reply:
-		return r.decision, r.err
-	case <-ctx.Done():
-		return Decision{}, ctx.Err()
-	}
-}
-
-// finish queues an end and reports whether there was room.
-func (p *partition) finish(end *claimpb.End) bool {
-	select {
-	case p.ends <- end:
-		return true
-	default:
-		return false
-	}
-}
-
 func (p *partition) run(ctx context.Context) {
 	defer p.awaitMerge()
 	ticker := time.NewTicker(upkeepInterval)
@@ -142,47 +116,6 @@
 	}
 }
 
-// wait blocks until there is something to do.
-func (p *partition) wait(ctx context.Context, upkeep <-chan time.Time) (flushed chan struct{}, ok bool) {
-	var flushDue <-chan time.Time
-	if len(p.pending) > 0 {
-		timer := time.NewTimer(p.opts.FlushInterval)
-		defer timer.Stop()
-		flushDue = timer.C
-	}
-	for {
-		var ends chan *claimpb.End
-		if p.takesEnds() {
-			ends = p.ends
-		}
-		select {
-		case <-ctx.Done():
-			return nil, false
-		case o := <-p.ops:
-			p.claims = append(p.claims, o)
-			return nil, true
-		case end := <-ends:
-			p.addEnd(end)
-			if flushDue == nil {
-				timer := time.NewTimer(p.opts.FlushInterval)
-				defer timer.Stop()
-				flushDue = timer.C
-			}
-			if !p.takesEnds() {
-				return nil, true
-			}
-		case <-flushDue:
-			return nil, true
-		case flushed := <-p.flush:
-			return flushed, true
-		case <-p.warm:
-			p.preload(ctx)
-		case <-upkeep:
-			p.upkeep(ctx)
-		}
-	}
-}
-
 // preload reads the partition ahead of its first claim.
 func (p *partition) preload(ctx context.Context) {
 	p.store.stale = true
@@ -192,43 +125,6 @@
 	}
 }
 
-// collect takes what has queued up meanwhile, up to one batch.
-func (p *partition) collect() {
-	for len(p.claims) < p.opts.MaxBatch {
-		select {
-		case o := <-p.ops:
-			p.claims = append(p.claims, o)
-			continue
-		default:
-		}
-		break
-	}
-	for p.takesEnds() {
-		select {
-		case end := <-p.ends:
-			p.addEnd(end)
-			continue
-		default:
-		}
-		return
-	}
-}
-
-// takesEnds reports whether the next batch has room for an end.
-func (p *partition) takesEnds() bool {
-	return len(p.pending) < p.opts.MaxBatch && p.pendingBytes < p.opts.TailBytes
-}
-
-func (p *partition) addEnd(end *claimpb.End) {
-	p.pending = append(p.pending, pendingEnd{end: end})
-	p.pendingBytes += proto.Size(end)
-}
-
-func (p *partition) clearEnds() {
-	p.pending = nil
-	p.pendingBytes = 0
-}
-
 // step decides the waiting claims and appends what they and the ends need.
 func (p *partition) step(ctx context.Context) {
 	p.collect()
@@ -334,22 +230,3 @@
 	var unknown *platform.UnknownOutcomeError
 	return errors.As(err, &conflict) || errors.As(err, &unknown)
 }
-
-// preloadSoon asks the partition's goroutine to read the journal.
-func (p *partition) preloadSoon() {
-	select {
-	case p.warm <- struct{}{}:
-	default:
-	}
-}
-
-// flushNow writes the queued ends and returns once that was tried.
-func (p *partition) flushNow(ctx context.Context) error {
-	flushed := make(chan struct{})
-	select {
-	case p.flush <- flushed:
-		return await(ctx, flushed)
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
