--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -251,3 +252,17 @@
 		}
 	})
 }
+
+// BenchmarkHourObject measures the object of one process that served all
+// services in every minute of an hour, by their number.
+func BenchmarkHourObject(b *testing.B) {
+	for _, services := range []int{3, 12, 37} {
+		b.Run(fmt.Sprint(services), func(b *testing.B) {
+			var size int
+			for b.Loop() {
+				size = burn.FullHourBytes(services)
+			}
+			b.ReportMetric(float64(size), "object-B")
+		})
+	}
+}
--- /dev/null
+++ b/burn/export_test.go
@@ -0,0 +1,19 @@
+package burn
+
+import "fmt"
+
+// FullHourBytes returns the size of an hour's object with that many services.
+func FullHourBytes(services int) int {
+	h := &hourCounts{covered: ^uint64(0) >> (64 - minutesPerHour), series: make(map[string]*[minutesPerHour]Counts)}
+	for s := range services {
+		for m := range minutesPerHour {
+			total := uint64(10000 + 7919*(s+1)*(m+3)%5000)
+			h.minutes(fmt.Sprintf("service-%d", s))[m] = Counts{Total: total, Whole: total - uint64(m%3), Good: total - uint64(m%7)}
+		}
+	}
+	data, err := encodeHour(h.message(495000, "entry-1", "abcdefgh"))
+	if err != nil {
+		panic(err)
+	}
+	return len(data)
+}
