Bench that compares the policies through real processes

Each policy has backend servers of its own with the same seeds, so that the same calls meet the same service times and slow episodes. Figures are printed one a line; control cost comes from the daemons' metrics and profiles.

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 
 demo: build
 	$(BIN)/demo
+
+bench: build
+	$(BIN)/bench
--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,146 @@
+// Command bench compares the policies of the load balancer through real
+// processes on loopback, in turn and on the same seeds, and prints one line a
+// figure: "figure NAME VALUE".
+//
+// Each policy has backend servers of its own with the same seeds: the same
+// calls need the same service times, and the servers slow down at the same
+// times. It reports and never judges; its exit code is 0 if every run could be
+// measured.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/pomelolock/pomelolock/internal/fleet"
+	"github.com/pomelolock/pomelolock/internal/loadgen"
+	"github.com/pomelolock/pomelolock/table"
+)
+
+type cli struct {
+	Bin         string        `help:"Directory with the programs; that of this one if omitted."`
+	Out         string        `default:"out" help:"Directory for bench.json and bench.png."`
+	Entries     int           `default:"6" help:"Daemons."`
+	Servers     int           `default:"10" help:"Backend servers of each policy."`
+	ServiceTime time.Duration `default:"20ms" help:"Mean service time."`
+	Seconds     int           `default:"4" help:"Seconds of each run at half load; the others take a second less."`
+	SlowFactor  float64       `default:"8" help:"How many times slower a server is in an episode."`
+	SlowMS      int64         `default:"200" help:"Length of an episode in milliseconds."`
+	SlowGapMS   int64         `default:"4000" help:"Mean time between the episodes of a server in milliseconds."`
+	Seed        uint64        `default:"1" help:"Seed of load and stand-ins."`
+	Verbose     bool          `help:"Print the verdicts of each run to standard error."`
+}
+
+func main() {
+	var cli cli
+	kong.Parse(&cli, kong.Name("bench"), kong.Description("Compares the policies through real processes."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := cli.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+func (c *cli) run(ctx context.Context) error {
+	dir, err := os.MkdirTemp("", "pomelolock-bench-")
+	if err != nil {
+		return fmt.Errorf("make directory: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if c.Bin == "" {
+		program, err := os.Executable()
+		if err != nil {
+			return fmt.Errorf("find programs: %w", err)
+		}
+		c.Bin = filepath.Dir(program)
+	}
+	f, err := fleet.Start(ctx, c.spec(dir))
+	if err != nil {
+		return err
+	}
+	err = c.measure(ctx, f)
+	return errors.Join(err, f.Stop())
+}
+
+func (c *cli) measure(ctx context.Context, f *fleet.Fleet) error {
+	if _, err := f.Accept(ctx, f.Document(), 0); err != nil {
+		return err
+	}
+	if err := f.WaitReady(ctx); err != nil {
+		return err
+	}
+	b := &bench{cli: c, fleet: f, started: time.Now()}
+	for _, step := range []func(context.Context) error{b.addedLatency, b.halfLoad, b.control, b.overload, b.probes} {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return b.write()
+}
+
+// figure is one measured value.
+type figure struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+}
+
+// bench holds what was measured so far.
+type bench struct {
+	cli     *cli
+	fleet   *fleet.Fleet
+	started time.Time
+	figures []figure
+	series  []loadgen.Series
+	// overLimit is the sum of the leases runs.
+	overLimit uint64
+	probed    uint64
+}
+
+// add keeps and prints a figure.
+func (b *bench) add(name string, value float64) {
+	b.figures = append(b.figures, figure{Name: name, Value: value})
+	fmt.Printf("figure %s %.4g\n", name, value)
+}
+
+// write writes the figures and the plot of the runs at half load.
+func (b *bench) write() error {
+	if err := os.MkdirAll(b.cli.Out, 0o755); err != nil {
+		return fmt.Errorf("make directory: %w", err)
+	}
+	data, err := json.MarshalIndent(b.figures, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode figures: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(b.cli.Out, "bench.json"), append(data, '\n'), 0o644); err != nil {
+		return fmt.Errorf("write figures: %w", err)
+	}
+	return loadgen.WritePlot(filepath.Join(b.cli.Out, "bench.png"), "policies at half load", b.series...)
+}
+
+// slug is the policy's name in figures.
+func slug(policy table.Policy) string {
+	switch policy {
+	case table.PolicyBestOfTwo:
+		return "best_of_two"
+	default:
+		return string(policy)
+	}
+}
+
+var policies = []table.Policy{table.PolicyRandom, table.PolicyBestOfTwo, table.PolicyLeases}
+
+func (b *bench) serversOf(service string) []*fleet.Backend {
+	servers := slices.Clone(b.fleet.Backends)
+	return slices.DeleteFunc(servers, func(s *fleet.Backend) bool { return s.Service != service })
+}
--- /dev/null
+++ b/cmd/bench/spec.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"time"
+
+	"github.com/pomelolock/pomelolock/internal/fleet"
+	"github.com/pomelolock/pomelolock/internal/standin/backend"
+	"github.com/pomelolock/pomelolock/table"
+)
+
+const (
+	dataCentre = "dc-1"
+	// hopService is measured through the daemons and directService without
+	// them.
+	hopService    = "hop"
+	directService = "direct"
+	hopTime       = time.Millisecond
+	pathPrefix    = "/"
+
+	deadlineMS = 1000
+)
+
+func (c *cli) spec(dir string) fleet.Spec {
+	spec := fleet.Spec{
+		Bin:         c.Bin,
+		Dir:         dir,
+		Region:      "region-1",
+		DataCentres: []string{dataCentre},
+		Entries:     c.Entries,
+		Seed:        c.Seed,
+		LogLevel:    "warn",
+	}
+	for _, policy := range policies {
+		row := fleet.NewService(string(policy))
+		row.Policy = policy
+		row.DeadlineMS = deadlineMS
+		spec.Services = append(spec.Services, fleet.Service{Row: row, Servers: c.Servers, ServiceTime: c.ServiceTime})
+		spec.Routes = append(spec.Routes, table.Route{PathPrefix: pathPrefix + string(policy), Service: row.Name, Repeatable: true})
+	}
+	for _, name := range []string{hopService, directService} {
+		service := fleet.Service{
+			Row: fleet.NewService(name), Servers: 1, ServiceTime: hopTime, Distribution: backend.DistributionFixed,
+		}
+		spec.Services = append(spec.Services, service)
+		spec.Routes = append(spec.Routes, table.Route{PathPrefix: pathPrefix + name, Service: name, Repeatable: true})
+	}
+	return spec
+}
+
+// capacity returns the calls a second that a policy's servers can run.
+func (c *cli) capacity() float64 {
+	return float64(c.Servers*fleet.ServerSlots) / c.ServiceTime.Seconds()
+}
+
+// faults returns the random slow episodes of the servers.
+func (c *cli) faults() backend.Faults {
+	return backend.Faults{Episodes: backend.Episodes{
+		Factor: c.SlowFactor, DurationMS: c.SlowMS, MeanGapMS: c.SlowGapMS, Seed: c.Seed,
+	}}
+}
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -10,6 +12,9 @@
 	"github.com/pomelolock/pomelolock/settings"
 )
 
+// OperatorToken lets its bearer in as an operator of every daemon.
+const OperatorToken = "loopback-operator"
+
 const (
 	fleetName       = "loopback"
 	filePermissions = 0o600
@@ -44,6 +49,8 @@
 	set := settings.Default()
 	set.Fleet = fleetName
 	set.Plain = true
+	digest := sha256.Sum256([]byte(OperatorToken))
+	set.OperatorTokenSHA256 = hex.EncodeToString(digest[:])
 	set.Instance = settings.Instance{ID: id, Region: f.spec.Region, DataCentre: dataCentre}
 	set.Platform.URL = f.Platform.URL
 	set.Stop.BalancerLagMS = f.spec.BalancerLag.Milliseconds()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -146,6 +146,10 @@
 	if err != nil {
 		return fmt.Errorf("fleet: encode faults: %w", err)
 	}
+	distribution := service.Distribution
+	if distribution == "" {
+		distribution = backend.DistributionExponential
+	}
 	name := serverName(service.Row.Name, i)
 	server := &Backend{
 		Service:      service.Row.Name,
@@ -157,8 +161,8 @@
 	server.args = []string{
 		"backend", "--listen", address, "--admin", admin, "--name", name,
 		"--slots", strconv.Itoa(ServerSlots), "--connections", strconv.Itoa(ServerConnections),
-		"--service-time", service.ServiceTime.String(),
-		"--seed", strconv.FormatUint(f.spec.Seed+uint64(len(f.Backends)), 10),
+		"--service-time", service.ServiceTime.String(), "--distribution", string(distribution),
+		"--seed", strconv.FormatUint(f.spec.Seed+uint64(i), 10),
 		"--log", server.ExecutionLog, "--faults", string(faults),
 		"--platform", f.Platform.URL, "--region", f.spec.Region, "--data-centre", server.DataCentre,
 	}
--- a/internal/fleet/spec.go
+++ b/internal/fleet/spec.go
@@ -21,8 +21,10 @@
 	// Servers is the number of its backend servers, spread over the data
 	// centres in turn.
 	Servers int
-	// ServiceTime is their mean service time.
-	ServiceTime time.Duration
+	// ServiceTime is their mean service time and Distribution its shape; ""
+	// stands for exponential.
+	ServiceTime  time.Duration
+	Distribution backend.Distribution
 	// Faults are active from the start.
 	Faults backend.Faults
 }
@@ -42,7 +44,8 @@
 	Routes   []table.Route
 	// Fleet is the table's fleet row; the zero value gets defaults.
 	Fleet table.Fleet
-	// Seed makes the stand-ins repeatable.
+	// Seed makes the stand-ins repeatable: the first servers of all services
+	// share one seed, the second ones another, and so on.
 	Seed uint64
 	// BalancerLag is the daemons' stop.balancer_lag_ms.
 	BalancerLag time.Duration
