--- a/internal/fleet/accept.go
+++ b/internal/fleet/accept.go
@@ -3,16 +3,19 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"github.com/pomelolock/pomelolock/platform/httpplatform"
 	"github.com/pomelolock/pomelolock/table"
 )
 
 const (
-	author = "fleet"
+	author     = "fleet"
+	acceptWait = 20 * time.Second
 
 	pathLive  = "/livez"
 	pathReady = "/readyz"
@@ -53,6 +56,27 @@
 	return string(output), nil
 }
 
+// AcceptByTool accepts the fleet's table with the operators' tool and waits
+// until it is in force on every daemon. It returns the tool's output.
+func (f *Fleet) AcceptByTool(ctx context.Context, message string) (string, error) {
+	file, err := f.WriteTable()
+	if err != nil {
+		return "", err
+	}
+	tokenFile := filepath.Join(f.spec.Dir, "operator.token")
+	if err := os.WriteFile(tokenFile, []byte(OperatorToken+"\n"), filePermissions); err != nil {
+		return "", fmt.Errorf("fleet: %w", err)
+	}
+	args := []string{
+		"table", "accept", file, "--yes", "--message", message, "--author", author,
+		"--token-file", tokenFile, "--wait", acceptWait.String(), "--platform", f.Platform.URL,
+	}
+	for _, entry := range f.Entries {
+		args = append(args, "--operator", strings.TrimPrefix(entry.OperatorURL, "http://"))
+	}
+	return f.Tool(ctx, args...)
+}
+
 // WriteTable writes the fleet's table to a file and returns its path.
 func (f *Fleet) WriteTable() (string, error) {
 	path := filepath.Join(f.spec.Dir, "table.json")
--- /dev/null
+++ b/internal/fleet/build.go
@@ -0,0 +1,34 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os/exec"
+)
+
+const commandPath = "github.com/pomelolock/pomelolock/cmd/"
+
+// BuildError reports programs that could not be built.
+type BuildError struct {
+	Output string
+	Err    error
+}
+
+func (e *BuildError) Error() string { return fmt.Sprintf("fleet: build: %v\n%s", e.Err, e.Output) }
+
+// Unwrap returns the cause.
+func (e *BuildError) Unwrap() error { return e.Err }
+
+// Build builds programs of this module into the directory bin. It runs the go
+// tool in the present directory, as tests do.
+func Build(ctx context.Context, bin string, programs ...string) error {
+	args := []string{"build", "-o", bin + "/"}
+	for _, program := range programs {
+		args = append(args, commandPath+program)
+	}
+	output, err := exec.CommandContext(ctx, "go", args...).CombinedOutput()
+	if err != nil {
+		return &BuildError{Output: string(output), Err: err}
+	}
+	return nil
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -23,9 +22,8 @@
 func buildStandin(t *testing.T) string {
 	t.Helper()
 	bin := t.TempDir()
-	cmd := exec.Command("go", "build", "-o", bin, "github.com/pomelolock/pomelolock/cmd/standin")
-	if output, err := cmd.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, output)
+	if err := Build(t.Context(), bin, "standin"); err != nil {
+		t.Fatal(err)
 	}
 	return bin
 }
