Load: callers send again what was not answered whole

A caller who is told that its order is in progress comes back after Retry-After. The demo counts a call as whole only by the answer that its caller ended with, and prints what callers were told before.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -9,9 +9,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -24,6 +26,9 @@
 const (
 	regionName  = "praha"
 	balancerLag = 500 * time.Millisecond
+	// Callers send an order again that they were told to be in progress.
+	retries    = 5
+	retryPause = 100 * time.Millisecond
 )
 
 type cli struct {
@@ -122,6 +127,8 @@
 		Seed:          c.Seed,
 		ResendPercent: 5,
 		ResendAfter:   5 * time.Millisecond,
+		Retries:       retries,
+		RetryPause:    retryPause,
 	})
 	if err != nil {
 		return false, err
@@ -133,34 +140,23 @@
 	return summarize(report, judgement), nil
 }
 
-// summarize prints the figures and reports whether all was well. An order whose
-// second request overtook the first is answered whole to one of them and told
-// in progress to the other.
+// summarize prints the figures and reports whether all was well.
 func summarize(r *loadgen.Report, j loadgen.Judgement) bool {
-	calls := r.Sent - r.Resent
-	fmt.Printf("sent %d (%d orders also a second time, to another instance)\n", calls, r.Resent)
-	fmt.Printf("whole %d\n", r.AnsweredWhole)
-	fmt.Printf("failed %d\n", calls-r.AnsweredWhole)
+	whole := r.Verdicts[loadgen.Whole] + r.Duplicates[loadgen.Whole]
+	fmt.Printf("sent %d (%d of them orders sent to a second instance at once, %d retries)\n", r.Sent, r.Resent, r.Retried)
+	fmt.Printf("whole %d\n", whole)
+	fmt.Printf("failed %d\n", r.Sent-whole)
+	for _, verdict := range loadgen.Verdicts[1:] {
+		if n := r.Verdicts[verdict] + r.Duplicates[verdict]; n > 0 {
+			fmt.Printf("  %s %d\n", verdict, n)
+		}
+	}
+	for _, code := range slices.Sorted(maps.Keys(r.Codes)) {
+		fmt.Printf("  told %s %d times\n", code, r.Codes[code])
+	}
 	fmt.Printf("ran twice %d\n", j.RepeatedKeys)
 	fmt.Printf("over the slot limit %d\n", j.OverLimit)
 	fmt.Printf("p50 %.1f ms\n", r.Latency.P50)
 	fmt.Printf("p99 %.1f ms\n", r.Latency.P99)
-	printVerdicts("first requests", r.Verdicts)
-	printVerdicts("second requests", r.Duplicates)
-	return r.AnsweredWhole == calls && noBroken(r.Verdicts) && noBroken(r.Duplicates) && j.Clean()
-}
-
-func printVerdicts(title string, verdicts map[loadgen.Verdict]int) {
-	fmt.Printf("%s:", title)
-	for _, verdict := range loadgen.Verdicts {
-		if n := verdicts[verdict]; n > 0 {
-			fmt.Printf(" %s %d", verdict, n)
-		}
-	}
-	fmt.Println()
-}
-
-// noBroken reports whether every request got an answer of its own.
-func noBroken(verdicts map[loadgen.Verdict]int) bool {
-	return verdicts[loadgen.Cut]+verdicts[loadgen.TimedOut]+verdicts[loadgen.Foreign]+verdicts[loadgen.Corrupt] == 0
+	return whole == r.Sent && j.Clean()
 }
--- a/cmd/pomelolock-load/main.go
+++ b/cmd/pomelolock-load/main.go
@@ -39,6 +39,8 @@
 	Seed          uint64        `default:"1" help:"Seed of arrivals and mix."`
 	ResendPercent int           `default:"0" help:"Percentage of keyed calls sent twice with the same key."`
 	ResendAfter   time.Duration `default:"20ms" help:"Time after which they are sent again."`
+	Retries       int           `default:"0" help:"How often a call that was not answered whole is sent again."`
+	RetryPause    time.Duration `default:"50ms" help:"Wait before that, unless Retry-After says otherwise."`
 	Deadline      time.Duration `help:"Deadline to send as Request-Timeout-Ms."`
 	Timeout       time.Duration `default:"5s" help:"Longest wait for an answer."`
 	AnswerBytes   int           `help:"Least size of an answer."`
@@ -103,6 +105,8 @@
 		Seed:          c.Seed,
 		ResendPercent: c.ResendPercent,
 		ResendAfter:   c.ResendAfter,
+		Retries:       c.Retries,
+		RetryPause:    c.RetryPause,
 		Deadline:      c.Deadline,
 		Timeout:       c.Timeout,
 		AnswerBytes:   c.AnswerBytes,
--- a/internal/loadgen/call.go
+++ b/internal/loadgen/call.go
@@ -91,6 +91,8 @@
 	// reused tells that a cut call had been sent over a reused connection
 	// and no byte of an answer came back.
 	reused bool
+	// retryAfter is when the answer asks the caller to come back.
+	retryAfter time.Duration
 	// answer is the body's decoded form if it is whole.
 	answer backend.Answer
 }
@@ -129,7 +131,7 @@
 
 // judge decides about an answer that was read without an error.
 func judge(c call, resp *http.Response, body []byte) result {
-	r := result{status: resp.StatusCode}
+	r := result{status: resp.StatusCode, retryAfter: retryAfter(resp.Header)}
 	if resp.StatusCode != http.StatusOK {
 		r.verdict = refusalVerdict(resp.Header)
 		r.code = errorCode(body)
@@ -161,6 +163,14 @@
 	}
 }
 
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
 // errorCode returns the code of an answer of pomelolock's own, or "".
 func errorCode(body []byte) string {
 	var own struct {
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -179,3 +179,24 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+func TestCallersSendAgain(t *testing.T) {
+	var arrivals atomic.Int32
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if arrivals.Add(1) <= 2 {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		answer(w, r.URL.Query().Get(backend.ParamCall), -1)
+	})
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	opts := Options{Targets: []string{server.URL}, Timeout: time.Minute, Duration: time.Second, Retries: 2}
+	r := &runner{opts: opts, client: newClient(), recorder: newRecorder(opts, time.Now())}
+	defer r.client.CloseIdleConnections()
+	r.perform(t.Context(), call{mark: "1-1", kind: Kind{Keyed: true}, target: server.URL}, time.Now())
+	report, err := r.recorder.report()
+	if err != nil || report.Sent != 1 || report.Retried != 2 || report.Verdicts[Whole] != 1 || report.Calls["1-1"].Sent != 3 {
+		t.Errorf("report %+v, %v", report, err)
+	}
+}
--- a/internal/loadgen/options.go
+++ b/internal/loadgen/options.go
@@ -41,6 +41,11 @@
 	// key, ResendAfter later and to another target.
 	ResendPercent int
 	ResendAfter   time.Duration
+	// Retries is how often a caller sends a call again that was not answered
+	// whole, to another target each time. A caller waits as long as the
+	// answer's Retry-After says, within a second, or for RetryPause.
+	Retries    int
+	RetryPause time.Duration
 	// Deadline is sent as Request-Timeout-Ms if not zero.
 	Deadline time.Duration
 	// Timeout bounds each call; zero stands for 5 s.
--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -20,9 +20,11 @@
 type Report struct {
 	Seed            uint64  `json:"seed"`
 	DurationSeconds float64 `json:"duration_seconds"`
-	// Sent counts every request, Resent those sent for a second time.
+	// Sent counts the calls with those Resent at once for a second time.
 	Sent   int `json:"sent"`
 	Resent int `json:"resent"`
+	// Retried counts further requests of callers that sent again.
+	Retried int `json:"retried"`
 	// AnsweredWhole counts the calls of which at least one request was
 	// answered whole.
 	AnsweredWhole int `json:"answered_whole"`
@@ -129,6 +131,17 @@
 	}
 }
 
+// recordRetried adds the result of a request after which the caller sends again.
+func (r *recorder) recordRetried(c call, res result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Retried++
+	r.tell(c, res.verdict)
+	if res.code != "" {
+		r.result.Codes[res.code]++
+	}
+}
+
 func (r *recorder) tell(c call, verdict Verdict) {
 	told := r.result.Calls[c.mark]
 	told.Keyed = c.kind.Keyed
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -6,12 +6,16 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 )
 
+// maxRetryAfter bounds the wait that an answer may ask for.
+const maxRetryAfter = time.Second
+
 // runner holds one run.
 type runner struct {
 	opts     Options
@@ -100,7 +104,7 @@
 	}
 	duplicate := c
 	duplicate.resent = true
-	duplicate.target = r.opts.Targets[(target+1)%len(r.opts.Targets)]
+	duplicate.target = r.nextTarget(c.target)
 	return c, &duplicate
 }
 
@@ -112,10 +116,44 @@
 	}
 	r.group.Go(func() {
 		defer r.inFlight.Add(-1)
-		r.recorder.record(c, intended, send(ctx, r.client, c, &r.opts))
+		r.perform(ctx, c, intended)
 	})
 }
 
+// perform sends a call until it is answered whole or no retry is left.
+func (r *runner) perform(ctx context.Context, c call, intended time.Time) {
+	for retry := 0; ; retry++ {
+		res := send(ctx, r.client, c, &r.opts)
+		if res.verdict == Whole || retry >= r.opts.Retries || !r.waitRetry(ctx, res) {
+			r.recorder.record(c, intended, res)
+			return
+		}
+		r.recorder.recordRetried(c, res)
+		c.target = r.nextTarget(c.target)
+	}
+}
+
+// waitRetry waits until the caller sends again; it reports whether it shall.
+func (r *runner) waitRetry(ctx context.Context, res result) bool {
+	wait := r.opts.RetryPause
+	if res.retryAfter > 0 {
+		wait = min(res.retryAfter, maxRetryAfter)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *runner) nextTarget(target string) string {
+	targets := r.opts.Targets
+	return targets[(slices.Index(targets, target)+1)%len(targets)]
+}
+
 func (r *runner) resend(ctx context.Context, c call, at time.Time) {
 	r.group.Go(func() {
 		timer := time.NewTimer(time.Until(at))
