slot: a holder without leases or wants no longer suspects its coordinator

Cause: in make demo coordinators of quiet groups resigned every second or so (epochs 2, 4, 6, 8 within 3 s). A holder that asked and then returned its last lease kept waiting for an answer that coordinators don't owe to holders without leases; its next ask, however late, called the coordinator lost and another instance took the epoch. Ruled out: changing views (the list was constant). Change: the wait ends when nothing is wanted or held. Test: TestSettledHolderDoesNotSuspectItsCoordinator, failing before.

--- a/slot/holder.go
+++ b/slot/holder.go
@@ -244,9 +244,7 @@
 	h.askSeq++
 	h.sent.put(h.askSeq, now)
 	h.sentAt, h.wantSent = now, h.want
-	if h.waitingSince.IsZero() && (h.want > 0 || len(h.leases) > 0) {
-		h.waitingSince = now
-	}
+	h.awaitAnswer(now)
 	ask := &slotpb.Ask{
 		Group:   h.group.proto(),
 		Epoch:   h.epoch,
@@ -269,6 +267,18 @@
 	return ask
 }
 
+// awaitAnswer notes since when an answer is due. A coordinator does not answer
+// holders that neither want nor hold leases.
+func (h *holder) awaitAnswer(now time.Time) {
+	if h.want == 0 && len(h.leases) == 0 {
+		h.waitingSince = time.Time{}
+		return
+	}
+	if h.waitingSince.IsZero() {
+		h.waitingSince = now
+	}
+}
+
 // onGrant takes in a grant.
 func (h *holder) onGrant(from string, g *slotpb.Grant, now time.Time) {
 	if g.GetCoordinator() != "" {
