--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,36 +8,46 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pomelolock/pomelolock/burn"
 	"github.com/pomelolock/pomelolock/claim"
 	"github.com/pomelolock/pomelolock/loadbalancer"
+	"github.com/pomelolock/pomelolock/membership"
 	"github.com/pomelolock/pomelolock/metrics"
 	"github.com/pomelolock/pomelolock/peer"
 	"github.com/pomelolock/pomelolock/platform"
 	"github.com/pomelolock/pomelolock/platform/httpplatform"
+	"github.com/pomelolock/pomelolock/probe"
 	"github.com/pomelolock/pomelolock/proxy"
 	"github.com/pomelolock/pomelolock/settings"
 	"github.com/pomelolock/pomelolock/slot"
 	"github.com/pomelolock/pomelolock/table"
 )
 
+// listPollEvery is the mean time between two reads of the instance list.
+const listPollEvery = time.Second
+
 // Daemon is one instance.
 type Daemon struct {
 	set    *settings.Settings
 	logger *slog.Logger
 	self   platform.Instance
+	// started is when the process started.
+	started time.Time
 
 	platform *httpplatform.Client
 	current  *table.Current
 	store    *table.Store
 	sync     *table.Sync
 	mesh     *peer.Mesh
-	tracker  *listView
+	tracker  *membership.Tracker
 	slots    *slot.Manager
 	claims   *claim.Journal
 	recorder *burn.Recorder
 	burn     *burn.Keeper
+	probes   *probe.Budget
+	watch    *serverWatch
 	proxy    *proxy.Proxy
 	metrics  *metrics.Registry
 
@@ -71,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{set: set, logger: logger, self: instanceOf(set), current: table.NewCurrent(), platform: client}
+	d := &Daemon{set: set, logger: logger, self: instanceOf(set), started: time.Now(), current: table.NewCurrent(), platform: client}
 	if err := d.wireFleet(); err != nil {
 		return nil, err
 	}
@@ -117,7 +127,14 @@
 		TLS:    tlsConfig,
 		Logger: d.logger.With("part", "peer"),
 	})
-	d.tracker = newListView(d.self, d.platform, d.mesh)
+	d.tracker = membership.NewTracker(membership.Options{
+		Self:      d.self,
+		List:      d.platform,
+		Messenger: d.mesh,
+		Targets:   d.mesh,
+		PollEvery: listPollEvery,
+		Logger:    d.logger.With("part", "membership"),
+	})
 	d.store = table.NewStore(d.platform, d.platform)
 	d.sync = table.NewSync(table.SyncOptions{
 		Store:     d.store,
@@ -154,6 +171,7 @@
 		Current:  d.current,
 		Logger:   d.logger.With("part", "burn"),
 	})
+	d.wireProbes()
 	leaving := func(s table.Server) bool { return d.tracker.LeavingServer(s.Address) }
 	d.proxy = proxy.New(proxy.Options{
 		Current: d.current,
@@ -164,7 +182,7 @@
 		}),
 		Claimer:   d.claims,
 		Recorder:  d.recorder,
-		Observer:  d.tracker,
+		Observer:  d.watch,
 		ConnLimit: d.connLimit,
 		Logger:    d.logger.With("part", "proxy"),
 		Instance:  d.self.ID,
@@ -236,5 +254,7 @@
 		{"slots", d.slots.Run},
 		{"claims", d.claims.Run},
 		{"transports", d.proxy.Run},
+		{"probe budget", d.probes.Run},
+		{"probes", d.watch.prober.Run},
 	}
 }
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"crypto/tls"
 	"errors"
 	"log/slog"
@@ -30,7 +29,7 @@
 		}
 		*l.listener = opened
 	}
-	d.callers = d.server(d.proxy)
+	d.callers = d.server(d.closeAfterAnswer(d.proxy))
 	d.operators = d.server(d.operatorHandler())
 	return nil
 }
@@ -94,16 +93,3 @@
 	}
 	return err
 }
-
-// ready returns the reason for which the instance should get no requests.
-func (d *Daemon) ready(context.Context) error {
-	if d.leaving.Load() {
-		return &LeavingError{}
-	}
-	return d.sync.Ready()
-}
-
-// LeavingError reports an instance that is shutting down.
-type LeavingError struct{}
-
-func (*LeavingError) Error() string { return "daemon: the instance is leaving" }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -38,10 +38,10 @@
 	Record(service string, whole bool, latency time.Duration)
 }
 
-// ServerObserver hears what answers tell of backend servers.
+// ServerObserver hears what attempts tell of backend servers.
 type ServerObserver interface {
-	// ReportLeavingServer tells that the server at the address drains.
-	ReportLeavingServer(address string)
+	// Observe receives the end of an attempt. It must not block.
+	Observe(server table.Server, result loadbalancer.Result)
 }
 
 // Options are the parts that a [Proxy] works with.
@@ -187,8 +187,8 @@
 	if result.Class == loadbalancer.ClassOK {
 		p.service(service).latencies.add(result.Latency)
 	}
-	if p.opts.Observer != nil && result.Load != nil && result.Load.Draining {
-		p.opts.Observer.ReportLeavingServer(server.Address)
+	if p.opts.Observer != nil {
+		p.opts.Observer.Observe(server, result)
 	}
 }
 
