--- a/internal/loadgen/options.go
+++ b/internal/loadgen/options.go
@@ -32,7 +32,12 @@
 type Options struct {
 	// Targets are base URLs; calls go to one of them at random.
 	Targets []string
-	Kinds   []Kind
+	// ReadyURLs, if any, are the readiness URLs of the targets in the same
+	// order. Like the platform's balancer, the load then leaves out targets
+	// that are not ready, BalancerLag after they changed.
+	ReadyURLs   []string
+	BalancerLag time.Duration
+	Kinds       []Kind
 	// Rate is the mean number of calls a second until a step changes it.
 	Rate     float64
 	Duration time.Duration
@@ -41,6 +46,11 @@
 	// key, ResendAfter later and to another target.
 	ResendPercent int
 	ResendAfter   time.Duration
+	// Retries is how often a caller sends a call again that was not answered
+	// whole, to another target each time. A caller waits as long as the
+	// answer's Retry-After says, within a second, or for RetryPause.
+	Retries    int
+	RetryPause time.Duration
 	// Deadline is sent as Request-Timeout-Ms if not zero.
 	Deadline time.Duration
 	// Timeout bounds each call; zero stands for 5 s.
@@ -65,6 +75,9 @@
 	if len(o.Targets) == 0 {
 		return &OptionsError{Field: "Targets", Reason: "must not be empty"}
 	}
+	if len(o.ReadyURLs) != 0 && len(o.ReadyURLs) != len(o.Targets) {
+		return &OptionsError{Field: "ReadyURLs", Reason: "must be as many as Targets"}
+	}
 	if o.Rate <= 0 || o.Rate > MaxRate {
 		return &OptionsError{Field: "Rate", Reason: fmt.Sprintf("must be within 0 and %d", MaxRate)}
 	}
--- a/slot/holder.go
+++ b/slot/holder.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -15,6 +16,8 @@
 	renewRetry = leaseTTL / 10
 	// suspectAfter is the silence from which a coordinator is taken for lost.
 	suspectAfter = leaseTTL / 5
+	// busyWeight is the weight of one tick in the average of busy leases.
+	busyWeight = 0.2
 )
 
 type leaseState int
@@ -84,6 +87,8 @@
 	usual time.Duration
 
 	want int
+	// busy is the average number of leases in use.
+	busy float64
 	// due tells that the coordinator should hear the present state now.
 	due    bool
 	sentAt time.Time
@@ -190,7 +195,11 @@
 // tick ends cooling, returns leases that were idle for long, and renews.
 func (h *holder) tick(now time.Time) {
 	h.usual = h.usualLatency()
+	inUse := 0
 	for _, l := range h.leases {
+		if l.state != leaseIdle {
+			inUse++
+		}
 		switch l.state {
 		case leaseCooling:
 			if !now.Before(l.coolUntil) {
@@ -204,6 +213,7 @@
 			h.noteOverdue(l, now)
 		}
 	}
+	h.busy += busyWeight * (float64(inUse) - h.busy)
 	if len(h.leases) > 0 && now.Sub(h.basis) >= renewAfter && now.Sub(h.sentAt) >= renewRetry {
 		h.due = true
 	}
@@ -234,9 +244,7 @@
 	h.askSeq++
 	h.sent.put(h.askSeq, now)
 	h.sentAt, h.wantSent = now, h.want
-	if h.waitingSince.IsZero() && (h.want > 0 || len(h.leases) > 0) {
-		h.waitingSince = now
-	}
+	h.awaitAnswer(now)
 	ask := &slotpb.Ask{
 		Group:   h.group.proto(),
 		Epoch:   h.epoch,
@@ -251,16 +259,26 @@
 		Stale:   now.Before(h.staleUntil),
 	}
 	ids := make([]leaseID, 0, len(h.leases))
-	for id, l := range h.leases {
+	for id := range h.leases {
 		ids = append(ids, id)
-		if l.state != leaseIdle {
-			ask.Busy++
-		}
 	}
 	ask.Held = packIDs(ids)
+	ask.Busy = uint32(math.Ceil(h.busy))
 	return ask
 }
 
+// awaitAnswer notes since when an answer is due. A coordinator does not answer
+// holders that neither want nor hold leases.
+func (h *holder) awaitAnswer(now time.Time) {
+	if h.want == 0 && len(h.leases) == 0 {
+		h.waitingSince = time.Time{}
+		return
+	}
+	if h.waitingSince.IsZero() {
+		h.waitingSince = now
+	}
+}
+
 // onGrant takes in a grant.
 func (h *holder) onGrant(from string, g *slotpb.Grant, now time.Time) {
 	if g.GetCoordinator() != "" {
--- a/slot/manager_test.go
+++ b/slot/manager_test.go
@@ -70,6 +70,11 @@
 	// running are the requests on each server, most the highest seen.
 	running map[string]int
 	most    map[string]int
+	// slow are the servers that take slowBy as long, failing those that fail
+	// at once.
+	slow    map[string]bool
+	failing map[string]bool
+	served  map[string]int
 
 	managers []*slot.Manager
 	stop     []context.CancelFunc
@@ -94,14 +99,19 @@
 }
 
 func newFleet(t *testing.T) *fleet {
+	return newFleetOf(t, fleetTable(), func(int) string { return "dc-1" })
+}
+
+func newFleetOf(t *testing.T, doc table.Document, dataCentre func(entry int) string) *fleet {
 	f := &fleet{
 		t: t, random: rand.New(rand.NewPCG(1, 2)), net: peertest.NewNetwork(250 * time.Microsecond), store: memory.New(), current: table.NewCurrent(),
 		leaving: make(map[string]bool), changed: make(chan struct{}),
 		running: make(map[string]int), most: make(map[string]int),
+		slow: make(map[string]bool), failing: make(map[string]bool), served: make(map[string]int),
 	}
-	f.current.Swap(table.Compile(fleetTable()))
+	f.current.Swap(table.Compile(doc))
 	for i := range fleetSize {
-		f.entries = append(f.entries, platform.Instance{ID: fmt.Sprintf("entry-%02d", i), Role: platform.RoleEntry, DataCentre: "dc-1"})
+		f.entries = append(f.entries, platform.Instance{ID: fmt.Sprintf("entry-%02d", i), Role: platform.RoleEntry, DataCentre: dataCentre(i)})
 	}
 	for _, instance := range f.entries {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -130,24 +140,49 @@
 	f.stop[i]()
 }
 
-func (f *fleet) run(i int, work, deadline time.Duration, flow string) (time.Duration, error) {
+// slowBy is the factor by which slow servers are slower.
+const slowBy = 8
+
+var errFailed = errors.New("server failed")
+
+func (f *fleet) run(i int, need time.Duration) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(f.t.Context(), deadline)
 	defer cancel()
 	started := time.Now()
-	permit, err := f.managers[i].Acquire(ctx, loadbalancer.Request{Service: "lookup", Flow: flow})
+	permit, err := f.managers[i].Acquire(ctx, loadbalancer.Request{Service: "lookup"})
 	if err != nil {
 		return 0, err
 	}
-	f.enter(permit.Server.Name, 1)
-	time.Sleep(work)
-	f.enter(permit.Server.Name, -1)
-	permit.Release(loadbalancer.Result{Class: loadbalancer.ClassOK, Latency: work})
-	if time.Since(started) > deadline {
+	sent := time.Now()
+	class := f.serve(permit.Server.Name, need)
+	permit.Release(loadbalancer.Result{Class: class, Latency: time.Since(sent)})
+	switch {
+	case class != loadbalancer.ClassOK:
+		return 0, errFailed
+	case time.Since(started) > deadline:
 		return 0, context.DeadlineExceeded
 	}
 	return time.Since(started), nil
 }
 
+// serve takes as long as the server needs for a request.
+func (f *fleet) serve(server string, need time.Duration) loadbalancer.Class {
+	f.mu.Lock()
+	f.served[server]++
+	failing, slow := f.failing[server], f.slow[server]
+	f.mu.Unlock()
+	if failing {
+		return loadbalancer.ClassFailed
+	}
+	if slow {
+		need *= slowBy
+	}
+	f.enter(server, 1)
+	defer f.enter(server, -1)
+	time.Sleep(need)
+	return loadbalancer.ClassOK
+}
+
 func (f *fleet) enter(server string, change int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -157,16 +192,20 @@
 
 // load is what a run of open-loop requests gave.
 type load struct {
-	sent, whole, refused, late int
-	waits                      []time.Duration
+	sent, whole, refused, late, failed int
+	waits                              []time.Duration
+	took                               []time.Duration
+	// steady counts the whole answers in the second half of the time.
+	steady      int
+	from, until time.Time
 }
 
-func (l *load) percentile(share float64) time.Duration {
-	if len(l.waits) == 0 {
+func percentile(of []time.Duration, share float64) time.Duration {
+	if len(of) == 0 {
 		return 0
 	}
-	slices.Sort(l.waits)
-	return l.waits[int(share*float64(len(l.waits)-1))]
+	slices.Sort(of)
+	return of[int(share*float64(len(of)-1))]
 }
 
 // half is half of what the servers of a fleet can do, in requests per second;
@@ -182,14 +221,14 @@
 func (f *fleet) drive(rate int, length time.Duration, alive func(int) bool) *load {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	l := &load{}
-	for end := time.Now().Add(length); time.Now().Before(end); {
+	l := &load{from: time.Now().Add(length / 2), until: time.Now().Add(length)}
+	for time.Now().Before(l.until) {
 		i := f.random.IntN(len(f.managers))
 		need := time.Duration(f.random.ExpFloat64() * float64(work))
 		if alive == nil || alive(i) {
 			l.sent++
 			wg.Go(func() {
-				latency, err := f.run(i, need, deadline, "")
+				latency, err := f.run(i, need)
 				mu.Lock()
 				defer mu.Unlock()
 				l.count(latency, err, need)
@@ -201,12 +240,18 @@
 	return l
 }
 
-func (l *load) count(latency time.Duration, err error, work time.Duration) {
+func (l *load) count(latency time.Duration, err error, need time.Duration) {
 	var overload *loadbalancer.OverloadError
 	switch {
 	case err == nil:
 		l.whole++
-		l.waits = append(l.waits, latency-work)
+		if now := time.Now(); now.After(l.from) && now.Before(l.until) {
+			l.steady++
+		}
+		l.waits = append(l.waits, latency-need)
+		l.took = append(l.took, latency)
+	case errors.Is(err, errFailed):
+		l.failed++
 	case errors.As(err, &overload):
 		l.refused++
 	default:
@@ -238,6 +283,19 @@
 	return total
 }
 
+func (f *fleet) checkConnections() {
+	f.t.Helper()
+	for _, server := range f.current.Load().Servers("lookup") {
+		sum := 0
+		for _, m := range f.managers {
+			sum += m.ConnLimit(server.Name)
+		}
+		if sum > server.Connections || sum < server.Slots {
+			f.t.Errorf("the instances may open %d connections to %s, the table allows %d", sum, server.Name, server.Connections)
+		}
+	}
+}
+
 // TestFleetAtHalfLoad runs 18 instances over 20 servers at half load.
 func TestFleetAtHalfLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -248,18 +306,19 @@
 		l := f.drive(half, 2*time.Second, nil)
 		after := f.total()
 		t.Logf("sent %d whole %d refused %d late %d, wait p50 %v p99 %v, messages per request %.3f, bytes per second and instance %.0f, store writes %d",
-			l.sent, l.whole, l.refused, l.late, l.percentile(0.5), l.percentile(0.99),
+			l.sent, l.whole, l.refused, l.late, percentile(l.waits, 0.5), percentile(l.waits, 0.99),
 			float64(after.Messages-before.Messages)/float64(l.sent), float64(after.Bytes-before.Bytes)/2/fleetSize, after.StoreWrites-before.StoreWrites)
 		if l.whole != l.sent {
 			t.Errorf("%d of %d requests were whole", l.whole, l.sent)
 		}
-		if p99 := l.percentile(0.99); p99 > 5*time.Millisecond {
+		if p99 := percentile(l.waits, 0.99); p99 > 5*time.Millisecond {
 			t.Errorf("p99 of the wait for a slot is %v", p99)
 		}
 		if writes := after.StoreWrites - before.StoreWrites; writes > 0 {
 			t.Errorf("%d store writes in steady traffic", writes)
 		}
 		f.checkSlots()
+		f.checkConnections()
 	})
 }
 
@@ -277,7 +336,7 @@
 		dead := coordinatorOf(f)
 		f.crash(dead)
 		l := f.drive(half, 4*time.Second, func(i int) bool { return i != dead })
-		t.Logf("during the takeover: sent %d whole %d refused %d late %d, wait p99 %v", l.sent, l.whole, l.refused, l.late, l.percentile(0.99))
+		t.Logf("during the takeover: sent %d whole %d refused %d late %d, wait p99 %v", l.sent, l.whole, l.refused, l.late, percentile(l.waits, 0.99))
 		if l.whole < l.sent*9/10 {
 			t.Errorf("%d of %d requests were whole", l.whole, l.sent)
 		}
@@ -292,23 +351,25 @@
 	})
 }
 
-// TestHandover passes the coordinator on under load; no request is lost and the
-// table service is not needed for it.
+// TestHandover passes the coordinator on three times under load, past instances
+// that are leaving too. No request is lost, and the table service is down.
 func TestHandover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		defer f.close()
 		f.drive(half, time.Second, nil)
 		f.store.SetFaults(memory.Faults{Down: true})
-		old := coordinatorOf(f)
-		if err := f.managers[old].Handover(t.Context()); err != nil {
-			t.Fatalf("handover: %v", err)
-		}
-		if next := coordinatorOf(f); next < 0 || next == old {
-			t.Fatalf("coordinator is at %d after the handover from %d", next, old)
+		for range 3 {
+			old := coordinatorOf(f)
+			if err := f.managers[old].Handover(t.Context()); err != nil {
+				t.Fatalf("handover: %v", err)
+			}
+			if next := coordinatorOf(f); next < 0 || next == old {
+				t.Fatalf("coordinator is at %d after the handover from %d", next, old)
+			}
 		}
 		l := f.drive(half, 3*time.Second, nil)
-		t.Logf("store down: sent %d whole %d refused %d late %d, wait p99 %v", l.sent, l.whole, l.refused, l.late, l.percentile(0.99))
+		t.Logf("store down: sent %d whole %d refused %d late %d, wait p99 %v", l.sent, l.whole, l.refused, l.late, percentile(l.waits, 0.99))
 		if l.whole != l.sent {
 			t.Errorf("%d of %d requests were whole", l.whole, l.sent)
 		}
@@ -323,17 +384,143 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		defer f.close()
-		f.drive(2*half, time.Second, nil)
 		full := f.drive(2*half, 2*time.Second, nil)
-		f.drive(4*half, time.Second, nil)
 		over := f.drive(4*half, 2*time.Second, nil)
 		for name, l := range map[string]*load{"full": full, "twofold": over} {
-			t.Logf("%s load: sent %d whole %d refused %d late %d, wait p50 %v p99 %v",
-				name, l.sent, l.whole, l.refused, l.late, l.percentile(0.5), l.percentile(0.99))
+			t.Logf("%s load: sent %d whole %d (%d in the second half) refused %d late %d, wait p50 %v p99 %v",
+				name, l.sent, l.whole, l.steady, l.refused, l.late, percentile(l.waits, 0.5), percentile(l.waits, 0.99))
+		}
+		if float64(over.steady) < 0.95*float64(full.steady) {
+			t.Errorf("goodput fell from %d to %d", full.steady, over.steady)
+		}
+		if over.late > over.whole/100 {
+			t.Errorf("%d requests ran late", over.late)
+		}
+		f.checkSlots()
+	})
+}
+
+// TestSlowServersGetLess lets servers turn 8 times slower for 200 ms at random,
+// each about 5% of the time.
+func TestSlowServersGetLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		ctx, stop := context.WithCancel(t.Context())
+		f.done.Go(func() { f.turnSlow(ctx) })
+		f.drive(half, time.Second, nil)
+		l := f.drive(half, 4*time.Second, nil)
+		stop()
+		t.Logf("sent %d whole %d, p50 %v p99 %v", l.sent, l.whole, percentile(l.took, 0.5), percentile(l.took, 0.99))
+		if p99 := percentile(l.took, 0.99); p99 > 12*work {
+			t.Errorf("p99 is %v at a mean work of %v", p99, work)
+		}
+		f.checkSlots()
+	})
+}
+
+func (f *fleet) turnSlow(ctx context.Context) {
+	random := rand.New(rand.NewPCG(3, 4))
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(random.ExpFloat64() * float64(4*time.Second/fleetServers)))
+		server := fmt.Sprintf("server-%d", random.IntN(fleetServers))
+		f.setSlow(server, true)
+		time.AfterFunc(200*time.Millisecond, func() { f.setSlow(server, false) })
+	}
+}
+
+func (f *fleet) setSlow(server string, slow bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.slow[server] = slow
+}
+
+// TestFastFailureIsNoMerit lets one server fail every request in no time.
+func TestFastFailureIsNoMerit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		f.failing["server-3"] = true
+		l := f.drive(half, 4*time.Second, nil)
+		t.Logf("sent %d failed %d; a fair share is %d", l.sent, l.failed, l.sent/fleetServers)
+		if l.failed > l.sent/fleetServers/5 {
+			t.Errorf("%d of %d requests went to the failing server", l.failed, l.sent)
+		}
+		f.failing["server-3"] = false
+		f.drive(half, 4*time.Second, nil)
+		before := f.served["server-3"]
+		l = f.drive(half, time.Second, nil)
+		if after := f.served["server-3"] - before; after < l.sent/fleetServers/4 {
+			t.Errorf("after its recovery the server got %d of %d requests", after, l.sent)
+		}
+	})
+}
+
+// TestOtherDataCentreHelpsOut gives each of two data centres its own servers,
+// and one of them more load than its servers can take.
+func TestOtherDataCentreHelpsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		doc := fleetTable()
+		for i := range doc.Servers {
+			if i%2 == 1 {
+				doc.Servers[i].DataCentre = "dc-2"
+			}
 		}
-		if float64(over.whole) < 0.9*float64(full.whole) {
-			t.Errorf("goodput fell from %d to %d", full.whole, over.whole)
+		f := newFleetOf(t, doc, func(entry int) string { return fmt.Sprintf("dc-%d", 1+entry%2) })
+		defer f.close()
+		first := func(i int) bool { return i%2 == 0 }
+		l := f.drive(half/2, 2*time.Second, first)
+		t.Logf("quarter load: sent %d whole %d, dc-2 served %d", l.sent, l.whole, f.servedIn("dc-2"))
+		if l.whole != l.sent || f.servedIn("dc-2") > l.sent/20 {
+			t.Errorf("%d of %d whole, %d in the other data centre", l.whole, l.sent, f.servedIn("dc-2"))
+		}
+		before := f.servedIn("dc-2")
+		l = f.drive(3*half, 2*time.Second, first)
+		t.Logf("local servers at 1.5 times their load: sent %d whole %d, dc-2 served %d", l.sent, l.whole, f.servedIn("dc-2")-before)
+		if l.whole < l.sent*95/100 {
+			t.Errorf("%d of %d requests were whole", l.whole, l.sent)
 		}
 		f.checkSlots()
 	})
 }
+
+func (f *fleet) servedIn(dataCentre string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	served := 0
+	for _, server := range f.current.Load().Servers("lookup") {
+		if server.DataCentre == dataCentre {
+			served += f.served[server.Name]
+		}
+	}
+	return served
+}
+
+// TestAcquireHonoursRequest covers exclusion and requests that don't wait.
+func TestAcquireHonoursRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		doc := fleetTable()
+		doc.Servers = doc.Servers[:2]
+		f := newFleetOf(t, doc, func(int) string { return "dc-1" })
+		defer f.close()
+		req := loadbalancer.Request{Service: "lookup", NoWait: true}
+		var overload *loadbalancer.OverloadError
+		if _, err := f.managers[0].Acquire(t.Context(), req); !errors.As(err, &overload) || overload.RetryAfter <= 0 {
+			t.Errorf("without a lease NoWait gave %v", err)
+		}
+		for range 2 * fleetSlots {
+			permit, err := f.managers[0].Acquire(t.Context(), loadbalancer.Request{Service: "lookup", Exclude: []string{"server-0"}})
+			if err != nil {
+				t.Fatalf("acquire: %v", err)
+			}
+			if permit.Server.Name == "server-0" {
+				t.Errorf("got the excluded server")
+			}
+			permit.Release(loadbalancer.Result{Latency: work})
+		}
+		var unknown *loadbalancer.NoServerError
+		if _, err := f.managers[0].Acquire(t.Context(), loadbalancer.Request{Service: "other"}); !errors.As(err, &unknown) {
+			t.Errorf("an unknown service gave %v", err)
+		}
+	})
+}
