--- a/slot/grant.go
+++ b/slot/grant.go
@@ -243,7 +243,10 @@
 
 // message returns the grant that is due to a holder, or nil.
 func (c *coordinator) message(h *holderState, authoritative bool, now time.Time) *slotpb.Grant {
-	if h.gatherDue && now.Sub(h.gatheredAt) >= gatherInterval {
+	// A successor that may not act yet gathers those that ask, lest they take
+	// it for lost.
+	gatherDue := h.gatherDue || !c.acting && h.replyDue
+	if gatherDue && now.Sub(h.gatheredAt) >= gatherInterval {
 		h.gatherDue = !h.reached && !c.settled
 		h.gatheredAt = now
 		return c.stamp(h, &slotpb.Grant{Gather: true}, now)
--- a/slot/manager_test.go
+++ b/slot/manager_test.go
@@ -12,8 +12,11 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/pomelolock/pomelolock/loadbalancer"
+	"github.com/pomelolock/pomelolock/peer"
+	"github.com/pomelolock/pomelolock/peer/peerpb"
 	"github.com/pomelolock/pomelolock/peer/peertest"
 	"github.com/pomelolock/pomelolock/platform"
 	"github.com/pomelolock/pomelolock/platform/memory"
@@ -55,6 +58,51 @@
 	return v.fleet.changed
 }
 
+// freezer delays the messages of a node while it is frozen, as a paused process
+// would, with its sessions still open.
+type freezer struct {
+	*peertest.Node
+	mu   sync.Mutex
+	thaw chan struct{}
+}
+
+func (z *freezer) wait() {
+	z.mu.Lock()
+	thaw := z.thaw
+	z.mu.Unlock()
+	if thaw != nil {
+		<-thaw
+	}
+}
+
+func (z *freezer) freeze(length time.Duration) {
+	thaw := make(chan struct{})
+	z.mu.Lock()
+	z.thaw = thaw
+	z.mu.Unlock()
+	time.AfterFunc(length, func() {
+		z.mu.Lock()
+		z.thaw = nil
+		z.mu.Unlock()
+		close(thaw)
+	})
+}
+
+func (z *freezer) Handle(kind peerpb.Kind, h peer.Handler) {
+	z.Node.Handle(kind, func(ctx context.Context, from string, payload []byte) (proto.Message, error) {
+		z.wait()
+		return h(ctx, from, payload)
+	})
+}
+
+func (z *freezer) Send(to string, kind peerpb.Kind, msg proto.Message) error {
+	go func() {
+		z.wait()
+		_ = z.Node.Send(to, kind, msg)
+	}()
+	return nil
+}
+
 // fleet is a set of managers on an in-memory network, with one service.
 type fleet struct {
 	t       *testing.T
@@ -77,6 +125,7 @@
 	served  map[string]int
 
 	managers []*slot.Manager
+	freezers []*freezer
 	stop     []context.CancelFunc
 	done     sync.WaitGroup
 }
@@ -115,8 +164,10 @@
 	}
 	for _, instance := range f.entries {
 		ctx, cancel := context.WithCancel(t.Context())
+		z := &freezer{Node: f.net.Join(instance.ID)}
+		f.freezers = append(f.freezers, z)
 		m := slot.New(slot.Options{
-			Messenger: f.net.Join(instance.ID), View: &fleetView{self: instance, fleet: f}, Tables: f.store, Current: f.current,
+			Messenger: z, View: &fleetView{self: instance, fleet: f}, Tables: f.store, Current: f.current,
 		})
 		f.managers = append(f.managers, m)
 		f.stop = append(f.stop, cancel)
@@ -351,6 +402,39 @@
 	})
 }
 
+// TestFrozenCoordinator cuts the coordinator off for longer than leases last,
+// with its sessions open. Its old messages arrive when it wakes.
+func TestFrozenCoordinator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		f.drive(half, time.Second, nil)
+		frozen := coordinatorOf(f)
+		f.freezers[frozen].freeze(5 * time.Second)
+		l := f.drive(half, 4*time.Second, func(i int) bool { return i != frozen })
+		t.Logf("frozen: sent %d whole %d refused %d late %d, wait p99 %v", l.sent, l.whole, l.refused, l.late, percentile(l.waits, 0.99))
+		if l.whole < l.sent*85/100 {
+			t.Errorf("%d of %d requests were whole", l.whole, l.sent)
+		}
+		f.drive(half, 3*time.Second, nil)
+		l = f.drive(half, time.Second, nil)
+		if l.whole != l.sent {
+			t.Errorf("after the pause %d of %d requests were whole", l.whole, l.sent)
+		}
+		if n := f.coordinators(); n != 1 {
+			t.Errorf("%d coordinators run after the pause", n)
+		}
+		f.checkSlots()
+	})
+}
+
+func (f *fleet) coordinators() (n int) {
+	for _, m := range f.managers {
+		n += m.Stats().Coordinated
+	}
+	return n
+}
+
 // TestHandover passes the coordinator on three times under load, past instances
 // that are leaving too. No request is lost, and the table service is down.
 func TestHandover(t *testing.T) {
