Show backend servers as their coordinators see them; report burn from a daemon

Cause: only the instance that leases a server's slots knows its leases, window and latency, so sums over instances said less. Change: operator.Backend carries these; Keeper.Burn builds the report for the operator listener at most every 30 s.

--- a/burn/keeper.go
+++ b/burn/keeper.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	mathrand "math/rand/v2"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pomelolock/pomelolock/burn/burnpb"
@@ -26,6 +27,8 @@
 	mergeAfter = hoursInMemory + 1
 	// storeTimeout bounds one call to the store.
 	storeTimeout = 5 * time.Second
+	// reportEvery is the age up to which a report is answered again.
+	reportEvery = 30 * time.Second
 	// processBytes is the length of a process's random name.
 	processBytes = 8
 )
@@ -50,6 +53,10 @@
 	failing bool
 	// merged holds the hours that had a merged object in the last round.
 	merged map[int64]bool
+
+	reportMu sync.Mutex
+	report   Report
+	reported time.Time
 }
 
 // NewKeeper returns a keeper for one process.
@@ -151,12 +158,12 @@
 		if err != nil {
 			k.opts.Recorder.markDirty(hour.GetHour())
 		}
-		k.report(err)
+		k.logWrite(err)
 	}
 }
 
-// report logs when writing begins to fail and when it works again.
-func (k *Keeper) report(err error) {
+// logWrite logs when writing begins to fail and when it works again.
+func (k *Keeper) logWrite(err error) {
 	if err != nil && !k.failing {
 		k.log.Warn("burn_write_failed", "error", err)
 	}
@@ -186,3 +193,24 @@
 		counts.dirty = true
 	}
 }
+
+// Burn returns the report of the fleet for the table in force. It is built at
+// most every reportEvery, since it reads the objects of three days.
+func (k *Keeper) Burn(ctx context.Context) (Report, error) {
+	var objectives []Objective
+	if snapshot := k.opts.Current.Load(); snapshot != nil {
+		objectives = ObjectivesOf(snapshot.Document())
+	}
+	k.reportMu.Lock()
+	defer k.reportMu.Unlock()
+	now := time.Now()
+	if !k.reported.IsZero() && now.Sub(k.reported) < reportEvery {
+		return k.report, nil
+	}
+	report, err := BuildReport(ctx, k.opts.Objects, objectives, now)
+	if err != nil {
+		return Report{}, err
+	}
+	k.report, k.reported = report, now
+	return report, nil
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -42,7 +42,7 @@
 	SettingsCmd settingsCmd   `cmd:"" name:"settings" help:"Check and show settings files."`
 	Table       tableCmd      `cmd:"" help:"Work with the table."`
 	Instances   instancesCmd  `cmd:"" help:"List the instances and their state."`
-	Backends    backendsCmd   `cmd:"" help:"Show backend servers as the instances see them."`
+	Backends    backendsCmd   `cmd:"" help:"Show backend servers as the instances that lease their slots see them."`
 	Report      reportCmd     `cmd:"" help:"Reports."`
 	Version     versionCmd    `cmd:"" help:"Print the release."`
 	Completion  completionCmd `cmd:"" help:"Print a script that completes commands in the shell."`
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -71,26 +71,11 @@
 	Service string `help:"Show one service only."`
 }
 
-// backendState is a backend server over all instances.
-type backendState struct {
-	Service    string `json:"service"`
-	Name       string `json:"name"`
-	DataCentre string `json:"data_centre"`
-	Slots      int    `json:"slots"`
-	// Held and InFlight are sums over the instances that answered.
-	Held     int `json:"held"`
-	InFlight int `json:"in_flight"`
-	// LatencyMS and ErrorShare are the highest that an instance sees.
-	LatencyMS  float64  `json:"latency_ms"`
-	ErrorShare float64  `json:"error_share"`
-	States     []string `json:"states"`
-	Instances  int      `json:"instances"`
-}
-
-// backendsOutput also tells which instances are not in the sums.
+// backendsOutput also tells which instances, and with them the servers whose
+// slots they lease, are not in the list.
 type backendsOutput struct {
-	Backends    []*backendState `json:"backends"`
-	Unreachable []string        `json:"unreachable"`
+	Backends    []operator.Backend `json:"backends"`
+	Unreachable []string           `json:"unreachable"`
 }
 
 func (c *backendsCmd) Run(a *app) error {
@@ -101,7 +86,7 @@
 	answers := make([]operator.Backends, len(members))
 	errs := make([]error, len(members))
 	askAll(members, func(i int, m member) { answers[i], errs[i] = m.client.Backends(a.ctx) })
-	out := backendsOutput{Backends: []*backendState{}, Unreachable: []string{}}
+	out := backendsOutput{Unreachable: []string{}}
 	for i, err := range errs {
 		if err != nil {
 			out.Unreachable = append(out.Unreachable, members[i].name())
@@ -114,52 +99,31 @@
 	return a.print(out, out.writeText)
 }
 
-// merge adds up what the instances see of each backend server.
-func (c *backendsCmd) merge(answers []operator.Backends) []*backendState {
-	byName := make(map[string]*backendState)
-	merged := []*backendState{}
+// merge lists what the instances told, sorted by service and name.
+func (c *backendsCmd) merge(answers []operator.Backends) []operator.Backend {
+	merged := []operator.Backend{}
 	for _, answer := range answers {
 		for _, b := range answer.Backends {
-			if c.Service != "" && b.Service != c.Service {
-				continue
-			}
-			state := byName[b.Name]
-			if state == nil {
-				state = &backendState{Service: b.Service, Name: b.Name, DataCentre: b.DataCentre}
-				byName[b.Name] = state
-				merged = append(merged, state)
+			if c.Service == "" || b.Service == c.Service {
+				merged = append(merged, b)
 			}
-			state.add(b)
 		}
 	}
-	slices.SortFunc(merged, func(x, y *backendState) int {
+	slices.SortFunc(merged, func(x, y operator.Backend) int {
 		return strings.Compare(x.Service+" "+x.Name, y.Service+" "+y.Name)
 	})
 	return merged
 }
 
-func (s *backendState) add(b operator.Backend) {
-	s.Slots = max(s.Slots, b.Slots)
-	s.Held += b.Held
-	s.InFlight += b.InFlight
-	s.LatencyMS = max(s.LatencyMS, b.LatencyMS)
-	s.ErrorShare = max(s.ErrorShare, b.ErrorShare)
-	s.Instances++
-	if !slices.Contains(s.States, b.State) {
-		s.States = append(s.States, b.State)
-		slices.Sort(s.States)
-	}
-}
-
 func (o backendsOutput) writeText(w io.Writer) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(tw, "SERVICE\tBACKEND SERVER\tDATA CENTRE\tSLOTS\tHELD\tIN FLIGHT\tLATENCY MS\tERRORS %\tSTATE")
+	fmt.Fprintln(tw, "SERVICE\tBACKEND SERVER\tDATA CENTRE\tSLOTS\tLEASED\tWINDOW\tLATENCY MS\tSTATE")
 	for _, b := range o.Backends {
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%d\t%d\t%.1f\t%.1f\t%s\n", b.Service, b.Name, b.DataCentre,
-			b.Slots, b.Held, b.InFlight, b.LatencyMS, 100*b.ErrorShare, strings.Join(b.States, ","))
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%d\t%.1f\t%.1f\t%s\n", b.Service, b.Name, b.DataCentre,
+			b.Slots, b.Leased, b.Window, b.LatencyMS, b.State)
 	}
 	for _, id := range o.Unreachable {
-		fmt.Fprintf(tw, "not in the sums, since unreachable: %s\n", id)
+		fmt.Fprintf(tw, "unreachable: %s; servers whose slots it leases are not listed\n", id)
 	}
 	return tw.Flush()
 }
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -152,7 +152,10 @@
 }
 
 func (i *testInstance) Backends() []operator.Backend {
-	return []operator.Backend{{Service: "catalogue", Name: "cat-1", DataCentre: "praha-1", Slots: 6, Held: 2, InFlight: 1, State: "serving", LatencyMS: 4}}
+	if i.id != "entry-2" {
+		return nil
+	}
+	return []operator.Backend{{Service: "catalogue", Name: "cat-1", DataCentre: "praha-1", Slots: 6, Leased: 4, Window: 6, State: "serving", LatencyMS: 4}}
 }
 
 type idView struct {
--- a/operator/client.go
+++ b/operator/client.go
@@ -45,7 +45,7 @@
 	return status, err
 }
 
-// Backends returns what the instance sees of the backend servers.
+// Backends returns the backend servers whose slots the instance leases.
 func (c *Client) Backends(ctx context.Context) (Backends, error) {
 	var backends Backends
 	err := c.do(ctx, http.MethodGet, "/backends", nil, &backends)
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -21,7 +21,7 @@
 type Reporter interface {
 	// Status returns the instance's state.
 	Status() Status
-	// Backends returns what the instance sees of the backend servers.
+	// Backends returns the backend servers whose slots the instance leases.
 	Backends() []Backend
 }
 
--- a/operator/messages.go
+++ b/operator/messages.go
@@ -26,27 +26,26 @@
 	NotReady string `json:"not_ready,omitempty"`
 }
 
-// Backend is what an instance sees of one backend server.
+// Backend is a backend server as the instance that leases its slots sees it.
 type Backend struct {
 	Service    string `json:"service"`
 	Name       string `json:"name"`
-	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
-	// State tells how the instance treats the server, as in "serving",
-	// "draining" or "failing".
+	// State tells how the server is treated, as in "serving", "draining" or
+	// "failing".
 	State string `json:"state"`
-	// Slots is the server's limit, Held the slots that this instance holds
-	// and InFlight the requests it runs there.
-	Slots    int `json:"slots"`
-	Held     int `json:"held"`
-	InFlight int `json:"in_flight"`
-	// LatencyMS is the recent typical latency in milliseconds.
+	// Slots is the table's number and Leased that of leases out.
+	Slots  int `json:"slots"`
+	Leased int `json:"leased"`
+	// Window is the number of requests that the server is trusted with at
+	// once.
+	Window float64 `json:"window"`
+	// LatencyMS is the average latency of whole answers in milliseconds; 0
+	// if unknown.
 	LatencyMS float64 `json:"latency_ms"`
-	// ErrorShare is the recent share of failed attempts.
-	ErrorShare float64 `json:"error_share"`
 }
 
-// Backends is what an instance sees of all backend servers.
+// Backends lists the backend servers whose slots an instance leases.
 type Backends struct {
 	InstanceID string    `json:"instance_id"`
 	Backends   []Backend `json:"backends"`
