Examine an unconfirmed table offer less often; forget lost peers

Cause: a wrong offer made each instance read the store twice a second for as long as it stood, and peers whose closing event was dropped stayed known. Change: after 10 s an open offer is examined as often as the store is polled; peers without a session are forgotten at each comparison.

--- a/table/store_test.go
+++ b/table/store_test.go
@@ -134,6 +134,24 @@
 	}
 }
 
+func TestOldVersionsAreDeletedAndTheHistoryEndsThere(t *testing.T) {
+	g := NewWithT(t)
+	mem := memory.New()
+	store := table.NewStore(mem, mem)
+	for base := range uint64(5) {
+		_, err := store.Accept(t.Context(), weighted(parsed(t), int(base)+1), base, "alena", "")
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	store.Prune(t.Context(), table.HistoryKept+3)
+	history, err := store.History(t.Context(), 10)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(history).To(HaveLen(3))
+	g.Expect(history[2].Changes).To(BeNil())
+	_, err = store.Version(t.Context(), 2)
+	var missing *platform.NotFoundError
+	g.Expect(errors.As(err, &missing)).To(BeTrue(), "%v", err)
+}
+
 // TestAcceptedVersionsFormOneChain drives operators with stale bases, repeated
 // acceptances and faults, and checks the answers against the history.
 func TestAcceptedVersionsFormOneChain(t *testing.T) {
--- a/table/sync_peers.go
+++ b/table/sync_peers.go
@@ -11,9 +11,10 @@
 )
 
 // runOffers is the duty that examines what peers offer. An offer that cannot be
-// settled yet is examined again after a pause.
+// settled yet is examined again after a pause, and less often after a while, so
+// that a wrong one does not load the store.
 func (s *Sync) runOffers(ctx context.Context) {
-	retry := time.NewTicker(retryPause)
+	retry := time.NewTimer(retryPause)
 	defer retry.Stop()
 	for {
 		select {
@@ -22,10 +23,16 @@
 		case <-retry.C:
 			s.mu.Lock()
 			o, open := s.state.bestOffer()
+			late := s.state.late(time.Now())
 			s.mu.Unlock()
 			if open {
 				s.examine(ctx, o)
 			}
+			if late {
+				retry.Reset(jitter(s.opts.PollEvery))
+			} else {
+				retry.Reset(retryPause)
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -125,6 +132,9 @@
 
 func (s *Sync) askOne(ctx context.Context) {
 	connected := s.opts.Messenger.Connected()
+	s.mu.Lock()
+	s.state.keepPeers(connected)
+	s.mu.Unlock()
 	if len(connected) > 0 {
 		s.ask(ctx, connected[rand.IntN(len(connected))])
 	}
--- a/table/sync_state.go
+++ b/table/sync_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -73,6 +74,11 @@
 	delete(st.peers, id)
 }
 
+// keepPeers forgets peers whose closed sessions went unnoticed.
+func (st *syncState) keepPeers(connected []string) {
+	maps.DeleteFunc(st.peers, func(id string, _ Ref) bool { return !slices.Contains(connected, id) })
+}
+
 func (st *syncState) refuse(ref Ref) {
 	st.refused = ref
 }
@@ -111,6 +117,12 @@
 	}
 }
 
+// late reports whether a higher version has been known for longer than
+// adoptWait.
+func (st *syncState) late(now time.Time) bool {
+	return !st.behind.IsZero() && now.Sub(st.behind) > adoptWait
+}
+
 // ready decides whether the held version is the present one, as far as the
 // store and the peers tell.
 func (st *syncState) ready(now time.Time, alone bool) error {
@@ -154,7 +166,7 @@
 	if st.behind.IsZero() {
 		return nil
 	}
-	late := now.Sub(st.behind) > adoptWait
+	late := st.late(now)
 	best, _ := st.bestOffer()
 	unconfirmed := !st.storeDown && st.storeHead.Version <= st.held.Ref.Version
 	if unconfirmed && (st.joined || late) || !unconfirmed && st.joined && !late {
