--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -94,12 +94,39 @@
 	if err != nil {
 		return nil, err
 	}
-	for range spec.Entries {
+	if err := f.startEntries(ctx); err != nil {
+		return nil, errors.Join(err, f.Stop())
+	}
+	return f, nil
+}
+
+// StartReady starts the whole fleet with its table accepted, and waits until
+// every daemon is ready.
+func StartReady(ctx context.Context, spec Spec) (*Fleet, error) {
+	f, err := StartStandins(ctx, spec)
+	if err != nil {
+		return nil, err
+	}
+	_, err = f.Accept(ctx, f.Document(), 0)
+	if err == nil {
+		err = f.startEntries(ctx)
+	}
+	if err == nil {
+		err = f.WaitReady(ctx)
+	}
+	if err != nil {
+		return nil, errors.Join(err, f.Stop())
+	}
+	return f, nil
+}
+
+func (f *Fleet) startEntries(ctx context.Context) error {
+	for range f.spec.Entries {
 		if _, err := f.StartEntry(ctx); err != nil {
-			return nil, errors.Join(err, f.Stop())
+			return err
 		}
 	}
-	return f, nil
+	return nil
 }
 
 func (f *Fleet) program(name string) string { return filepath.Join(f.spec.Bin, name) }
@@ -146,6 +173,10 @@
 	if err != nil {
 		return fmt.Errorf("fleet: encode faults: %w", err)
 	}
+	distribution := service.Distribution
+	if distribution == "" {
+		distribution = backend.DistributionExponential
+	}
 	name := serverName(service.Row.Name, i)
 	server := &Backend{
 		Service:      service.Row.Name,
@@ -157,8 +188,8 @@
 	server.args = []string{
 		"backend", "--listen", address, "--admin", admin, "--name", name,
 		"--slots", strconv.Itoa(ServerSlots), "--connections", strconv.Itoa(ServerConnections),
-		"--service-time", service.ServiceTime.String(),
-		"--seed", strconv.FormatUint(f.spec.Seed+uint64(len(f.Backends)), 10),
+		"--service-time", service.ServiceTime.String(), "--distribution", string(distribution),
+		"--seed", strconv.FormatUint(f.spec.Seed+uint64(i), 10),
 		"--log", server.ExecutionLog, "--faults", string(faults),
 		"--platform", f.Platform.URL, "--region", f.spec.Region, "--data-centre", server.DataCentre,
 	}
@@ -238,6 +269,35 @@
 	return targets
 }
 
+// ReadyURLs returns the readiness URLs of all daemons, in the order of Targets.
+func (f *Fleet) ReadyURLs() []string {
+	urls := make([]string, 0, len(f.Entries))
+	for _, entry := range f.Entries {
+		urls = append(urls, entry.OperatorURL+pathReady)
+	}
+	return urls
+}
+
+// Entry returns the daemon of that name, or nil.
+func (f *Fleet) Entry(name string) *Entry {
+	for _, entry := range f.Entries {
+		if entry.Name == name {
+			return entry
+		}
+	}
+	return nil
+}
+
+// Backend returns the backend server of that name, or nil.
+func (f *Fleet) Backend(name string) *Backend {
+	for _, server := range f.Backends {
+		if server.Name == name {
+			return server
+		}
+	}
+	return nil
+}
+
 // Judge compares a report with the backend servers' logs and counts.
 func (f *Fleet) Judge(ctx context.Context, report *loadgen.Report) (loadgen.Judgement, error) {
 	paths := make([]string, 0, len(f.Backends))
