--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -59,7 +59,8 @@
 			DataCentre: seen.DataCentre,
 			State:      stateOf(seen),
 			Slots:      seen.Slots,
-			Held:       seen.Leased,
+			Leased:     seen.Leased,
+			Window:     seen.Window,
 			LatencyMS:  float64(seen.Latency) / float64(time.Millisecond),
 		}
 		if snapshot != nil {
@@ -92,10 +93,4 @@
 }
 
 // Burn implements [operator.Burner].
-func (d *Daemon) Burn(ctx context.Context) (burn.Report, error) {
-	var objectives []burn.Objective
-	if snapshot := d.current.Load(); snapshot != nil {
-		objectives = burn.ObjectivesOf(snapshot.Document())
-	}
-	return burn.BuildReport(ctx, d.platform, objectives, time.Now())
-}
+func (d *Daemon) Burn(ctx context.Context) (burn.Report, error) { return d.burn.Burn(ctx) }
--- a/operator/messages.go
+++ b/operator/messages.go
@@ -30,6 +30,7 @@
 type Backend struct {
 	Service    string `json:"service"`
 	Name       string `json:"name"`
+	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
 	// State tells how the server is treated, as in "serving", "draining" or
 	// "failing".
