Keep the holds of TestMemoryIsBounded running

Cause: with a millisecond between losses the first hold had ended, so the test passed without the bound. Change: a microsecond between losses. Conclusion: passes 2 of 2 with -race, fails without the bound.

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -316,7 +316,7 @@
 		defer f.stop()
 		for i := range 4_600 {
 			f.parts[0].ReportLoss(fingerprint(fmt.Sprint("r", i)), fmt.Sprint("s", i))
-			time.Sleep(time.Millisecond) // Losses of one moment have no order.
+			time.Sleep(time.Microsecond) // Losses of one moment have no order.
 		}
 		if refused, _ := f.parts[0].Check(fingerprint("r4599")); !refused {
 			t.Fatal("the latest loss was dropped")
