--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/pomelolock/pomelolock/platform/httpplatform"
 	"github.com/pomelolock/pomelolock/probe"
 	"github.com/pomelolock/pomelolock/proxy"
+	"github.com/pomelolock/pomelolock/quarantine"
 	"github.com/pomelolock/pomelolock/settings"
 	"github.com/pomelolock/pomelolock/slot"
 	"github.com/pomelolock/pomelolock/table"
@@ -36,20 +37,21 @@
 	// started is when the process started.
 	started time.Time
 
-	platform *httpplatform.Client
-	current  *table.Current
-	store    *table.Store
-	sync     *table.Sync
-	mesh     *peer.Mesh
-	tracker  *membership.Tracker
-	slots    *slot.Manager
-	claims   *claim.Journal
-	recorder *burn.Recorder
-	burn     *burn.Keeper
-	probes   *probe.Budget
-	watch    *serverWatch
-	proxy    *proxy.Proxy
-	metrics  *metrics.Registry
+	platform   *httpplatform.Client
+	current    *table.Current
+	store      *table.Store
+	sync       *table.Sync
+	mesh       *peer.Mesh
+	tracker    *membership.Tracker
+	slots      *slot.Manager
+	claims     *claim.Journal
+	recorder   *burn.Recorder
+	burn       *burn.Keeper
+	probes     *probe.Budget
+	watch      *serverWatch
+	quarantine *quarantine.Quarantine
+	proxy      *proxy.Proxy
+	metrics    *metrics.Registry
 
 	callers   *http.Server
 	operators *http.Server
@@ -172,6 +174,10 @@
 		Logger:   d.logger.With("part", "burn"),
 	})
 	d.wireProbes()
+	d.quarantine = quarantine.New(quarantine.Options{
+		Messenger: d.mesh,
+		Logger:    d.logger.With("part", "quarantine"),
+	})
 	leaving := func(s table.Server) bool { return d.tracker.LeavingServer(s.Address) }
 	d.proxy = proxy.New(proxy.Options{
 		Current: d.current,
@@ -180,12 +186,14 @@
 			table.PolicyBestOfTwo: loadbalancer.NewBestOfTwo(d.current, leaving),
 			table.PolicyRandom:    loadbalancer.NewRandom(d.current, leaving),
 		}),
-		Claimer:   d.claims,
-		Recorder:  d.recorder,
-		Observer:  d.watch,
-		ConnLimit: d.connLimit,
-		Logger:    d.logger.With("part", "proxy"),
-		Instance:  d.self.ID,
+		Claimer:  d.claims,
+		Recorder: d.recorder,
+		Observer: d.watch,
+
+		Quarantine: d.quarantine,
+		ConnLimit:  d.connLimit,
+		Logger:     d.logger.With("part", "proxy"),
+		Instance:   d.self.ID,
 	})
 }
 
@@ -256,5 +264,6 @@
 		{"transports", d.proxy.Run},
 		{"probe budget", d.probes.Run},
 		{"probes", d.watch.prober.Run},
+		{"quarantine", d.quarantine.Run},
 	}
 }
--- a/slot/coordinator_test.go
+++ b/slot/coordinator_test.go
@@ -56,7 +56,7 @@
 
 func held(ids ...leaseID) []uint64 { return packIDs(ids) }
 
-func slotOf(server string, slot int) leaseID { return idOfServer(server).lease(slot) }
+func firstSlot() leaseID { return idOfServer("server-0").lease(0) }
 
 func TestSuccessorWaitsForOldAuthority(t *testing.T) {
 	all := []string{"a", "b", "c"}
@@ -98,7 +98,7 @@
 	for _, age := range []time.Duration{leaseTTL / 2, leaseTTL} {
 		d := newDesk(coordinatorConfig{recorded: all, earlier: [][]string{all}})
 		d.ask("b", &slotpb.Ask{Session: 8, Want: 4})
-		d.ask("a", &slotpb.Ask{Session: 7, Held: held(slotOf("server-0", 0)), BasisMs: age.Milliseconds()})
+		d.ask("a", &slotpb.Ask{Session: 7, Held: held(firstSlot()), BasisMs: age.Milliseconds()})
 		d.pass(authorityTTL + 2*clockMargin)
 		d.confirm(d.now)
 		d.pass(10 * time.Millisecond)
@@ -106,7 +106,7 @@
 		if valid := age < leaseTTL-authorityTTL; kept != valid {
 			t.Errorf("lease of a holder acknowledged %v before the gather: kept %v", age, kept)
 		}
-		if _, taken := d.holders["b"].held[slotOf("server-0", 0)]; taken {
+		if _, taken := d.holders["b"].held[firstSlot()]; taken {
 			t.Errorf("a slot was granted while a request of its last holder may run on it")
 		}
 	}
--- a/slot/manager_test.go
+++ b/slot/manager_test.go
@@ -547,20 +547,20 @@
 		doc := fleetTable()
 		for i := range doc.Servers {
 			if i%2 == 1 {
-				doc.Servers[i].DataCentre = "dc-2"
+				doc.Servers[i].DataCentre = remoteDataCentre
 			}
 		}
 		f := newFleetOf(t, doc, func(entry int) string { return fmt.Sprintf("dc-%d", 1+entry%2) })
 		defer f.close()
 		first := func(i int) bool { return i%2 == 0 }
 		l := f.drive(half/2, 2*time.Second, first)
-		t.Logf("quarter load: sent %d whole %d, dc-2 served %d", l.sent, l.whole, f.servedIn("dc-2"))
-		if l.whole != l.sent || f.servedIn("dc-2") > l.sent/20 {
-			t.Errorf("%d of %d whole, %d in the other data centre", l.whole, l.sent, f.servedIn("dc-2"))
+		t.Logf("quarter load: sent %d whole %d, dc-2 served %d", l.sent, l.whole, f.servedRemotely())
+		if l.whole != l.sent || f.servedRemotely() > l.sent/20 {
+			t.Errorf("%d of %d whole, %d in the other data centre", l.whole, l.sent, f.servedRemotely())
 		}
-		before := f.servedIn("dc-2")
+		before := f.servedRemotely()
 		l = f.drive(3*half, 2*time.Second, first)
-		t.Logf("local servers at 1.5 times their load: sent %d whole %d, dc-2 served %d", l.sent, l.whole, f.servedIn("dc-2")-before)
+		t.Logf("local servers at 1.5 times their load: sent %d whole %d, dc-2 served %d", l.sent, l.whole, f.servedRemotely()-before)
 		if l.whole < l.sent*95/100 {
 			t.Errorf("%d of %d requests were whole", l.whole, l.sent)
 		}
@@ -568,12 +568,15 @@
 	})
 }
 
-func (f *fleet) servedIn(dataCentre string) int {
+// remoteDataCentre has servers and no managers.
+const remoteDataCentre = "dc-2"
+
+func (f *fleet) servedRemotely() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	served := 0
 	for _, server := range f.current.Load().Servers("lookup") {
-		if server.DataCentre == dataCentre {
+		if server.DataCentre == remoteDataCentre {
 			served += f.served[server.Name]
 		}
 	}
