--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -241,7 +241,7 @@
 	if f.lost && x.p.opts.Quarantine != nil {
 		x.p.opts.Quarantine.ReportLoss(x.print, f.server)
 	}
-	x.p.opts.Logger.Info("attempt failed", slog.String("request", x.id), slog.String("service", x.service.Name),
+	x.p.log(slog.LevelInfo, "attempt failed", slog.String("request", x.id), slog.String("service", x.service.Name),
 		slog.String("server", f.server), slog.Bool("not_run", f.notRun), slog.Any("error", f.err))
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -94,6 +94,7 @@
 	transports *transports
 	counters   counters
 	sequence   atomic.Uint64
+	events     eventLimiter
 	// prefix makes IDs unique over instances and restarts.
 	prefix string
 
@@ -192,6 +193,22 @@
 	}
 }
 
+// log writes an event unless too many of its kind were written just now.
+func (p *Proxy) log(level slog.Level, event string, attrs ...slog.Attr) {
+	ctx := context.Background()
+	if !p.opts.Logger.Enabled(ctx, level) {
+		return
+	}
+	ok, suppressed := p.events.allow(event, time.Now())
+	if !ok {
+		return
+	}
+	if suppressed > 0 {
+		attrs = append(attrs, slog.Uint64("suppressed", suppressed))
+	}
+	p.opts.Logger.LogAttrs(ctx, level, event, attrs...)
+}
+
 func cloneURL(in *url.URL, address string) *url.URL {
 	out := *in
 	out.Scheme = "http"
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -33,9 +33,9 @@
 		x.record(false)
 		level = slog.LevelWarn
 	}
-	x.p.opts.Logger.Log(context.Background(), level, "request not served",
-		slog.String("request", x.id), slog.String("code", string(failed.Code)),
-		slog.String("outcome", string(failed.Outcome)), slog.Int("status", failed.Status), slog.Any("error", failed.Err))
+	x.p.log(level, "request not served "+string(failed.Code),
+		slog.String("request", x.id), slog.String("outcome", string(failed.Outcome)),
+		slog.Int("status", failed.Status), slog.Any("error", failed.Err))
 	if failed.Status == statusCallerGone {
 		panic(http.ErrAbortHandler)
 	}
@@ -71,7 +71,7 @@
 		return
 	}
 	x.p.counters.aborted.Add(1)
-	x.p.opts.Logger.Warn("answer aborted", slog.String("request", x.id),
+	x.p.log(slog.LevelWarn, "answer aborted", slog.String("request", x.id),
 		slog.String("server", ans.server), slog.Any("error", err))
 	panic(http.ErrAbortHandler)
 }
