Bench: takeover gap and count of takeovers

Coordinators that displace each other showed only as refused calls. The bench prints the takeovers of its runs (one a service with traffic is right) and, at the end, kills the coordinator under load and prints the longest time without a whole answer.

--- a/cmd/bench/control.go
+++ b/cmd/bench/control.go
@@ -14,6 +14,8 @@
 	metricSent     = "pomelolock_peer_sent_bytes_total"
 	metricReceived = "pomelolock_peer_received_bytes_total"
 	metricMessages = "pomelolock_slot_messages_total"
+	metricGrants   = "pomelolock_slot_grants_total"
+	metricTakeover = "pomelolock_slot_takeovers_total"
 
 	bytesPerMB = 1e6
 )
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -75,7 +75,7 @@
 
 func (c *cli) measure(ctx context.Context, f *fleet.Fleet) error {
 	b := &bench{cli: c, fleet: f, started: time.Now()}
-	for _, step := range []func(context.Context) error{b.addedLatency, b.halfLoad, b.control, b.overload, b.probes} {
+	for _, step := range []func(context.Context) error{b.addedLatency, b.halfLoad, b.control, b.overload, b.probes, b.takeover} {
 		if err := step(ctx); err != nil {
 			return err
 		}
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -104,8 +104,11 @@
 		r := newRecorder(Options{Duration: time.Second}, start)
 		time.Sleep(500 * time.Millisecond)
 		r.record(call{mark: "a"}, start, result{verdict: Whole})
+		r.record(call{mark: "b"}, time.Now(), result{verdict: Failed})
+		time.Sleep(200 * time.Millisecond)
+		r.record(call{mark: "c"}, start, result{verdict: Whole})
 		report, err := r.report()
-		if err != nil || report.Latency.P50 < 499 || report.Latency.P50 > 501 {
+		if err != nil || report.Latency.P50 < 499 || report.Latency.P50 > 501 || report.LongestGapMS != 200 {
 			t.Errorf("latency %+v, %v", report, err)
 		}
 	})
--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -36,6 +36,9 @@
 	// LostOnReused are cut calls that had gone over a reused connection and
 	// saw no byte of an answer.
 	LostOnReused int `json:"lost_on_reused"`
+	// LongestGapMS is the longest time between the ends of two whole answers
+	// that followed each other, in milliseconds.
+	LongestGapMS float64 `json:"longest_gap_ms"`
 	// Goodput is whole answers a second of the load's duration.
 	Goodput   float64    `json:"goodput_per_second"`
 	Latency   Latency    `json:"latency_ms"`
@@ -86,6 +89,8 @@
 
 	mu     sync.Mutex
 	result Report
+	// wholeAt is the end of the latest whole answer.
+	wholeAt time.Time
 }
 
 func newHistogram() *hdrhistogram.Histogram {
@@ -105,9 +110,11 @@
 
 // record adds the result of a call that was intended for a given time.
 func (r *recorder) record(c call, intended time.Time, res result) {
-	latency := time.Since(intended)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
+	latency := now.Sub(intended)
+	r.noteGap(res.verdict, now)
 	r.result.Sent++
 	r.tell(c, res.verdict)
 	if c.resent {
@@ -131,6 +138,17 @@
 	}
 }
 
+func (r *recorder) noteGap(verdict Verdict, now time.Time) {
+	if verdict != Whole {
+		return
+	}
+	if !r.wholeAt.IsZero() {
+		gap := float64(now.Sub(r.wholeAt).Microseconds()) / usPerMS
+		r.result.LongestGapMS = max(r.result.LongestGapMS, gap)
+	}
+	r.wholeAt = now
+}
+
 // recordRetried adds the result of a request after which the caller sends again.
 func (r *recorder) recordRetried(c call, res result) {
 	r.mu.Lock()
