--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -14,6 +14,7 @@
 	"os/signal"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -106,14 +107,14 @@
 
 // drive accepts the table, sends the load and prints the summary.
 func (c *cli) drive(ctx context.Context, f *fleet.Fleet) (clean bool, err error) {
-	version, err := f.Accept(ctx, f.Document(), 0)
+	output, err := f.AcceptByTool(ctx, "first table")
 	if err != nil {
 		return false, err
 	}
+	printProgress(output)
 	if err := f.WaitReady(ctx); err != nil {
 		return false, err
 	}
-	fmt.Printf("table version %d is in force on every daemon\n", version)
 	report, err := loadgen.Run(ctx, loadgen.Options{
 		Targets: f.Targets(),
 		Kinds: []loadgen.Kind{
@@ -140,6 +141,16 @@
 	return summarize(report, judgement), nil
 }
 
+// printProgress prints the tool's output without the listed changes, which are
+// the whole first table.
+func printProgress(output string) {
+	for line := range strings.Lines(output) {
+		if !strings.HasPrefix(line, "changes") && !strings.HasPrefix(line, " ") {
+			fmt.Print(line)
+		}
+	}
+}
+
 // summarize prints the figures and reports whether all was well.
 func summarize(r *loadgen.Report, j loadgen.Judgement) bool {
 	whole := r.Verdicts[loadgen.Whole] + r.Duplicates[loadgen.Whole]
