--- a/slot/authority.go
+++ b/slot/authority.go
@@ -1,7 +1,6 @@
 package slot
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -32,12 +31,18 @@
 	return max(recorded-quorum(recorded)+1, 0)
 }
 
-// provedAt returns when the epoch was last known to be the present one.
-func (c *coordinator) provedAt() time.Time {
-	if at := c.quorumTime(); at.After(c.confirmedAt) {
-		return at
+// provedAt returns when the epoch was last known to be the present one. A recent
+// proof is not renewed.
+func (c *coordinator) provedAt(now time.Time) time.Time {
+	if mostElapsed(now, c.proved) < authorityTTL/2 {
+		return c.proved
+	}
+	for _, at := range []time.Time{c.confirmedAt, c.quorumTime()} {
+		if at.After(c.proved) {
+			c.proved = at
+		}
 	}
-	return c.confirmedAt
+	return c.proved
 }
 
 // quorumTime returns the latest time at which a quorum certainly followed this
@@ -70,7 +75,7 @@
 }
 
 func (c *coordinator) authoritative(now time.Time) bool {
-	return !c.resigned && c.acting && mostElapsed(now, c.provedAt()) < authorityTTL
+	return !c.resigned && c.acting && mostElapsed(now, c.provedAt(now)) < authorityTTL
 }
 
 // confirm notes that a write under the epoch, begun at the given time, succeeded.
@@ -82,7 +87,7 @@
 
 // needsProof reports whether the authority ends soon though it is in use.
 func (c *coordinator) needsProof(now time.Time) bool {
-	return c.inUse() && mostElapsed(now, c.provedAt()) > authorityTTL*3/4
+	return c.inUse() && mostElapsed(now, c.provedAt(now)) > authorityTTL*3/4
 }
 
 func (c *coordinator) inUse() bool {
@@ -148,8 +153,8 @@
 
 func (c *coordinator) act(now time.Time) {
 	c.acting = true
-	for _, id := range slices.Sorted(maps.Keys(c.holders)) {
-		if h := c.holders[id]; h.reached && !h.admitted {
+	for _, h := range c.ordered {
+		if h.reached && !h.admitted {
 			c.admit(h, now)
 		}
 	}
--- a/slot/coordinator.go
+++ b/slot/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pomelolock/pomelolock/slot/slotpb"
@@ -60,6 +61,8 @@
 	held map[leaseID]uint64
 	busy int
 	want int
+	// share is the holder's fair share of the slots.
+	share int
 	// keep is the number of leases that the holder may keep; negative sets
 	// no bound.
 	keep   int
@@ -88,9 +91,11 @@
 	ramp  time.Duration
 	drain time.Duration
 
-	servers  []*coordinatorServer
-	byID     map[serverID]*coordinatorServer
-	holders  map[string]*holderState
+	servers []*coordinatorServer
+	byID    map[serverID]*coordinatorServer
+	holders map[string]*holderState
+	// ordered are the holders by ID.
+	ordered  []*holderState
 	recorded map[string]bool
 	// pending are the holders of a record whose write has no known outcome.
 	pending map[string]bool
@@ -110,14 +115,18 @@
 	earlier [][]string
 	// acting tells that no coordinator of an earlier epoch can act any more.
 	acting bool
+	// proved is the latest proof of the epoch that was looked up.
+	proved time.Time
 	// wonAt is when enough holders had left earlier epochs that none of
 	// their coordinators can act any more; zero before.
 	wonAt    time.Time
 	tickedAt time.Time
 	resigned bool
 
-	// recallDue tells that servers or their quality changed.
+	// recallDue tells that the quality of servers changed, tableDue that the
+	// servers themselves did.
 	recallDue bool
+	tableDue  bool
 
 	grantCount  uint64
 	recallCount uint64
@@ -176,6 +185,8 @@
 	if h == nil {
 		h = &holderState{id: id, held: make(map[leaseID]uint64), recall: make(map[leaseID]bool), keep: -1, askedAt: now, grantSeq: c.grantBase}
 		c.holders[id] = h
+		c.ordered = append(c.ordered, h)
+		slices.SortFunc(c.ordered, func(a, b *holderState) int { return strings.Compare(a.id, b.id) })
 	}
 	return h
 }
@@ -187,7 +198,7 @@
 
 // setServers takes over the table's rows of the group.
 func (c *coordinator) setServers(specs []serverSpec, now time.Time) {
-	c.recallDue = true
+	c.recallDue, c.tableDue = true, true
 	first := len(c.servers) == 0
 	old := c.byID
 	c.servers = c.servers[:0]
--- a/slot/coordinator_test.go
+++ b/slot/coordinator_test.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -56,7 +57,7 @@
 
 func held(ids ...leaseID) []uint64 { return packIDs(ids) }
 
-func slotOf(server string, slot int) leaseID { return idOfServer(server).lease(slot) }
+var firstSlot = idOfServer("server-0").lease(0)
 
 func TestSuccessorWaitsForOldAuthority(t *testing.T) {
 	all := []string{"a", "b", "c"}
@@ -98,7 +99,7 @@
 	for _, age := range []time.Duration{leaseTTL / 2, leaseTTL} {
 		d := newDesk(coordinatorConfig{recorded: all, earlier: [][]string{all}})
 		d.ask("b", &slotpb.Ask{Session: 8, Want: 4})
-		d.ask("a", &slotpb.Ask{Session: 7, Held: held(slotOf("server-0", 0)), BasisMs: age.Milliseconds()})
+		d.ask("a", &slotpb.Ask{Session: 7, Held: held(firstSlot), BasisMs: age.Milliseconds()})
 		d.pass(authorityTTL + 2*clockMargin)
 		d.confirm(d.now)
 		d.pass(10 * time.Millisecond)
@@ -106,7 +107,7 @@
 		if valid := age < leaseTTL-authorityTTL; kept != valid {
 			t.Errorf("lease of a holder acknowledged %v before the gather: kept %v", age, kept)
 		}
-		if _, taken := d.holders["b"].held[slotOf("server-0", 0)]; taken {
+		if _, taken := d.holders["b"].held[firstSlot]; taken {
 			t.Errorf("a slot was granted while a request of its last holder may run on it")
 		}
 	}
@@ -198,3 +199,44 @@
 		t.Errorf("a silent holder kept its lease")
 	}
 }
+
+// BenchmarkCoordinatorAsk takes in an ask of a holder that returns one lease and
+// waits for another, and answers it.
+func BenchmarkCoordinatorAsk(b *testing.B) {
+	for _, size := range []struct{ holders, servers int }{{18, 20}, {36, 36}, {72, 72}} {
+		b.Run(fmt.Sprintf("holders=%d,servers=%d", size.holders, size.servers), func(b *testing.B) {
+			benchmarkAsk(b, size.holders, size.servers)
+		})
+	}
+}
+
+func benchmarkAsk(b *testing.B, holders, servers int) {
+	var ids []string
+	for i := range holders {
+		ids = append(ids, fmt.Sprintf("entry-%d", i))
+	}
+	d := newDesk(coordinatorConfig{recorded: ids, fresh: true})
+	var specs []serverSpec
+	for i := range servers {
+		specs = append(specs, serverSpec{name: fmt.Sprintf("server-%d", i), slots: 6, weight: 1, usable: true})
+	}
+	d.setServers(specs, d.now)
+	for _, id := range ids {
+		d.ask(id, &slotpb.Ask{})
+		d.ask(id, &slotpb.Ask{Session: d.holders[id].session, Want: 3})
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		id := ids[n%holders]
+		var kept []leaseID
+		for lease := range d.holders[id].held {
+			if len(kept) < 2 {
+				kept = append(kept, lease)
+			}
+		}
+		d.now = d.now.Add(time.Microsecond)
+		d.confirm(d.now)
+		report := &slotpb.ServerReport{Server: uint64(idOfServer("server-0")), Ok: 1, LatencyUs: 10_000}
+		d.ask(id, &slotpb.Ask{Session: d.holders[id].session, Want: 1, Held: held(kept...), Reports: []*slotpb.ServerReport{report}})
+	}
+}
--- a/slot/grant.go
+++ b/slot/grant.go
@@ -24,17 +24,16 @@
 		return nil
 	}
 	var out []outgoingGrant
-	ids := slices.Sorted(maps.Keys(c.holders))
 	authoritative := c.authoritative(now)
 	if authoritative {
 		c.recallUnusable(now)
-		shares := c.fairShares(ids, now)
-		c.grantFree(ids, shares, now)
-		c.bound(ids, shares)
+		c.divide(now)
+		c.grantFree(now)
+		c.bound()
 	}
-	for _, id := range ids {
-		if grant := c.message(c.holders[id], authoritative, now); grant != nil {
-			out = append(out, outgoingGrant{to: id, grant: grant})
+	for _, h := range c.ordered {
+		if grant := c.message(h, authoritative, now); grant != nil {
+			out = append(out, outgoingGrant{to: h.id, grant: grant})
 		}
 	}
 	return out
@@ -47,10 +46,10 @@
 
 // grantFree gives free slots to waiting holders below their shares, each time to
 // the one that holds least.
-func (c *coordinator) grantFree(ids []string, shares map[string]int, now time.Time) {
+func (c *coordinator) grantFree(now time.Time) {
 	median := c.median()
 	for {
-		h := c.neediest(ids, shares, now)
+		h := c.neediest(now)
 		if h == nil {
 			return
 		}
@@ -67,11 +66,10 @@
 	}
 }
 
-func (c *coordinator) neediest(ids []string, shares map[string]int, now time.Time) *holderState {
+func (c *coordinator) neediest(now time.Time) *holderState {
 	var neediest *holderState
-	for _, id := range ids {
-		h := c.holders[id]
-		if h.want <= 0 || len(h.held) >= shares[id] || !c.eligible(h, now) {
+	for _, h := range c.ordered {
+		if h.want <= 0 || len(h.held) >= h.share || !c.eligible(h, now) {
 			continue
 		}
 		if neediest == nil || moreNeedy(h, neediest) {
@@ -148,6 +146,10 @@
 		return
 	}
 	c.recallDue = false
+	if !c.tableDue && !c.overCommitted(now) {
+		return
+	}
+	c.tableDue = false
 	out := make(map[serverID]int)
 	for _, lease := range slices.Sorted(maps.Keys(c.owner)) {
 		h := c.holders[c.owner[lease]]
@@ -163,6 +165,16 @@
 	}
 }
 
+// overCommitted reports whether a server has more leases out than are kept.
+func (c *coordinator) overCommitted(now time.Time) bool {
+	for _, server := range c.servers {
+		if server.leased > c.kept(server, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // kept returns how many leases of a server are not recalled. That of a trial
 // is: it serves one request.
 func (c *coordinator) kept(server *coordinatorServer, now time.Time) int {
@@ -174,15 +186,14 @@
 
 // bound asks holders above their shares for as many slots as waiting holders
 // lack to theirs, those first that hold most.
-func (c *coordinator) bound(ids []string, shares map[string]int) {
+func (c *coordinator) bound() {
 	lacking := 0
 	var above []*holderState
-	for _, id := range ids {
-		h := c.holders[id]
+	for _, h := range c.ordered {
 		if h.want > 0 {
-			lacking += max(shares[id]-len(h.held), 0)
+			lacking += max(h.share-len(h.held), 0)
 		}
-		if len(h.held) > shares[id] {
+		if len(h.held) > h.share {
 			above = append(above, h)
 		} else {
 			h.keep = -1
@@ -190,7 +201,7 @@
 	}
 	slices.SortStableFunc(above, func(a, b *holderState) int { return len(b.held) - len(a.held) })
 	for _, h := range above {
-		take := min(len(h.held)-shares[h.id], lacking)
+		take := min(len(h.held)-h.share, lacking)
 		lacking -= take
 		keep := len(h.held) - take
 		switch {
@@ -212,33 +223,27 @@
 	return min(h.busy, len(h.held))
 }
 
-// fairShares divides the usable slots if there are waiting holders: nobody gets
-// more than it needs, and nobody less than another unless it needs no more.
-func (c *coordinator) fairShares(ids []string, now time.Time) map[string]int {
+// divide sets the holders' shares of the usable slots: nobody gets more than it
+// needs, and nobody less than another unless it needs no more.
+func (c *coordinator) divide(now time.Time) {
 	left := 0
 	for _, server := range c.servers {
 		if server.usable {
 			left += max(c.limit(server, now), server.leased)
 		}
 	}
-	type need struct {
-		id    string
-		count int
-	}
-	var needs []need
-	for _, id := range ids {
-		if h := c.holders[id]; len(h.held) > 0 || h.want > 0 {
-			needs = append(needs, need{id, h.need()})
+	needy := make([]*holderState, 0, len(c.ordered))
+	for _, h := range c.ordered {
+		h.share = 0
+		if len(h.held) > 0 || h.want > 0 {
+			needy = append(needy, h)
 		}
 	}
-	slices.SortStableFunc(needs, func(a, b need) int { return a.count - b.count })
-	shares := make(map[string]int, len(needs))
-	for i, n := range needs {
-		share := min(n.count, left/(len(needs)-i))
-		shares[n.id] = share
-		left -= share
+	slices.SortStableFunc(needy, func(a, b *holderState) int { return a.need() - b.need() })
+	for i, h := range needy {
+		h.share = min(h.need(), left/(len(needy)-i))
+		left -= h.share
 	}
-	return shares
 }
 
 // message returns the grant that is due to a holder, or nil.
--- a/slot/holder_test.go
+++ b/slot/holder_test.go
@@ -29,7 +29,7 @@
 	start := time.Unix(1000, 0)
 	h := newHolder(simGroup, simDrain, minIdleTime)
 	ask := askAt(h, start)
-	h.onGrant("entry-0", grantOf(1, ask.GetSeq(), slotOf("server-0", 0)), start.Add(leaseTTL/2))
+	h.onGrant("entry-0", grantOf(1, ask.GetSeq(), firstSlot), start.Add(leaseTTL/2))
 	if h.take(noSkip, start.Add(leaseTTL)) != nil {
 		t.Errorf("a lease was used %v after its ask was sent", leaseTTL)
 	}
@@ -43,7 +43,7 @@
 	h := newHolder(simGroup, simDrain, minIdleTime)
 	ask := askAt(h, now)
 	h.onGrant("entry-0", grantOf(2, ask.GetSeq()), now)
-	h.onGrant("entry-0", grantOf(1, ask.GetSeq(), slotOf("server-0", 0)), now)
+	h.onGrant("entry-0", grantOf(1, ask.GetSeq(), firstSlot), now)
 	if h.take(noSkip, now) != nil {
 		t.Errorf("a grant that the coordinator takes for lost was used")
 	}
@@ -53,7 +53,7 @@
 	now := time.Unix(1000, 0)
 	h := newHolder(simGroup, simDrain, minIdleTime)
 	ask := askAt(h, now)
-	h.onGrant("entry-0", grantOf(1, ask.GetSeq(), slotOf("server-0", 0)), now)
+	h.onGrant("entry-0", grantOf(1, ask.GetSeq(), firstSlot), now)
 	l := h.take(noSkip, now)
 	h.release(l, loadbalancer.Result{Class: loadbalancer.ClassCancelled, ChargedFor: 100 * time.Millisecond}, now)
 	h.tick(now.Add(50 * time.Millisecond))
--- a/slot/manager_test.go
+++ b/slot/manager_test.go
@@ -554,13 +554,13 @@
 		defer f.close()
 		first := func(i int) bool { return i%2 == 0 }
 		l := f.drive(half/2, 2*time.Second, first)
-		t.Logf("quarter load: sent %d whole %d, dc-2 served %d", l.sent, l.whole, f.servedIn("dc-2"))
-		if l.whole != l.sent || f.servedIn("dc-2") > l.sent/20 {
-			t.Errorf("%d of %d whole, %d in the other data centre", l.whole, l.sent, f.servedIn("dc-2"))
+		t.Logf("quarter load: sent %d whole %d, dc-2 served %d", l.sent, l.whole, f.servedElsewhere())
+		if l.whole != l.sent || f.servedElsewhere() > l.sent/20 {
+			t.Errorf("%d of %d whole, %d in the other data centre", l.whole, l.sent, f.servedElsewhere())
 		}
-		before := f.servedIn("dc-2")
+		before := f.servedElsewhere()
 		l = f.drive(3*half, 2*time.Second, first)
-		t.Logf("local servers at 1.5 times their load: sent %d whole %d, dc-2 served %d", l.sent, l.whole, f.servedIn("dc-2")-before)
+		t.Logf("local servers at 1.5 times their load: sent %d whole %d, dc-2 served %d", l.sent, l.whole, f.servedElsewhere()-before)
 		if l.whole < l.sent*95/100 {
 			t.Errorf("%d of %d requests were whole", l.whole, l.sent)
 		}
@@ -568,12 +568,13 @@
 	})
 }
 
-func (f *fleet) servedIn(dataCentre string) int {
+// servedElsewhere counts the requests outside the first data centre.
+func (f *fleet) servedElsewhere() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	served := 0
 	for _, server := range f.current.Load().Servers("lookup") {
-		if server.DataCentre == dataCentre {
+		if server.DataCentre != "dc-1" {
 			served += f.served[server.Name]
 		}
 	}
