--- /dev/null
+++ b/table/sync_test.go
@@ -0,0 +1,261 @@
+package table_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelolock/pomelolock/peer/peertest"
+	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/table"
+)
+
+const inForceLimit = 14 * time.Second
+
+// listView shows a fixed list of instances.
+type listView struct {
+	self string
+	ids  []string
+}
+
+func (v listView) Self() platform.Instance { return platform.Instance{ID: v.self} }
+
+func (v listView) Entries() []platform.Instance {
+	var entries []platform.Instance
+	for _, id := range v.ids {
+		entries = append(entries, platform.Instance{ID: id})
+	}
+	return entries
+}
+
+func (v listView) LeavingServer(string) bool { return false }
+
+func (v listView) Changed() <-chan struct{} { return nil }
+
+// node is one instance of the test fleet.
+type node struct {
+	sync    *table.Sync
+	current *table.Current
+	node    *peertest.Node
+	stop    func()
+}
+
+func (n *node) version() uint64 {
+	if snapshot := n.current.Load(); snapshot != nil {
+		return snapshot.Version()
+	}
+	return 0
+}
+
+// fleet runs instances on one platform and one network.
+type fleet struct {
+	mem   *memory.Store
+	net   *peertest.Network
+	ids   []string
+	nodes map[string]*node
+	poll  time.Duration
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{mem: memory.New(), net: peertest.NewNetwork(time.Millisecond), nodes: make(map[string]*node)}
+	for i := range n {
+		f.ids = append(f.ids, fmt.Sprintf("entry-%02d", i))
+	}
+	return f
+}
+
+func (f *fleet) startAll() {
+	for _, id := range f.ids {
+		f.start(id)
+	}
+}
+
+func (f *fleet) start(id string) *node {
+	n := &node{current: table.NewCurrent(), node: f.net.Join(id)}
+	n.sync = table.NewSync(table.SyncOptions{
+		Store:     table.NewStore(f.mem, f.mem),
+		Messenger: n.node,
+		View:      listView{self: id, ids: f.ids},
+		Current:   n.current,
+		PollEvery: f.poll,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { n.sync.Run(ctx) })
+	n.stop = func() {
+		cancel()
+		wg.Wait()
+		f.net.Leave(id)
+		delete(f.nodes, id)
+	}
+	f.nodes[id] = n
+	return n
+}
+
+func (f *fleet) stopAll() {
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	f.net.Close()
+}
+
+func (f *fleet) cutAll(cut bool) {
+	for i, a := range f.ids {
+		for _, b := range f.ids[i+1:] {
+			f.net.SetCut(a, b, cut)
+		}
+	}
+}
+
+func (f *fleet) versions() []uint64 {
+	var versions []uint64
+	for _, id := range f.ids {
+		if n := f.nodes[id]; n != nil {
+			versions = append(versions, n.version())
+		}
+	}
+	return versions
+}
+
+func (f *fleet) store() *table.Store { return table.NewStore(f.mem, f.mem) }
+
+func TestAcceptedTableIsInForceEverywhere(t *testing.T) {
+	cases := []struct {
+		name   string
+		cut    bool
+		within time.Duration
+	}{
+		{"by offers of peers", false, 100 * time.Millisecond},
+		{"by polling alone", true, inForceLimit},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := newFleet(18)
+				f.startAll()
+				defer f.stopAll()
+				f.cutAll(c.cut)
+				time.Sleep(time.Minute)
+				_, err := f.nodes[f.ids[0]].sync.Accept(t.Context(), parsed(t), table.Acceptance{ID: "a"})
+				g.Expect(err).NotTo(HaveOccurred())
+				time.Sleep(c.within)
+				g.Expect(f.versions()).To(HaveEach(uint64(1)))
+			})
+		})
+	}
+}
+
+// TestTableSpreadsOverFewLinksBetweenDataCentres has no store to read: 84
+// instances in 7 data centres, with one link between neighbouring ones.
+func TestTableSpreadsOverFewLinksBetweenDataCentres(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const dataCentres, size = 7, 12
+		g := NewWithT(t)
+		f := newFleet(dataCentres * size)
+		f.startAll()
+		defer f.stopAll()
+		for i, a := range f.ids {
+			for j, b := range f.ids[:i] {
+				link := i%size == 0 && j == i-size
+				f.net.SetCut(a, b, i/size != j/size && !link)
+			}
+		}
+		time.Sleep(time.Minute)
+		_, err := f.nodes[f.ids[size+5]].sync.Accept(t.Context(), parsed(t), table.Acceptance{ID: "a"})
+		g.Expect(err).NotTo(HaveOccurred())
+		f.mem.SetFaults(memory.Faults{Down: true})
+		time.Sleep(time.Second)
+		g.Expect(f.versions()).To(HaveEach(uint64(1)))
+	})
+}
+
+func TestOfferThatWasNeverAcceptedStaysOutOfForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(4)
+		_, err := f.store().Accept(t.Context(), parsed(t), 0, "alena", "")
+		g.Expect(err).NotTo(HaveOccurred())
+		f.startAll()
+		defer f.stopAll()
+		time.Sleep(10 * time.Second)
+		// One instance accepts at a store of another fleet by mistake.
+		other := memory.New()
+		wrong := f.nodes[f.ids[3]]
+		wrong.stop()
+		wrongStore := table.NewStore(other, other)
+		for base := range uint64(3) {
+			_, err = wrongStore.Accept(t.Context(), weighted(parsed(t), 9), base, "bo", "")
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		good := f.mem
+		f.mem = other
+		f.start(f.ids[3])
+		f.mem = good
+		time.Sleep(30 * time.Second)
+		before := f.mem.Counts().Reads
+		time.Sleep(time.Minute)
+		reads := f.mem.Counts().Reads - before
+		g.Expect(reads).To(BeNumerically("<=", 3*60), "a wrong offer must not load the store")
+		g.Expect(f.versions()).To(Equal([]uint64{1, 1, 1, 3}))
+		for _, id := range f.ids[:3] {
+			g.Expect(f.nodes[id].sync.Ready()).To(Succeed())
+		}
+	})
+}
+
+func TestInstanceStartedInOutageTakesTheHighestOfPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(4)
+		first, err := f.store().Accept(t.Context(), parsed(t), 0, "alena", "")
+		g.Expect(err).NotTo(HaveOccurred())
+		f.start(f.ids[0])
+		f.start(f.ids[1])
+		defer f.stopAll()
+		time.Sleep(time.Second)
+		f.cutAll(true)
+		_, err = f.nodes[f.ids[1]].sync.Accept(t.Context(), weighted(first, 3), table.Acceptance{ID: "b", Base: 1})
+		g.Expect(err).NotTo(HaveOccurred())
+		f.mem.SetFaults(memory.Faults{Down: true})
+		newcomer := f.start(f.ids[2])
+		time.Sleep(time.Minute)
+		g.Expect(newcomer.sync.Ready()).NotTo(Succeed(), "cut off and without a store")
+		f.net.SetCut(f.ids[2], f.ids[0], false)
+		f.net.SetCut(f.ids[2], f.ids[1], false)
+		time.Sleep(time.Second)
+		g.Expect(newcomer.version()).To(Equal(uint64(2)))
+		g.Expect(newcomer.sync.Ready()).To(Succeed())
+	})
+}
+
+func TestNewInstanceIsNotReadyWithAStaleVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(4)
+		first, err := f.store().Accept(t.Context(), parsed(t), 0, "alena", "")
+		g.Expect(err).NotTo(HaveOccurred())
+		f.start(f.ids[0])
+		f.start(f.ids[1])
+		defer f.stopAll()
+		_, err = f.nodes[f.ids[0]].sync.Accept(t.Context(), weighted(first, 3), table.Acceptance{ID: "b", Base: 1})
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Second)
+		f.mem.SetFaults(memory.Faults{StaleReads: 1 << 20})
+		newcomer := f.start(f.ids[2])
+		for range 20000 {
+			if newcomer.sync.Ready() == nil {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		g.Expect(newcomer.sync.Ready()).To(Succeed())
+		g.Expect(newcomer.version()).To(Equal(uint64(2)))
+	})
+}
