--- a/slot/holder.go
+++ b/slot/holder.go
@@ -123,10 +123,12 @@
 	var best *lease
 	var bestScore time.Duration
 	for _, l := range h.leases {
-		if l.state != leaseIdle || l.recalled || skip(l.server) {
+		if l.state != leaseIdle || l.recalled {
 			continue
 		}
-		if score := h.score(l, now); best == nil || score < bestScore || score == bestScore && l.id < best.id {
+		score := h.score(l, now)
+		better := best == nil || score < bestScore || score == bestScore && l.id < best.id
+		if better && !skip(l.server) {
 			best, bestScore = l, score
 		}
 	}
