--- a/claim/append.go
+++ b/claim/append.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -30,7 +31,7 @@
 	s.index.apply(p.batch)
 	s.stats.appended(p.batch)
 	s.countKeys()
-	s.deleteObjects(ctx, append(unused, replaced...))
+	s.unused = append(s.unused, append(unused, replaced...)...)
 	return writes, nil
 }
 
@@ -42,11 +43,16 @@
 	if size <= s.opts.TailBytes+segmentListBytes(base) || len(base.GetBatches()) == 0 {
 		return next, 1, nil
 	}
+	full := size > tailOverrun*s.opts.TailBytes+segmentListBytes(base)
+	if !full && time.Now().Before(s.rotateAfter) {
+		return next, 1, nil
+	}
 	moved, err := s.rotate(ctx, base)
 	if err == nil {
 		return appended(moved, batch), 2, nil
 	}
-	if size > tailOverrun*s.opts.TailBytes+segmentListBytes(base) {
+	s.rotateAfter = time.Now().Add(rotateRest)
+	if full {
 		return nil, 1, &platform.UnavailableError{Op: "append", Err: fmt.Errorf("%w: %w", errTailOverflow, err)}
 	}
 	return next, 2, nil
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -191,6 +191,7 @@
 	case err == nil:
 		p.answer(decisions)
 		p.clearEnds()
+		p.store.deleteUnused(ctx)
 		p.startMerge(ctx)
 		return true, nil
 	case isRetryable(err):
--- a/claim/store.go
+++ b/claim/store.go
@@ -19,6 +19,8 @@
 	// tailOverrun is how many times TailBytes a head may grow while the
 	// object store fails.
 	tailOverrun = 4
+	// rotateRest is the time between two tries of a failed rotation.
+	rotateRest = time.Second
 )
 
 var (
@@ -50,6 +52,10 @@
 	rebuilt bool
 	// seen are the writes of others found since the last takeSeen.
 	seen []seenWrite
+	// unused are objects to delete; rotateAfter is when a failed rotation
+	// is tried again.
+	unused      []string
+	rotateAfter time.Time
 	// merged is a segment that waits to be taken into the head.
 	merged *merged
 }
@@ -251,6 +257,12 @@
 	s.deleteObjects(ctx, garbage)
 }
 
+// deleteUnused deletes the objects that the last append took out of the head.
+func (s *partitionStore) deleteUnused(ctx context.Context) {
+	s.deleteObjects(ctx, s.unused)
+	s.unused = nil
+}
+
 func (s *partitionStore) deleteObjects(ctx context.Context, names []string) {
 	for _, name := range names {
 		ctx, cancel := context.WithTimeout(ctx, s.opts.StoreTimeout)
