--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -6,16 +6,21 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 )
 
+// maxRetryAfter bounds the wait that an answer may ask for.
+const maxRetryAfter = time.Second
+
 // runner holds one run.
 type runner struct {
 	opts     Options
 	client   *http.Client
+	balancer *balancer
 	rng      *rand.Rand
 	recorder *recorder
 	group    sync.WaitGroup
@@ -31,16 +36,23 @@
 	r := &runner{
 		opts:     opts,
 		client:   newClient(),
+		balancer: newBalancer(&opts),
 		rng:      newRand(opts.Seed),
 		recorder: newRecorder(opts, start),
 	}
 	defer r.client.CloseIdleConnections()
-	stepCtx, stopSteps := context.WithCancel(ctx)
+	besideCtx, stopBeside := context.WithCancel(ctx)
 	stepsDone := make(chan error, 1)
-	go func() { stepsDone <- runSteps(stepCtx, start, opts.Steps) }()
+	go func() { stepsDone <- runSteps(besideCtx, start, opts.Steps) }()
+	balancerDone := make(chan struct{})
+	go func() {
+		defer close(balancerDone)
+		r.balancer.run(besideCtx)
+	}()
 	r.dispatch(ctx, start)
 	r.group.Wait()
-	stopSteps()
+	stopBeside()
+	<-balancerDone
 	if err := <-stepsDone; err != nil && !errors.Is(err, context.Canceled) {
 		return nil, err
 	}
@@ -86,7 +98,7 @@
 	resend := r.rng.IntN(100) < r.opts.ResendPercent
 	c := call{
 		mark:   fmt.Sprintf("%d-%d", r.opts.Seed, number),
-		target: r.opts.Targets[target],
+		target: r.balancer.pick(target),
 	}
 	for _, kind := range r.opts.Kinds {
 		if pick < kind.Weight {
@@ -100,7 +112,7 @@
 	}
 	duplicate := c
 	duplicate.resent = true
-	duplicate.target = r.opts.Targets[(target+1)%len(r.opts.Targets)]
+	duplicate.target = r.nextTarget(c.target)
 	return c, &duplicate
 }
 
@@ -112,10 +124,44 @@
 	}
 	r.group.Go(func() {
 		defer r.inFlight.Add(-1)
-		r.recorder.record(c, intended, send(ctx, r.client, c, &r.opts))
+		r.perform(ctx, c, intended)
 	})
 }
 
+// perform sends a call until it is answered whole or no retry is left.
+func (r *runner) perform(ctx context.Context, c call, intended time.Time) {
+	for retry := 0; ; retry++ {
+		res := send(ctx, r.client, c, &r.opts)
+		if res.verdict == Whole || retry >= r.opts.Retries || !r.waitRetry(ctx, res) {
+			r.recorder.record(c, intended, res)
+			return
+		}
+		r.recorder.recordRetried(c, res)
+		c.target = r.nextTarget(c.target)
+	}
+}
+
+// waitRetry waits until the caller sends again; it reports whether it shall.
+func (r *runner) waitRetry(ctx context.Context, res result) bool {
+	wait := r.opts.RetryPause
+	if res.retryAfter > 0 {
+		wait = min(res.retryAfter, maxRetryAfter)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *runner) nextTarget(target string) string {
+	targets := r.opts.Targets
+	return r.balancer.pick((slices.Index(targets, target) + 1) % len(targets))
+}
+
 func (r *runner) resend(ctx context.Context, c call, at time.Time) {
 	r.group.Go(func() {
 		timer := time.NewTimer(time.Until(at))
