--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -27,6 +27,9 @@
 	// maxHandshakes bounds the incoming connections that are not yet
 	// sessions.
 	maxHandshakes = 64
+	// heartbeatPerSession stretches heartbeats, so that those of all
+	// sessions together stay below 70 a second.
+	heartbeatPerSession = 15 * time.Millisecond
 )
 
 // Options configure a [Mesh]. Fleet and Self are required.
@@ -41,8 +44,9 @@
 	TLS *tls.Config
 	// Logger receives events; nil discards them.
 	Logger *slog.Logger
-	// Heartbeat is the longest silence on a healthy session. A peer counts
-	// as lost after three of its heartbeats have stayed away.
+	// Heartbeat is the time between heartbeats of a session. It grows by
+	// 15 ms for each session, as far as that is longer. A peer counts as
+	// lost after three of its heartbeats have stayed away.
 	Heartbeat time.Duration
 	// DialTimeout bounds dialling and the handshake.
 	DialTimeout time.Duration
@@ -292,6 +296,13 @@
 	return nil
 }
 
+// heartbeatInterval returns the present time between heartbeats.
+func (m *Mesh) heartbeatInterval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(m.opts.Heartbeat, time.Duration(len(m.sessions))*heartbeatPerSession)
+}
+
 func (m *Mesh) session(id string) (*session, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -404,3 +404,32 @@
 		}
 	}
 }
+
+// TestHeartbeatsFollowTheSlowerPeer joins a mesh with long heartbeats to one
+// with short heartbeats, which must not take the other's pauses for silence.
+func TestHeartbeatsFollowTheSlowerPeer(t *testing.T) {
+	slow := startMesh(t, "a", func(o *Options) { o.Heartbeat = time.Second })
+	fast := startMesh(t, "b", func(o *Options) { o.Heartbeat = 50 * time.Millisecond })
+	slow.Handle(testKind, echo)
+	join(slow, fast)
+	awaitPeers(t, fast, "a")
+	gomega.NewWithT(t).Eventually(func() uint64 {
+		for _, kind := range slow.Stats().Kinds {
+			if kind.Kind == peerpb.Kind_KIND_UNSPECIFIED {
+				return kind.Sent.Messages
+			}
+		}
+		return 0
+	}, patience).Should(gomega.BeNumerically(">=", 2))
+	if lost := fast.Stats().Lost; lost > 0 {
+		t.Fatalf("%d sessions lost", lost)
+	}
+	mesh := NewMesh(Options{Fleet: "test", Self: platform.Instance{ID: "m"}})
+	defer mesh.Close()
+	for i := range 100 {
+		mesh.sessions[fmt.Sprint(i)] = &session{}
+	}
+	if got := mesh.heartbeatInterval(); got != 100*heartbeatPerSession {
+		t.Fatalf("heartbeat of 100 sessions: %v", got)
+	}
+}
--- a/peer/session.go
+++ b/peer/session.go
@@ -50,17 +50,18 @@
 	queue    chan *outgoing
 	pending  *pendingCalls
 	handlers chan struct{}
-	silence  time.Duration
-	// heard is when bytes last arrived, as time since started.
+	// silence is how long the peer may be silent, in nanoseconds.
+	silence atomic.Int64
+	// heard and wrote are when bytes last arrived and left, in nanoseconds
+	// since started.
 	started time.Time
 	heard   atomic.Int64
-	wrote   atomic.Bool
+	wrote   atomic.Int64
 }
 
 func newSession(m *Mesh, link *link, hello *peerpb.Hello) *session {
 	ctx, cancel := context.WithCancelCause(m.ctx)
-	heartbeat := time.Duration(hello.GetHeartbeatMs()) * time.Millisecond
-	return &session{
+	s := &session{
 		mesh: m,
 		peer: platform.Instance{
 			ID:         hello.GetInstanceId(),
@@ -79,9 +80,16 @@
 		queue:    make(chan *outgoing, m.opts.QueueSize),
 		pending:  newPendingCalls(),
 		handlers: make(chan struct{}, m.opts.MaxHandlers),
-		silence:  min(maxSilence, missedHeartbeats*max(heartbeat, m.opts.Heartbeat)),
 		started:  time.Now(),
 	}
+	s.setPeerHeartbeat(hello.GetHeartbeatMs())
+	return s
+}
+
+// setPeerHeartbeat takes over the heartbeat that the peer announced.
+func (s *session) setPeerHeartbeat(ms uint32) {
+	heartbeat := max(s.mesh.opts.Heartbeat, time.Duration(ms)*time.Millisecond)
+	s.silence.Store(int64(min(maxSilence, missedHeartbeats*heartbeat)))
 }
 
 // run serves the session until it closes.
@@ -129,6 +137,7 @@
 		return
 	}
 	if envelope.GetKind() == peerpb.Kind_KIND_UNSPECIFIED {
+		s.setPeerHeartbeat(envelope.GetTimeoutMs())
 		return
 	}
 	select {
@@ -222,7 +231,7 @@
 	if err != nil {
 		return frame, err
 	}
-	s.wrote.Store(true)
+	s.wrote.Store(int64(time.Since(s.started)))
 	s.mesh.counters.sent[kindIndex(envelope.GetKind())].add(len(frame))
 	_, err = w.Write(frame)
 	if cap(frame) > flushBytes {
@@ -233,20 +242,25 @@
 
 // heartbeat keeps an idle session audible and ends one whose peer is silent.
 func (s *session) heartbeat() error {
-	ticker := time.NewTicker(s.mesh.opts.Heartbeat)
-	defer ticker.Stop()
+	interval := s.mesh.heartbeatInterval()
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-s.ctx.Done():
 			return s.ctx.Err()
 		}
-		if time.Since(s.started)-time.Duration(s.heard.Load()) > s.silence {
-			return &SilenceError{InstanceID: s.peer.ID, Limit: s.silence}
+		now := time.Since(s.started)
+		if limit := time.Duration(s.silence.Load()); now-time.Duration(s.heard.Load()) > limit {
+			return &SilenceError{InstanceID: s.peer.ID, Limit: limit}
 		}
-		if !s.wrote.Swap(false) {
-			s.enqueue(&peerpb.Envelope{})
+		next := s.mesh.heartbeatInterval()
+		if next != interval || now-time.Duration(s.wrote.Load()) >= interval/2 {
+			s.enqueue(&peerpb.Envelope{TimeoutMs: uint32(next.Milliseconds())})
 		}
+		interval = next
+		timer.Reset(interval)
 	}
 }
 
