Compare the burn report with what callers saw of real daemons

Cause: the report has to match the callers' own count after a run with faults. Change: TestBurnMatchesWhatCallersSaw sends 90 orders while a third of the backend servers' answers fail, stops the daemons and compares. Seen failing: no write at the end of a process; failed answers counted as whole.

--- a/internal/cli/fleet_test.go
+++ b/internal/cli/fleet_test.go
@@ -2,16 +2,22 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/pomelolock/pomelolock/burn"
 	"github.com/pomelolock/pomelolock/internal/cli"
 	"github.com/pomelolock/pomelolock/internal/fleet"
+	"github.com/pomelolock/pomelolock/internal/standin/backend"
+	"github.com/pomelolock/pomelolock/outcome"
+	"github.com/pomelolock/pomelolock/platform/httpplatform"
 	"github.com/pomelolock/pomelolock/platform/memory"
 )
 
@@ -108,6 +114,58 @@
 	c.run(cli.CodeDone, "table", "accept", "--yes", "--wait", "30s", path("table.json"))
 }
 
+// TestBurnMatchesWhatCallersSaw sends orders to daemons whose backend servers
+// fail a third of them, stops the daemons and compares the report.
+func TestBurnMatchesWhatCallersSaw(t *testing.T) {
+	const orders = 90
+	g := NewWithT(t)
+	f := startFleet(t)
+	_, err := f.Accept(t.Context(), f.Document(), 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(f.WaitReady(t.Context())).To(Succeed())
+	for _, server := range f.Backends {
+		g.Expect(server.SetFaults(t.Context(), backend.Faults{FailPercent: 33})).To(Succeed())
+	}
+	var want burn.Counts
+	for i := range orders {
+		status := order(t, f.Entries[i%len(f.Entries)], i)
+		want.Total++
+		if status < http.StatusInternalServerError {
+			want.Whole++
+		}
+	}
+	g.Expect(want.Whole).To(And(BeNumerically(">", 0), BeNumerically("<", orders)))
+	for _, entry := range f.Entries {
+		entry.Terminate()
+		<-entry.Done()
+	}
+	client, err := httpplatform.New(httpplatform.Options{BaseURL: f.Platform.URL})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer client.Close()
+	objectives := []burn.Objective{{Service: "order-intake", Percent: 99, Latency: time.Minute}}
+	report, err := burn.BuildReport(t.Context(), client, objectives, time.Now().Add(4*time.Minute))
+	g.Expect(err).NotTo(HaveOccurred())
+	hour := report.Services[0].Windows[1]
+	g.Expect(hour.Total).To(Equal(want.Total))
+	g.Expect(hour.Whole).To(Equal(want.Whole))
+}
+
+// order sends one order and returns the answer's status.
+func order(t *testing.T, entry *fleet.Entry, number int) int {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, entry.URL+"/orders", strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(outcome.HeaderIdempotencyKey, fmt.Sprint("order-", number))
+	resp, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
 func readiness(t *testing.T, entry *fleet.Entry) int {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, entry.OperatorURL+"/readyz", nil)
