Pass over owners that do not answer or can't reach the store

Cause: while an owner was frozen each of its claims waited for the peer timeout of half a second, and an owner that alone was cut off from the store refused its share of all claims.

Change: an instance that did not answer in time is not asked for a second; a refusal for want of the store makes the entry ask the next in rank, at last itself.

TestFrozenOwnerIsPassedOver and TestOwnerCutOffFromStoreIsPassedOver fail without it.

--- a/claim/finish.go
+++ b/claim/finish.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -69,8 +70,14 @@
 }
 
 func (j *Journal) finishTarget(s *started, end *claimpb.End) string {
+	self := j.opts.Messenger.Self()
 	number := partitionOf(keyID(end.GetKey()), len(s.partitions))
-	return j.router.targets(number, len(s.partitions), j.opts.Messenger.Self())[0]
+	for _, target := range j.router.targets(number, len(s.partitions), self) {
+		if !j.router.isSilent(target, time.Now()) {
+			return target
+		}
+	}
+	return self
 }
 
 // sendEnds sends ends to one instance, and writes those that it did not take
@@ -84,6 +91,8 @@
 		err := j.opts.Messenger.Call(ctx, target, peerpb.Kind_KIND_CLAIM_FINISH, &claimpb.FinishRequest{Ends: ends}, reply)
 		if err == nil {
 			queued = reply.GetQueued()
+		} else if ctx.Err() != nil {
+			j.router.noteSilent(target, time.Now())
 		}
 	}
 	for i, end := range ends {
--- a/claim/journal.go
+++ b/claim/journal.go
@@ -234,6 +234,9 @@
 			decision, err := s.partitions[number].submit(ctx, c)
 			return decision, afterTry(tried, err)
 		}
+		if j.router.isSilent(target, time.Now()) {
+			continue
+		}
 		decision, retry, err := j.callUntilServed(ctx, target, c)
 		if !retry {
 			return decision, afterTry(tried, err)
@@ -267,14 +270,17 @@
 }
 
 // call asks a peer. It reports retry if another instance should be asked.
-func (j *Journal) call(ctx context.Context, target string, c *claimpb.Claim) (decision Decision, retry bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, j.opts.PeerTimeout)
+func (j *Journal) call(parent context.Context, target string, c *claimpb.Claim) (decision Decision, retry bool, err error) {
+	ctx, cancel := context.WithTimeout(parent, j.opts.PeerTimeout)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	wait := time.Until(deadline) * busyShare / 100
 	req := &claimpb.ClaimRequest{Claim: c, WaitMs: wait.Milliseconds()}
 	reply := new(claimpb.ClaimReply)
 	if err := j.opts.Messenger.Call(ctx, target, peerpb.Kind_KIND_CLAIM, req, reply); err != nil {
+		if ctx.Err() != nil && parent.Err() == nil {
+			j.router.noteSilent(target, time.Now())
+		}
 		return Decision{}, true, err
 	}
 	if reply.GetLeaving() {
@@ -283,8 +289,9 @@
 	if reply.GetBusy() {
 		return Decision{}, true, errBusy
 	}
+	// An owner that can't reach the store says nothing about others.
 	decision, err = decisionOf(reply)
-	return decision, false, err
+	return decision, err != nil && !neverTried(err), err
 }
 
 // Finish implements [Claimer]. It has no effect on a request that was not told
--- a/claim/journal_test.go
+++ b/claim/journal_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -184,11 +183,8 @@
 func TestHandoverWritesEndsAndWarmsSuccessor(t *testing.T) {
 	options := claim.Options{Partitions: 1, FlushInterval: time.Hour}
 	inBubble(t, testLimits, options, 2, func(t *testing.T, f *fleet) {
-		wantVerdict(t, f.instances[0], orderRequest("warm", "first", "a"), claim.Run)
-		if f.instances[0].journal.Stats().Claims == 0 {
-			slices.Reverse(f.instances)
-		}
-		owner, other := f.instances[0], f.instances[1]
+		owner, other := f.owner(t)
+		f.instances = []*instance{owner, other}
 		req := orderRequest("key", "first", "a")
 		wantVerdict(t, other, req, claim.Run)
 		other.journal.Finish(req, claim.EndFinished, &claim.Answer{Status: 200})
@@ -263,20 +259,39 @@
 	})
 }
 
+// owner returns the instance that decides the one partition, and another.
+func (f *fleet) owner(t *testing.T) (owner, other *instance) {
+	t.Helper()
+	wantVerdict(t, f.instances[0], orderRequest("warm", "first", "a"), claim.Run)
+	for i, in := range f.instances {
+		if in.journal.Stats().Claims > 0 {
+			return in, f.instances[(i+1)%len(f.instances)]
+		}
+	}
+	t.Fatal("no owner")
+	return nil, nil
+}
+
 func TestFrozenOwnerIsPassedOver(t *testing.T) {
 	inBubble(t, testLimits, claim.Options{Partitions: 1}, 3, func(t *testing.T, f *fleet) {
-		wantVerdict(t, f.instances[0], orderRequest("warm", "first", "a"), claim.Run)
-		for i, in := range f.instances {
-			if in.journal.Stats().Claims > 0 {
-				in.gate.set(true)
-				asker := f.instances[(i+1)%3]
-				wantVerdict(t, asker, orderRequest("key", "first", "a"), claim.Run)
-				in.gate.set(false)
-				wantVerdict(t, in, orderRequest("key", "second", "a"), claim.InProgress)
-				return
-			}
+		owner, other := f.owner(t)
+		owner.gate.set(true)
+		wantVerdict(t, other, orderRequest("key", "first", "a"), claim.Run)
+		began := time.Now()
+		wantVerdict(t, other, orderRequest("key 2", "first", "a"), claim.Run)
+		if took := time.Since(began); took > 100*time.Millisecond {
+			t.Fatalf("second claim took %v", took)
 		}
-		t.Fatal("no owner")
+		owner.gate.set(false)
+		wantVerdict(t, owner, orderRequest("key", "second", "a"), claim.InProgress)
+	})
+}
+
+func TestOwnerCutOffFromStoreIsPassedOver(t *testing.T) {
+	inBubble(t, testLimits, claim.Options{Partitions: 1}, 3, func(t *testing.T, f *fleet) {
+		owner, other := f.owner(t)
+		owner.gate.kill()
+		wantVerdict(t, other, orderRequest("key", "first", "a"), claim.Run)
 	})
 }
 
--- a/claim/router.go
+++ b/claim/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/pomelolock/pomelolock/membership"
 )
@@ -16,6 +17,32 @@
 	mu      sync.Mutex
 	changed <-chan struct{}
 	ranked  map[int][]string
+	// silent tells until when an instance is not asked.
+	silent map[string]time.Time
+}
+
+// silentTime is how long an instance that did not answer is not asked again.
+const silentTime = time.Second
+
+// noteSilent passes an instance over for a while.
+func (r *router) noteSilent(id string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.silent == nil {
+		r.silent = make(map[string]time.Time)
+	}
+	r.silent[id] = now.Add(silentTime)
+}
+
+func (r *router) isSilent(id string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until, ok := r.silent[id]
+	if ok && now.After(until) {
+		delete(r.silent, id)
+		return false
+	}
+	return ok
 }
 
 // targets returns whom to ask for a partition, in order. It ends with self.
