Bound the bodies held in memory and the callers' connections

Cause: limits.max_buffered_bytes, max_connections and body_timeout_ms were checked settings without effect. Change: request bodies beyond the bound are refused as not run, answers beyond it are streamed; the caller listener takes a bounded number of connections. Seen failing first: TestBodiesBeyondTheLimitAreNotHeld without the bound, and TestOutcomesAreTruthful when a dropped answer's room is not given back.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -194,6 +194,9 @@
 		ConnLimit:  d.connLimit,
 		Logger:     d.logger.With("part", "proxy"),
 		Instance:   d.self.ID,
+
+		MaxBufferedBytes: d.set.Limits.MaxBufferedBytes,
+		WriteTimeout:     d.set.Limits.BodyTimeout(),
 	})
 }
 
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -69,6 +69,7 @@
 func (d *Daemon) gauges() []gauge {
 	return []gauge{
 		{"requests_in_flight", "Requests being served.", func() float64 { return float64(d.proxy.Stats().InFlight) }},
+		{"buffered_bytes", "Room taken by bodies that are held.", func() float64 { return float64(d.proxy.Stats().BufferedBytes) }},
 		{"table_version", "Version of the table in force; 0 if none is.", func() float64 { return float64(d.tableVersion()) }},
 		{"peers_connected", "Instances with an open session.", func() float64 { return float64(len(d.mesh.Connected())) }},
 		{"slots_held", "Leases held.", func() float64 { return float64(d.slots.Stats().Held) }},
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 
+	"golang.org/x/net/netutil"
+
 	"github.com/pomelolock/pomelolock/certs"
 	"github.com/pomelolock/pomelolock/settings"
 )
@@ -29,6 +31,7 @@
 		}
 		*l.listener = opened
 	}
+	d.listeners.caller = netutil.LimitListener(d.listeners.caller, d.set.Limits.MaxConnections)
 	d.callers = d.server(d.closeAfterAnswer(d.proxy))
 	d.operators = d.server(d.operatorHandler())
 	return nil
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -44,6 +44,13 @@
 	lost bool
 }
 
+// discard drops what the failed attempt holds.
+func (f *failure) discard() {
+	if f != nil && f.ans != nil {
+		f.ans.end(nil)
+	}
+}
+
 // attempt is one try of an exchange on one backend server.
 type attempt struct {
 	x      *exchange
@@ -175,24 +182,45 @@
 		length: resp.ContentLength,
 	}
 	load := parseLoad(resp.Header)
-	var buf bytes.Buffer
-	if 0 < resp.ContentLength && resp.ContentLength <= a.x.p.opts.HoldBytes {
-		buf.Grow(int(resp.ContentLength) + bytes.MinRead)
+	room := heldSize(resp.ContentLength, a.x.p.opts.HoldBytes)
+	if !a.x.p.memory.reserve(room) {
+		return a.stream(ans, resp, load, 0), nil
 	}
-	n, err := buf.ReadFrom(io.LimitReader(resp.Body, a.x.p.opts.HoldBytes+1))
+	whole, err := a.hold(ans, resp)
 	if err != nil {
+		a.x.p.memory.release(room)
 		return nil, a.truncated(ctx, resp, err)
 	}
-	ans.held = buf.Bytes()
-	if n <= a.x.p.opts.HoldBytes {
-		_ = resp.Body.Close()
-		a.release(classOf(resp.StatusCode), load, false)
-		ans.end = func(error) {}
-		return a.judge(ans)
+	if !whole {
+		return a.stream(ans, resp, load, room), nil
+	}
+	_ = resp.Body.Close()
+	a.release(classOf(resp.StatusCode), load, false)
+	ans.end = func(error) { a.x.p.memory.release(room) }
+	return a.judge(ans)
+}
+
+// hold reads the body up to the hold limit and reports whether that was all.
+func (a *attempt) hold(ans *answer, resp *http.Response) (whole bool, err error) {
+	limit := a.x.p.opts.HoldBytes
+	var buf bytes.Buffer
+	if 0 < resp.ContentLength && resp.ContentLength <= limit {
+		buf.Grow(int(resp.ContentLength) + bytes.MinRead)
 	}
+	n, err := buf.ReadFrom(io.LimitReader(resp.Body, limit+1))
+	ans.held = buf.Bytes()
+	return n <= limit, err
+}
+
+// stream makes the rest of the answer a stream. Room is what its held part
+// takes.
+func (a *attempt) stream(ans *answer, resp *http.Response, load *loadbalancer.Load, room int64) *answer {
 	ans.rest = resp.Body
-	ans.end = func(err error) { a.endStream(resp, load, err) }
-	return ans, nil
+	ans.end = func(err error) {
+		a.x.p.memory.release(room)
+		a.endStream(resp, load, err)
+	}
+	return ans
 }
 
 // judge makes a server error on a repeatable request a failure, so that it
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -35,6 +35,8 @@
 	state    *serviceState
 	body     *requestBody
 	print    [32]byte
+	// reserved is the room that the request's body takes.
+	reserved int64
 	// sendCtx, if set, governs attempts in place of the caller's context.
 	sendCtx context.Context
 
@@ -53,6 +55,7 @@
 	p.counters.inFlight.Add(1)
 	defer p.counters.inFlight.Add(-1)
 	x := &exchange{p: p, w: w, in: r, start: time.Now(), id: p.requestID(r)}
+	defer func() { p.memory.release(x.reserved) }()
 	ans, failed := x.serve()
 	if failed != nil {
 		x.writeOwn(failed)
@@ -157,6 +160,11 @@
 	if !x.route.Repeatable && x.in.Header.Get(outcome.HeaderIdempotencyKey) != "" {
 		hold = limit
 	}
+	size := heldSize(x.in.ContentLength, hold)
+	if !x.p.memory.reserve(size) {
+		return x.outOfMemory()
+	}
+	x.reserved = size
 	body, err := readBody(x.in, hold, limit)
 	var large *BodyTooLargeError
 	switch {
@@ -174,6 +182,13 @@
 	return nil
 }
 
+func (x *exchange) outOfMemory() *outcome.Error {
+	return &outcome.Error{
+		Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable, Code: outcome.CodeOverload,
+		Detail: "the instance holds too many bodies", RetryAfter: failedRetry,
+	}
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
@@ -211,6 +226,7 @@
 			}
 			return nil, x.giveUp(ctx, failed)
 		}
+		failed.discard()
 		x.p.counters.retries.Add(1)
 	}
 }
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -72,11 +72,13 @@
 		case end := <-ends:
 			running--
 			if end.ans != nil {
+				firstFailure.discard()
 				settle(end, cancels, ends, running)
 				return end.ans, nil
 			}
 			if firstFailure != nil {
 				x.note(end.fail)
+				end.fail.discard()
 				continue
 			}
 			firstFailure = end.fail
@@ -120,7 +122,9 @@
 		return
 	}
 	go func() {
-		if late := <-ends; late.ans != nil {
+		late := <-ends
+		late.fail.discard()
+		if late.ans != nil {
 			late.ans.end(context.Canceled)
 		}
 	}()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -61,13 +61,22 @@
 	// HoldBytes is the size up to which bodies of requests and answers are
 	// held in memory. Zero selects 64 KiB.
 	HoldBytes int64
+	// MaxBufferedBytes bounds the bodies of all requests and answers that are
+	// held at once, in bytes. Zero selects 16 MiB. Requests beyond it are
+	// refused; answers beyond it are passed on as they come.
+	MaxBufferedBytes int64
+	// WriteTimeout is the longest time in which a caller may accept nothing
+	// of an answer. Zero selects 30 s.
+	WriteTimeout time.Duration
 	// Instance prefixes the request IDs that the proxy makes.
 	Instance string
 }
 
 const (
-	defaultHoldBytes = 64 << 10
-	prefixLength     = 8
+	defaultHoldBytes        = 64 << 10
+	defaultMaxBufferedBytes = 16 << 20
+	defaultWriteTimeout     = 30 * time.Second
+	prefixLength            = 8
 )
 
 // Stats are counts since the start.
@@ -81,6 +90,8 @@
 	Aborted uint64
 	// InFlight is the number of requests being served.
 	InFlight int64
+	// BufferedBytes is the room taken by bodies that are held.
+	BufferedBytes int64
 }
 
 type counters struct {
@@ -92,6 +103,7 @@
 type Proxy struct {
 	opts       Options
 	transports *transports
+	memory     *memoryLimit
 	counters   counters
 	sequence   atomic.Uint64
 	events     eventLimiter
@@ -108,18 +120,29 @@
 	latencies *latencies
 }
 
-// New returns a proxy.
-func New(opts Options) *Proxy {
-	if opts.HoldBytes == 0 {
-		opts.HoldBytes = defaultHoldBytes
+func (o *Options) setDefaults() {
+	if o.HoldBytes == 0 {
+		o.HoldBytes = defaultHoldBytes
+	}
+	if o.MaxBufferedBytes == 0 {
+		o.MaxBufferedBytes = defaultMaxBufferedBytes
 	}
-	if opts.ConnLimit == nil {
-		opts.ConnLimit = func(server table.Server) int { return server.Slots }
+	if o.WriteTimeout == 0 {
+		o.WriteTimeout = defaultWriteTimeout
 	}
+	if o.ConnLimit == nil {
+		o.ConnLimit = func(server table.Server) int { return server.Slots }
+	}
+}
+
+// New returns a proxy.
+func New(opts Options) *Proxy {
+	opts.setDefaults()
 	return &Proxy{
 		opts:       opts,
 		prefix:     opts.Instance + "-" + strings.ToLower(rand.Text()[:prefixLength]) + "-",
 		transports: newTransports(opts.ConnLimit),
+		memory:     &memoryLimit{limit: opts.MaxBufferedBytes},
 		services:   make(map[string]*serviceState),
 	}
 }
@@ -152,6 +175,8 @@
 		Hedges:     c.hedges.Load(),
 		Aborted:    c.aborted.Load(),
 		InFlight:   c.inFlight.Load(),
+
+		BufferedBytes: p.memory.used.Load(),
 	}
 }
 
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -7,12 +7,14 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	_ "github.com/pomelolock/pomelolock/internal/fixedseed"
 	"github.com/pomelolock/pomelolock/outcome"
+	"github.com/pomelolock/pomelolock/proxy"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -122,6 +124,7 @@
 			warm:   rapid.Bool().Draw(rt, "warm"),
 		})
 	})
+	beds.checkReleased(t)
 }
 
 // TestOrdersRunAtMostOnceOnReusedConnections covers each kind of order whose
@@ -139,6 +142,15 @@
 			}
 		}
 	}
+	beds.checkReleased(t)
+}
+
+// checkReleased checks that the room of all bodies is given back.
+func (b *outcomeBeds) checkReleased(t *testing.T) {
+	for _, bed := range []*testbed{b.open, b.closed} {
+		gomega.NewWithT(t).Eventually(func() int64 { return bed.proxy.Stats().BufferedBytes }).
+			WithTimeout(time.Minute).Should(gomega.BeZero(), "room of bodies is not given back")
+	}
 }
 
 func judge(g gomega.Gomega, bed *testbed, got reply, id string, order bool) {
@@ -167,6 +179,19 @@
 
 func always(f fault) func() fault { return func() fault { return f } }
 
+// TestBodiesBeyondTheLimitAreNotHeld leaves room for the answers alone.
+func TestBodiesBeyondTheLimitAreNotHeld(t *testing.T) {
+	g := gomega.NewWithT(t)
+	bed := newTestbedWith(t, func(o *proxy.Options) { o.MaxBufferedBytes = 30 }, nil, always(faultNone))
+	large := bed.send(g, http.MethodPost, "/order", "a", "", strings.Repeat("x", 31))
+	g.Expect(large.status).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(large.outcome).To(gomega.Equal(string(outcome.NotRun)))
+	long := strings.Repeat("y", 40)
+	streamed := bed.send(g, http.MethodPost, "/order", long, "", "x")
+	g.Expect(streamed.body).To(gomega.Equal(answerText + long))
+	g.Expect(bed.proxy.Stats().BufferedBytes).To(gomega.BeZero())
+}
+
 func TestLookupMovesToAnotherServer(t *testing.T) {
 	for f := faultCloseOnAccept; f < faultCount; f++ {
 		if f == faultCloseMidLongAnswer {
--- a/proxy/scripted_test.go
+++ b/proxy/scripted_test.go
@@ -195,6 +195,10 @@
 }
 
 func newTestbed(t testing.TB, change func(*table.Document), scripts ...func() fault) *testbed {
+	return newTestbedWith(t, nil, change, scripts...)
+}
+
+func newTestbedWith(t testing.TB, options func(*proxy.Options), change func(*table.Document), scripts ...func() fault) *testbed {
 	bed := &testbed{}
 	doc := table.Document{
 		Version: 1,
@@ -218,11 +222,15 @@
 	}
 	current := table.NewCurrent()
 	current.Swap(table.Compile(doc))
-	bed.proxy = proxy.New(proxy.Options{
+	opts := proxy.Options{
 		Current: current, Balancer: &inOrder{doc.Servers}, Instance: "entry-1",
 		Claimer: &memoryClaims{keys: make(map[string]claim.Decision)},
 		Logger:  slog.New(slog.DiscardHandler),
-	})
+	}
+	if options != nil {
+		options(&opts)
+	}
+	bed.proxy = proxy.New(opts)
 	bed.front = httptest.NewUnstartedServer(bed.proxy)
 	bed.front.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
 	bed.front.Start()
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -13,12 +13,8 @@
 	"github.com/pomelolock/pomelolock/outcome"
 )
 
-const (
-	// writeStall is how long a caller may take to accept one chunk.
-	writeStall = 30 * time.Second
-	// chunkSize is the size of the chunks of a streamed answer.
-	chunkSize = 32 << 10
-)
+// chunkSize is the size in bytes of the chunks of a streamed answer.
+const chunkSize = 32 << 10
 
 var chunks = sync.Pool{New: func() any {
 	b := make([]byte, chunkSize)
@@ -99,6 +95,8 @@
 
 func (x *exchange) writeBody(ans *answer) error {
 	if len(ans.held) > 0 {
+		rc := http.NewResponseController(x.w)
+		_ = rc.SetWriteDeadline(time.Now().Add(x.p.opts.WriteTimeout))
 		if _, err := x.w.Write(ans.held); err != nil {
 			return err
 		}
@@ -116,7 +114,7 @@
 	for {
 		n, readErr := ans.rest.Read(*buf)
 		if n > 0 {
-			_ = rc.SetWriteDeadline(time.Now().Add(writeStall))
+			_ = rc.SetWriteDeadline(time.Now().Add(x.p.opts.WriteTimeout))
 			if _, err := x.w.Write((*buf)[:n]); err != nil {
 				return err
 			}
