--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -6,9 +6,10 @@
 //	fleet [entries=3] [lag=300ms] [seed=1]
 //		starts a small fleet with Vltava's services, accepts its table and
 //		waits until every daemon is ready
-//	load [rate=200] [for=3s] [orders=40] [resend=20] [retries=0] [seed=1] [balancer=yes]
+//	load [rate=200] [for=3s] [orders=40] [resend=20] [retries=0] [seed=1] [balancer=0s]
 //		starts load in the background; orders and resend are percentages;
-//		with balancer=yes calls go only to daemons that report ready
+//		calls go only to daemons that report ready, balancer later than
+//		they do, or with balancer=none to all
 //	after TIME
 //		waits until that time of the load
 //	entry start | stop NAME... | stopped NAME... | kill NAME... | freeze NAME... | wake NAME...
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -121,7 +121,7 @@
 
 func startLoad(ts *testscript.TestScript, _ bool, args []string) {
 	opts := options(ts, args, map[string]string{
-		"rate": "200", "for": "3s", "orders": "40", "resend": "20", "retries": "0", "seed": "1", "balancer": "yes",
+		"rate": "200", "for": "3s", "orders": "40", "resend": "20", "retries": "0", "seed": "1", "balancer": "0s",
 	})
 	s := stateOf(ts)
 	orders := number(ts, opts["orders"])
@@ -139,8 +139,9 @@
 		Retries:       number(ts, opts["retries"]),
 		RetryPause:    100 * time.Millisecond,
 	}
-	if opts["balancer"] == "yes" {
+	if opts["balancer"] != "none" {
 		settings.ReadyURLs = s.fleet.ReadyURLs()
+		settings.BalancerLag = duration(ts, opts["balancer"])
 	}
 	s.load, s.started = make(chan loaded, 1), time.Now()
 	go func() {
