--- a/internal/loadgen/judge.go
+++ b/internal/loadgen/judge.go
@@ -20,6 +20,9 @@
 	WholeButNotRun int `json:"whole_but_not_run"`
 	// OverLimit are attempts that found every slot of a server in use.
 	OverLimit uint64 `json:"over_limit"`
+	// RefusedDraining are attempts at servers that had been draining for
+	// longer than they accept new work.
+	RefusedDraining uint64 `json:"refused_draining"`
 	// MaxConnections is the most connections that one server had open.
 	MaxConnections int `json:"max_connections"`
 	// ConnectionsOpened is the number of connections of all servers.
@@ -51,6 +54,7 @@
 	}
 	for _, c := range counts {
 		j.OverLimit += c.OverLimit
+		j.RefusedDraining += c.RefusedDraining
 		j.MaxConnections = max(j.MaxConnections, c.MaxConnections)
 		j.ConnectionsOpened += c.ConnectionsOpened
 		j.Probes += c.Probes
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -16,6 +16,9 @@
 //		stopped waits for exit code 0
 //	backend faults NAME JSON | kill NAME | restart NAME
 //	platform faults JSON
+//	poison TIMES
+//		sends a request that crashes servers, to one daemon after the other;
+//		the figures are then the codes of the answers and servers_lost
 //	judge
 //		waits for the load's end and reads the backend servers' logs
 //	check FIGURE OP NUMBER
@@ -23,5 +26,6 @@
 //
 // Figures are the verdicts of package loadgen, such as whole, cut and unknown,
 // the codes of pomelolock's own answers, and sent, retried, executions,
-// repeated_keys, ran_but_told_not_run, whole_but_not_run and over_limit.
+// repeated_keys, ran_but_told_not_run, whole_but_not_run, over_limit and
+// refused_draining.
 package scenario
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -54,6 +55,7 @@
 			"entry":    entry,
 			"backend":  backendCommand,
 			"platform": platformCommand,
+			"poison":   poison,
 			"judge":    judge,
 			"check":    check,
 		},
@@ -212,6 +214,32 @@
 	ts.Check(stateOf(ts).fleet.Platform.SetFaults(context.Background(), faults))
 }
 
+// poison sends a request that crashes servers, to one daemon after the other.
+func poison(ts *testscript.TestScript, _ bool, args []string) {
+	s := stateOf(ts)
+	targets := s.fleet.Targets()
+	s.figures = make(map[string]float64)
+	for i := range number(ts, args[0]) {
+		url := targets[i%len(targets)] + "/patterns/search?call=poison&crash=1"
+		resp, err := http.Get(url)
+		ts.Check(err)
+		var own struct {
+			Code string `json:"code"`
+		}
+		ts.Check(json.NewDecoder(resp.Body).Decode(&own))
+		_ = resp.Body.Close()
+		s.figures[own.Code]++
+	}
+	for _, server := range s.fleet.Backends {
+		select {
+		case <-server.Done():
+			s.figures["servers_lost"]++
+		default:
+		}
+	}
+	ts.Logf("figures %v", s.figures)
+}
+
 func judge(ts *testscript.TestScript, _ bool, _ []string) {
 	s := stateOf(ts)
 	result := <-s.load
@@ -231,6 +259,7 @@
 		"ran_but_told_not_run": float64(j.RanButToldNotRun),
 		"whole_but_not_run":    float64(j.WholeButNotRun),
 		"over_limit":           float64(j.OverLimit),
+		"refused_draining":     float64(j.RefusedDraining),
 	}
 	for _, verdict := range loadgen.Verdicts {
 		all[string(verdict)] = float64(r.Verdicts[verdict] + r.Duplicates[verdict])
