Probe draining servers only, from one instance each

Cause: the daemon noted failures on the instance that saw them and probed them on the one that owns the address, so a server whose drain was called off never returned; and servers that fail are tried again by traffic, so their probes told nobody anything. Change: the prober follows the draining servers that all instances share (Tracker.DrainingServers), first after 30 s, and waits longer after each false answer of a health endpoint. The daemon no longer notes failures. Sessions have smaller buffers.

--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -26,6 +26,7 @@
 	d.watch.prober = probe.NewProber(probe.ProberOptions{
 		Budget: d.probes,
 		Report: d.watch.probed,
+		Shared: d.tracker.DrainingServers,
 		Owns:   d.owns,
 		Path:   probePath,
 		Logger: d.logger.With("part", "probe"),
@@ -49,18 +50,12 @@
 	return membership.Owner(address, ids) == d.self.ID
 }
 
-// Observe implements [proxy.ServerObserver].
+// Observe implements [proxy.ServerObserver]. Servers that fail are tried again
+// by ordinary traffic; only draining ones, which get none, are probed.
 func (w *serverWatch) Observe(server table.Server, result loadbalancer.Result) {
-	draining := result.Load != nil && result.Load.Draining
-	if draining {
+	if result.Load != nil && result.Load.Draining {
 		w.tracker.ReportLeavingServer(server.Address)
 	}
-	switch {
-	case draining, result.Class == loadbalancer.ClassUnreachable:
-		w.prober.NoteFailure(server.Address)
-	case result.Class == loadbalancer.ClassOK:
-		w.prober.NoteAnswer(server.Address)
-	}
 }
 
 // probed takes in the answer to a probe.
--- a/membership/servers.go
+++ b/membership/servers.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pomelolock/pomelolock/peer/peerpb"
@@ -138,6 +139,19 @@
 	return nil
 }
 
+// draining returns the addresses of servers that are leaving by report though
+// the list holds them as live, sorted.
+func (s *servers) draining() []string {
+	var addresses []string
+	for address, record := range s.records {
+		if record.leaving && s.rows[address].State == platform.StateLive {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
 func (s *servers) notices() []*peerpb.ServerNotice {
 	notices := make([]*peerpb.ServerNotice, 0, len(s.records))
 	for address, record := range s.records {
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -135,6 +135,15 @@
 	return t.changed
 }
 
+// DrainingServers returns the addresses of backend servers that were reported
+// as leaving though the list holds them as live. Only a report or the list can
+// return them to service, since they get no work.
+func (t *Tracker) DrainingServers() []string {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.servers.draining()
+}
+
 // ReportLeavingServer records that the backend server at the address drains
 // and tells all peers at once.
 func (t *Tracker) ReportLeavingServer(address string) {
--- a/membership/tracker_test.go
+++ b/membership/tracker_test.go
@@ -277,6 +277,10 @@
 		time.Sleep(2 * linkDelay)
 		knows(true, "10.0.0.1:80", "late")
 
+		if got := f.trackers["late"].DrainingServers(); !slices.Equal(got, []string{"10.0.0.1:80"}) {
+			t.Fatalf("draining: %v", got)
+		}
+
 		_ = f.list.RemoveInstance(t.Context(), "s1")
 		f.setRow(backend("s2", "10.0.0.1:80", platform.StateLive))
 		time.Sleep(2 * time.Second)
@@ -287,6 +291,9 @@
 		knows(true, "10.0.0.1:80", "a", "b", "c", "late")
 		f.trackers["b"].ReportServingServer("10.0.0.1:80")
 		knows(true, "10.0.0.1:80", "b")
+		if got := f.trackers["b"].DrainingServers(); len(got) > 0 {
+			t.Fatalf("draining although the list holds it as leaving: %v", got)
+		}
 		f.setRow(backend("s2", "10.0.0.1:80", platform.StateLive))
 		time.Sleep(2 * time.Second)
 		knows(false, "10.0.0.1:80", "a", "b", "c", "late")
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -54,12 +55,23 @@
 	})
 }
 
+func memoryInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapInuse + stats.StackInuse
+}
+
 // BenchmarkIdle reports the bytes that one idle mesh sends in a second, without
-// TCP and IP headers.
+// TCP and IP headers, and the memory and goroutines of one end of a session.
 func BenchmarkIdle(b *testing.B) {
 	for _, n := range []int{6, 18, 36} {
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			memory, goroutines := memoryInUse(), runtime.NumGoroutine()
 			meshes := benchMeshes(b, n)
+			ends := float64(n * (n - 1))
+			b.ReportMetric(float64(memoryInUse()-memory)/ends, "B/session")
+			b.ReportMetric(float64(runtime.NumGoroutine()-goroutines)/ends, "goroutines/session")
 			time.Sleep(time.Second)
 			before, start := meshes[0].Stats(), time.Now()
 			time.Sleep(3 * time.Second)
--- a/peer/session.go
+++ b/peer/session.go
@@ -23,8 +23,8 @@
 	// maxErrorBytes bounds the text of a handler's error.
 	maxErrorBytes = 512
 	// readBufferBytes and flushBytes size the buffers of a session.
-	readBufferBytes = 8 << 10
-	flushBytes      = 16 << 10
+	readBufferBytes = 4 << 10
+	flushBytes      = 8 << 10
 	// missedHeartbeats is how many heartbeats may stay away before a peer
 	// counts as lost.
 	missedHeartbeats = 3
--- a/probe/prober.go
+++ b/probe/prober.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -21,6 +22,13 @@
 	// retryMin and retryMax bound the backoff between probes of a server.
 	retryMin = time.Second
 	retryMax = 30 * time.Second
+	// sharedMin and sharedMax bound the time without probes and traffic of
+	// a shared server. A health endpoint may claim that a draining server
+	// serves, so a server that comes back to Shared waits twice as long.
+	sharedMin = 30 * time.Second
+	sharedMax = 10 * time.Minute
+	// relapseWithin is how long an earlier return is remembered.
+	relapseWithin = time.Hour
 	// scanEvery is how often servers are checked for a due probe.
 	scanEvery = 250 * time.Millisecond
 	// maxServers bounds the failing servers remembered.
@@ -53,8 +61,11 @@
 	Budget Taker
 	// Report receives the result of each probe.
 	Report func(Result)
-	// Owns reports whether this instance probes the server; nil means all.
-	// Fleets let one instance probe each server and share what it finds.
+	// Shared returns servers that every instance knows to have stopped
+	// answering, such as draining ones; nil means none.
+	Shared func() []string
+	// Owns reports whether this instance is the one to probe a shared
+	// server; nil means all. Failures noted here are probed from here.
 	Owns func(address string) bool
 	// Path is requested from the server's address.
 	Path string
@@ -71,6 +82,14 @@
 	// due is when the next probe may be sent.
 	due     time.Time
 	backoff time.Duration
+	// shared tells that the server came from Shared.
+	shared bool
+}
+
+// recovery is the return of a shared server to service.
+type recovery struct {
+	at      time.Time
+	backoff time.Duration
 }
 
 // Prober retries backend servers that failed and have no traffic. It is safe
@@ -81,7 +100,9 @@
 
 	mu       sync.Mutex
 	suspects map[string]suspect
-	count    atomic.Int64
+	// recovered holds shared servers that answered.
+	recovered map[string]recovery
+	count     atomic.Int64
 }
 
 // NewProber returns a prober without suspects.
@@ -100,29 +121,37 @@
 	}
 	transport := &http.Transport{DisableKeepAlives: true, DialContext: opts.Dial}
 	return &Prober{
-		opts:     opts,
-		client:   &http.Client{Transport: transport, CheckRedirect: keepRedirect},
-		suspects: make(map[string]suspect),
+		opts:      opts,
+		client:    &http.Client{Transport: transport, CheckRedirect: keepRedirect},
+		suspects:  make(map[string]suspect),
+		recovered: make(map[string]recovery),
 	}
 }
 
 func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-// NoteFailure tells that the server at the address failed or drains. It is
+// NoteFailure tells that the server at the address failed. It is
 // probed unless it fails again within quietFor, which is traffic too.
 func (p *Prober) NoteFailure(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known, ok := p.suspects[address]
 	if !ok {
+		known = suspect{backoff: retryMin}
+	}
+	p.suspectLocked(address, known, time.Now())
+}
+
+// suspectLocked stores a suspect and starts its time without traffic.
+func (p *Prober) suspectLocked(address string, s suspect, now time.Time) {
+	if _, ok := p.suspects[address]; !ok {
 		if len(p.suspects) >= maxServers {
 			return
 		}
-		known.backoff = retryMin
 		p.count.Add(1)
 	}
-	known.due = time.Now().Add(max(quietFor, known.backoff))
-	p.suspects[address] = known
+	s.due = now.Add(max(quietFor, s.backoff))
+	p.suspects[address] = s
 }
 
 // NoteAnswer tells that the server at the address answered a request.
@@ -132,12 +161,63 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recoverLocked(address, time.Now())
+	p.dropLocked(address)
+}
+
+func (p *Prober) dropLocked(address string) {
 	if _, ok := p.suspects[address]; ok {
 		delete(p.suspects, address)
 		p.count.Add(-1)
 	}
 }
 
+// adoptShared follows the shared servers that this instance owns.
+func (p *Prober) adoptShared(now time.Time) {
+	if p.opts.Shared == nil {
+		return
+	}
+	owned := make(map[string]bool)
+	for _, address := range p.opts.Shared() {
+		if p.opts.Owns == nil || p.opts.Owns(address) {
+			owned[address] = true
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, s := range p.suspects {
+		if s.shared && !owned[address] {
+			p.dropLocked(address)
+		}
+	}
+	for address := range owned {
+		if _, ok := p.suspects[address]; !ok {
+			p.suspectLocked(address, suspect{backoff: p.sharedBackoff(address, now), shared: true}, now)
+		}
+	}
+}
+
+// sharedBackoff returns the time before the first probe of a shared server.
+func (p *Prober) sharedBackoff(address string, now time.Time) time.Duration {
+	last, ok := p.recovered[address]
+	if !ok || now.Sub(last.at) > relapseWithin {
+		return sharedMin
+	}
+	return min(2*last.backoff, sharedMax)
+}
+
+// recoverLocked remembers that a shared server returned to service.
+func (p *Prober) recoverLocked(address string, now time.Time) {
+	known, ok := p.suspects[address]
+	if !ok || !known.shared {
+		return
+	}
+	maps.DeleteFunc(p.recovered, func(_ string, r recovery) bool { return now.Sub(r.at) > relapseWithin })
+	if len(p.recovered) < maxServers {
+		p.recovered[address] = recovery{at: now, backoff: known.backoff}
+	}
+}
+
 // Run probes suspects until ctx ends.
 func (p *Prober) Run(ctx context.Context) error {
 	ticker := time.NewTicker(scanEvery)
@@ -150,7 +230,9 @@
 		case <-ctx.Done():
 			return nil
 		}
-		for _, address := range p.due(time.Now()) {
+		now := time.Now()
+		p.adoptShared(now)
+		for _, address := range p.due(now) {
 			wg.Go(func() { p.probe(ctx, address) })
 		}
 	}
@@ -166,14 +248,14 @@
 	defer p.mu.Unlock()
 	var due []string
 	for address, s := range p.suspects {
-		if now.Before(s.due) || p.opts.Owns != nil && !p.opts.Owns(address) {
+		if now.Before(s.due) {
 			continue
 		}
 		if !p.opts.Budget.TryTake(1) {
 			return due
 		}
 		s.due = now.Add(s.backoff + p.opts.Timeout)
-		s.backoff = min(2*s.backoff, retryMax)
+		s.backoff = min(2*s.backoff, max(retryMax, s.backoff))
 		p.suspects[address] = s
 		due = append(due, address)
 	}
