Report good results every 200 ms, collect returns, weigh overdue requests singly

Reports and asks for single returns were most of the bytes. A single overdue request halved a server's window, though 1.8% of exponential ones exceed four times the mean; each now takes one off.

--- a/slot/coordinator.go
+++ b/slot/coordinator.go
@@ -11,7 +11,7 @@
 const (
 	// ackInterval is the least time between two grants that only
 	// acknowledge an ask.
-	ackInterval = leaseTTL / 20
+	ackInterval = leaseTTL / 8
 	// gatherInterval is the time after which a gather is repeated.
 	gatherInterval = 100 * time.Millisecond
 )
--- a/slot/holder.go
+++ b/slot/holder.go
@@ -16,6 +16,8 @@
 	renewRetry = leaseTTL / 10
 	// suspectAfter is the silence from which a coordinator is taken for lost.
 	suspectAfter = leaseTTL / 5
+	// returnDelay is for how long returns of idle leases are collected.
+	returnDelay = 50 * time.Millisecond
 	// busyWeight is the weight of one tick in the average of busy leases.
 	busyWeight = 0.2
 )
@@ -89,6 +91,11 @@
 	want int
 	// busy is the average number of leases in use.
 	busy float64
+	// reportedAt is when good results were last reported.
+	reportedAt time.Time
+	// returnedAt is when a lease was returned that the coordinator doesn't
+	// know of and needn't know of at once; zero if there is none.
+	returnedAt time.Time
 	// due tells that the coordinator should hear the present state now.
 	due    bool
 	sentAt time.Time
@@ -194,6 +201,15 @@
 	h.due = true
 }
 
+// dropLater returns a lease that nobody asked for: the next ask, within
+// returnDelay, no longer lists it.
+func (h *holder) dropLater(l *lease, now time.Time) {
+	delete(h.leases, l.id)
+	if h.returnedAt.IsZero() {
+		h.returnedAt = now
+	}
+}
+
 // tick ends cooling, returns leases that were idle for long, and renews.
 func (h *holder) tick(now time.Time) {
 	h.usual = h.usualLatency()
@@ -208,8 +224,10 @@
 				h.idle(l, now)
 			}
 		case leaseIdle:
-			if l.recalled || now.Sub(l.since) >= h.idleTime {
+			if l.recalled {
 				h.drop(l)
+			} else if now.Sub(l.since) >= h.idleTime {
+				h.dropLater(l, now)
 			}
 		case leaseBusy:
 			h.noteOverdue(l, now)
@@ -219,6 +237,9 @@
 	if len(h.leases) > 0 && now.Sub(h.basis) >= renewAfter && now.Sub(h.sentAt) >= renewRetry {
 		h.due = true
 	}
+	if !h.returnedAt.IsZero() && now.Sub(h.returnedAt) >= returnDelay {
+		h.due = true
+	}
 	if h.want > 0 && now.Sub(h.sentAt) >= renewRetry {
 		h.due = true
 	}
@@ -242,7 +263,7 @@
 	if !h.due {
 		return nil
 	}
-	h.due = false
+	h.due, h.returnedAt = false, time.Time{}
 	h.askSeq++
 	h.sent.put(h.askSeq, now)
 	h.sentAt, h.wantSent = now, h.want
@@ -255,7 +276,7 @@
 		Session: h.session,
 		Want:    uint32(h.want),
 		DrainMs: h.drain.Milliseconds(),
-		Reports: h.takeReports(),
+		Reports: h.takeReports(now),
 		Suspect: h.suspect(now),
 		BasisMs: int64(mostElapsed(now, h.basis)/time.Millisecond) + 1,
 		Stale:   now.Before(h.staleUntil),
--- a/slot/quality.go
+++ b/slot/quality.go
@@ -16,7 +16,7 @@
 	// windowStep is what one good result adds to a server's window, and
 	// maxSteps bounds the steps of one report.
 	windowStep = 0.5
-	maxSteps   = 4
+	maxSteps   = 8
 	// decreaseInterval is the least time between two decreases of a window.
 	decreaseInterval = 50 * time.Millisecond
 	// minTrial and maxTrial bound the time between two trial grants of a
@@ -62,8 +62,10 @@
 	case bad > 0 && bad >= r.GetOk():
 		q.failing = true
 		q.decrease(now)
-	case r.GetOverdue() > 0 || q.slow(median):
+	case q.slow(median):
 		q.decrease(now)
+	case r.GetOverdue() > 0:
+		q.shrink(float64(r.GetOverdue())-windowStep*float64(r.GetOk()), now)
 	case r.GetOk() > 0:
 		q.failing = false
 		q.trial = minTrial
@@ -99,6 +101,15 @@
 	}
 }
 
+// shrink takes overdue requests off the window, so that the few of a healthy
+// server weigh little and those of a stalled one close it.
+func (q *quality) shrink(by float64, now time.Time) {
+	q.window -= max(by, 0)
+	if q.window < 1 {
+		q.close(now)
+	}
+}
+
 // close leaves the server nothing but trials at growing distances.
 func (q *quality) close(now time.Time) {
 	q.window = 0.5
--- a/slot/report.go
+++ b/slot/report.go
@@ -14,6 +14,9 @@
 	// in flight counts as overdue, overdueFloor the least such time.
 	overdueFactor = 4
 	overdueFloor  = 10 * time.Millisecond
+	// reportInterval is the least time between two reports of good results;
+	// bad ones go with the next ask.
+	reportInterval = 200 * time.Millisecond
 )
 
 func (h *holder) statsOf(server serverID) *serverStats {
@@ -95,12 +98,17 @@
 	return medianLatency(latencies)
 }
 
-// takeReports returns and resets the counts since the previous ask.
-func (h *holder) takeReports() []*slotpb.ServerReport {
+// takeReports returns and resets the counts that are due to be reported.
+func (h *holder) takeReports(now time.Time) []*slotpb.ServerReport {
+	all := now.Sub(h.reportedAt) >= reportInterval
+	if all {
+		h.reportedAt = now
+	}
 	var reports []*slotpb.ServerReport
 	for _, stats := range h.stats {
 		r := &stats.report
-		if r.Ok+r.Failed+r.Refused+r.Unreachable+r.Overdue == 0 && !r.Draining {
+		bad := r.Failed+r.Refused+r.Unreachable+r.Overdue > 0 || r.Draining
+		if !bad && (!all || r.Ok == 0) {
 			continue
 		}
 		reports = append(reports, &slotpb.ServerReport{
