--- a/slot/holder.go
+++ b/slot/holder.go
@@ -233,6 +233,9 @@
 			h.noteOverdue(l, now)
 		}
 	}
+	if h.want == 0 && len(h.leases) == 0 {
+		h.waitingSince = time.Time{}
+	}
 	h.busy += busyWeight * (float64(inUse) - h.busy)
 	if len(h.leases) > 0 && now.Sub(h.basis) >= renewAfter && now.Sub(h.sentAt) >= renewRetry {
 		h.due = true
