--- a/slot/manager_test.go
+++ b/slot/manager_test.go
@@ -519,6 +519,25 @@
 	f.slow[server] = slow
 }
 
+// TestStalledServerGetsTrials lets one server stay 8 times slower.
+func TestStalledServerGetsTrials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		f.drive(half, time.Second, nil)
+		f.setSlow("server-3", true)
+		f.drive(half, time.Second, nil)
+		before := f.served["server-3"]
+		l := f.drive(half, 4*time.Second, nil)
+		served := f.served["server-3"] - before
+		t.Logf("sent %d, to the slow server %d, p99 %v", l.sent, served, percentile(l.took, 0.99))
+		if served > l.sent/fleetServers/20 {
+			t.Errorf("%d of %d requests went to the slow server", served, l.sent)
+		}
+		f.checkSlots()
+	})
+}
+
 // TestFastFailureIsNoMerit lets one server fail every request in no time.
 func TestFastFailureIsNoMerit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
