--- /dev/null
+++ b/internal/prove/check.go
@@ -0,0 +1,116 @@
+package prove
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+)
+
+// pageFile is the page that names the rows.
+const pageFile = "docs/PROOFS.md"
+
+// RowError is a fault of one row.
+type RowError struct {
+	ID     string
+	Reason string
+}
+
+func (e *RowError) Error() string { return "prove: row " + e.ID + ": " + e.Reason }
+
+// scriptDirs are the directories of the scripts that a test runs as subtests.
+var scriptDirs = map[string]string{
+	"TestScenarios":      "testdata",
+	"TestProofScenarios": "testdata/proofs",
+}
+
+// pageRow matches a table row of the page that names a row and its test.
+var pageRow = regexp.MustCompile("(?m)^\\| `([^`]+)` \\|[^|]*\\| `([^`]+)` \\| `([^`]+)` \\|")
+
+// Check returns the faults of the rows against the module at root: tests that
+// don't exist, switch-offs whose text is not there exactly once, and
+// differences from the page.
+func Check(root string, rows []Row) []error {
+	var faults []error
+	seen := make(map[string]bool)
+	for _, row := range rows {
+		if seen[row.ID] {
+			faults = append(faults, &RowError{row.ID, "stands twice"})
+		}
+		seen[row.ID] = true
+		if err := checkTest(root, row); err != nil {
+			faults = append(faults, err)
+		}
+		faults = append(faults, checkSwitchOffs(root, row)...)
+	}
+	return append(faults, checkPage(root, rows)...)
+}
+
+// checkTest finds the test's function, and the script of a scenario.
+func checkTest(root string, row Row) error {
+	name, script, hasScript := strings.Cut(row.Test, "/")
+	if !declares(filepath.Join(root, row.Package), name) {
+		return &RowError{row.ID, fmt.Sprintf("no test %s in %s", name, row.Package)}
+	}
+	if !hasScript {
+		return nil
+	}
+	dir, known := scriptDirs[name]
+	if !known {
+		return &RowError{row.ID, "no script directory for " + name}
+	}
+	path := filepath.Join(root, row.Package, dir, script+".txt")
+	if _, err := os.Stat(path); err != nil {
+		return &RowError{row.ID, "no script: " + err.Error()}
+	}
+	return nil
+}
+
+func declares(dir, test string) bool {
+	files, _ := filepath.Glob(filepath.Join(dir, "*_test.go"))
+	for _, file := range files {
+		source, err := os.ReadFile(file)
+		if err == nil && strings.Contains(string(source), "\nfunc "+test+"(") {
+			return true
+		}
+	}
+	return false
+}
+
+func checkSwitchOffs(root string, row Row) []error {
+	var faults []error
+	if len(row.Off) == 0 && row.NotShown == "" {
+		faults = append(faults, &RowError{row.ID, "no switch-off and no reason"})
+	}
+	for _, off := range row.Off {
+		if _, err := off.edited(root); err != nil {
+			faults = append(faults, &RowError{row.ID, err.Error()})
+		}
+	}
+	return faults
+}
+
+// checkPage compares the page's rows with those of the file.
+func checkPage(root string, rows []Row) []error {
+	page, err := os.ReadFile(filepath.Join(root, pageFile))
+	if err != nil {
+		return []error{fmt.Errorf("prove: %w", err)}
+	}
+	named := make(map[string][]string)
+	for _, match := range pageRow.FindAllStringSubmatch(string(page), -1) {
+		named[match[1]] = match[2:]
+	}
+	var faults []error
+	for _, row := range rows {
+		got := named[row.ID]
+		delete(named, row.ID)
+		if len(got) != 2 || got[0] != row.Package || got[1] != row.Test {
+			faults = append(faults, &RowError{row.ID, fmt.Sprintf("%s names %q", pageFile, got)})
+		}
+	}
+	for id := range named {
+		faults = append(faults, &RowError{id, "only in " + pageFile})
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/prove/prove_test.go
@@ -0,0 +1,45 @@
+package prove
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// TestRowsMatchTreeAndPage holds the committed rows against the tests, the
+// source and the page.
+func TestRowsMatchTreeAndPage(t *testing.T) {
+	g := gomega.NewWithT(t)
+	rows, err := Rows()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(Check("../..", rows)).To(gomega.BeEmpty())
+}
+
+func TestCheckFindsFaults(t *testing.T) {
+	g := gomega.NewWithT(t)
+	root := t.TempDir()
+	write := func(name, content string) {
+		path := filepath.Join(root, name)
+		g.Expect(os.MkdirAll(filepath.Dir(path), 0o750)).To(gomega.Succeed())
+		g.Expect(os.WriteFile(path, []byte(content), 0o600)).To(gomega.Succeed())
+	}
+	write("p/a.go", "package p\nvar x, y = 1, 1\n")
+	write("p/a_test.go", "package p\nfunc TestA(t *testing.T) {}\n")
+	write("docs/PROOFS.md", "| `a` | m | `p` | `TestA` |\n| `gone` | m | `p` | `TestA` |\n")
+	once := SwitchOff{Name: "x", Edits: []Edit{{File: "p/a.go", Old: "x, y", New: "x, z"}}}
+	row := Row{ID: "a", Package: "p", Test: "TestA", Off: []SwitchOff{once}}
+	g.Expect(Check(root, []Row{row})).To(gomega.HaveLen(1), "the row that is only in the page")
+
+	twice := SwitchOff{Name: "y", Edits: []Edit{{File: "p/a.go", Old: "1", New: "2"}}}
+	missing := Row{ID: "b", Package: "p", Test: "TestB", Off: []SwitchOff{twice}}
+	g.Expect(Check(root, []Row{row, missing})).To(gomega.HaveLen(4), "no test, text twice, not in the page")
+}
+
+func TestPatternMatchesOneTest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(Row{Test: "TestScenarios/lost_answers"}.pattern()).To(gomega.Equal("^(TestScenarios)$/^(lost_answers)$"))
+	g.Expect(ranTest("testing: warning: no tests to run\nPASS\n")).To(gomega.BeFalse())
+	g.Expect(failedTest("FAIL\tp [build failed]\n", "TestA")).To(gomega.BeFalse())
+}
--- /dev/null
+++ b/internal/scenario/proofs_test.go
@@ -0,0 +1,304 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/pomelolock/pomelolock/internal/cli"
+	"github.com/pomelolock/pomelolock/internal/fleet"
+	"github.com/pomelolock/pomelolock/internal/standin/backend"
+	"github.com/pomelolock/pomelolock/internal/standin/execlog"
+	"github.com/pomelolock/pomelolock/operator"
+	"github.com/pomelolock/pomelolock/table"
+)
+
+const (
+	// convergence bounds the wait for what has to happen in the end.
+	convergence = 30 * time.Second
+	pollPause   = 20 * time.Millisecond
+	pollTimeout = 500 * time.Millisecond
+
+	pathStatus = "/status"
+	pathReady  = "/readyz"
+)
+
+// TestProofScenarios runs the scripts of testdata/proofs, which also accept
+// tables, drain backend servers and send crashing requests.
+func TestProofScenarios(t *testing.T) {
+	if err := fleet.Build(t.Context(), bin, "pomelolock"); err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/proofs",
+		Setup: func(env *testscript.Env) error {
+			env.Values[stateKey{}] = &state{}
+			env.Values[proofKey{}] = &proof{left: make(map[string]time.Time)}
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"fleet":     startFleet,
+			"load":      startLoad,
+			"after":     after,
+			"entry":     entry,
+			"platform":  platformCommand,
+			"judge":     judge,
+			"check":     check,
+			"ready":     ready,
+			"forget":    forget,
+			"accept":    accept,
+			"operators": operators,
+			"inforce":   inForce,
+			"watch":     watch,
+			"drain":     drainServer,
+			"quiet":     quiet,
+			"poison":    poison,
+		},
+	})
+}
+
+type proofKey struct{}
+
+// proof is what one scenario of TestProofScenarios holds.
+type proof struct {
+	// left is when backend servers began to leave.
+	left map[string]time.Time
+}
+
+func proofOf(ts *testscript.TestScript) *proof { return ts.Value(proofKey{}).(*proof) }
+
+// eventually polls until done reports true.
+func eventually(ts *testscript.TestScript, what string, done func() bool) {
+	for deadline := time.Now().Add(convergence); !done(); time.Sleep(pollPause) {
+		if time.Now().After(deadline) {
+			ts.Fatalf("not within %v: %s", convergence, what)
+		}
+	}
+}
+
+// operatorGet reads a path of a daemon's operator listener into v.
+func operatorGet(ctx context.Context, e *fleet.Entry, path string, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.OperatorURL+path, nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+fleet.OperatorToken)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	if v == nil {
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(v)
+}
+
+func tableVersion(ctx context.Context, e *fleet.Entry) (uint64, error) {
+	var status operator.Status
+	err := operatorGet(ctx, e, pathStatus, &status)
+	return status.TableVersion, err
+}
+
+// ready waits until the daemons named are ready.
+func ready(ts *testscript.TestScript, _ bool, names []string) {
+	for _, name := range names {
+		e := stateOf(ts).fleet.Entry(name)
+		eventually(ts, name+" ready", func() bool { return operatorGet(context.Background(), e, pathReady, nil) == nil })
+	}
+}
+
+// forget takes daemons that have ended out of the targets of later loads.
+func forget(ts *testscript.TestScript, _ bool, names []string) {
+	f := stateOf(ts).fleet
+	f.Entries = slices.DeleteFunc(f.Entries, func(e *fleet.Entry) bool { return slices.Contains(names, e.Name) })
+}
+
+// acceptWeight accepts the fleet's table with another weight of its first
+// backend server through a daemon and returns the tool's exit code and output.
+func acceptWeight(ts *testscript.TestScript, name string, base uint64, weight int) (cli.Code, string, error) {
+	f := stateOf(ts).fleet
+	doc := f.Document()
+	doc.Version, doc.Servers[0].Weight = base, weight
+	data, err := table.Encode(doc)
+	if err != nil {
+		return 0, "", err
+	}
+	path := filepath.Join(ts.MkAbs("."), fmt.Sprintf("table-%s-%d.json", name, weight))
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return 0, "", err
+	}
+	token := filepath.Join(ts.MkAbs("."), "token-"+name)
+	if err := os.WriteFile(token, []byte(fleet.OperatorToken+"\n"), 0o600); err != nil {
+		return 0, "", err
+	}
+	output, err := f.Tool(context.Background(), "table", "accept", path, "--yes", "--message", "weight", "--author", name,
+		"--token-file", token, "--platform", f.Platform.URL,
+		"--operator", strings.TrimPrefix(f.Entry(name).OperatorURL, "http://"))
+	var failed *fleet.ToolError
+	var exit *exec.ExitError
+	if errors.As(err, &failed) && errors.As(err, &exit) {
+		return cli.Code(exit.ExitCode()), failed.Output, nil
+	}
+	return cli.CodeDone, output, err
+}
+
+// accept accepts a weight: accept DAEMON BASE WEIGHT.
+func accept(ts *testscript.TestScript, _ bool, args []string) {
+	code, output, err := acceptWeight(ts, args[0], uint64(number(ts, args[1])), number(ts, args[2]))
+	ts.Check(err)
+	if code != cli.CodeDone {
+		ts.Fatalf("accept through %s: exit code %d: %s", args[0], code, output)
+	}
+}
+
+// operators accepts two tables at once on version BASE: operators BASE DAEMON
+// DAEMON. One has to be accepted and the other to conflict.
+func operators(ts *testscript.TestScript, _ bool, args []string) {
+	base := uint64(number(ts, args[0]))
+	codes, outputs, errs := make([]cli.Code, 2), make([]string, 2), make([]error, 2)
+	var group sync.WaitGroup
+	for i, name := range args[1:3] {
+		group.Go(func() { codes[i], outputs[i], errs[i] = acceptWeight(ts, name, base, 10+i) })
+	}
+	group.Wait()
+	ts.Check(errors.Join(errs...))
+	won, lost := slices.Index(codes, cli.CodeDone), slices.Index(codes, cli.CodeConflict)
+	if won < 0 || lost < 0 {
+		ts.Fatalf("exit codes %v: %q", codes, outputs)
+	}
+	if want := fmt.Sprintf("weight: %d -> %d", 10+won, 10+lost); !strings.Contains(outputs[lost], want) {
+		ts.Fatalf("no %q in the conflict: %s", want, outputs[lost])
+	}
+}
+
+// inForce waits until every running daemon has the version in force.
+func inForce(ts *testscript.TestScript, _ bool, args []string) {
+	want := uint64(number(ts, args[0]))
+	for _, e := range stateOf(ts).fleet.Entries {
+		eventually(ts, fmt.Sprintf("version %d in force on %s", want, e.Name), func() bool {
+			got, err := tableVersion(context.Background(), e)
+			return err == nil && got == want
+		})
+	}
+}
+
+// watch reads each daemon's version until the script ends, which fails if one
+// went back.
+func watch(ts *testscript.TestScript, _ bool, _ []string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	entries := stateOf(ts).fleet.Entries
+	faults := make([]error, len(entries))
+	for i, e := range entries {
+		group.Go(func() { faults[i] = neverBack(ctx, e) })
+	}
+	ts.Defer(func() {
+		cancel()
+		group.Wait()
+		ts.Check(errors.Join(faults...))
+	})
+}
+
+func neverBack(ctx context.Context, e *fleet.Entry) error {
+	var highest uint64
+	for ; ctx.Err() == nil; time.Sleep(pollPause) {
+		got, err := tableVersion(ctx, e)
+		if err != nil {
+			continue
+		}
+		if got < highest {
+			return fmt.Errorf("%s went from version %d back to %d", e.Name, highest, got)
+		}
+		highest = got
+	}
+	return nil
+}
+
+// drainServer lets a backend server leave. It refuses nothing by itself.
+func drainServer(ts *testscript.TestScript, _ bool, args []string) {
+	server := stateOf(ts).fleet.Backend(args[0])
+	faults := backend.Faults{Draining: true, DrainRefuseMS: time.Hour.Milliseconds()}
+	ts.Check(server.SetFaults(context.Background(), faults))
+	proofOf(ts).left[args[0]] = time.Now()
+}
+
+// quiet fails if a server started an execution later than a grace after it
+// began to leave: quiet SERVER GRACE. Others of its service must have gone on.
+func quiet(ts *testscript.TestScript, _ bool, args []string) {
+	f := stateOf(ts).fleet
+	left := f.Backend(args[0])
+	limit := proofOf(ts).left[args[0]].Add(duration(ts, args[1]))
+	late := make(map[bool]int)
+	before := 0
+	for _, server := range f.Backends {
+		if server.Service != left.Service {
+			continue
+		}
+		entries, err := execlog.Read(server.ExecutionLog)
+		ts.Check(err)
+		for _, e := range entries {
+			switch {
+			case e.Event != execlog.EventStart:
+			case e.At.After(limit):
+				late[server == left]++
+			case server == left:
+				before++
+			}
+		}
+	}
+	if late[true] > 0 || before == 0 || late[false] == 0 {
+		ts.Fatalf("%s started %d executions before and %d after the grace, others %d", args[0], before, late[true], late[false])
+	}
+}
+
+// poison sends a request that crashes backend servers to each daemon in turn,
+// for some rounds, and fails if it ran more often than a bound: poison ROUNDS
+// BOUND. It then restarts the servers.
+func poison(ts *testscript.TestScript, _ bool, args []string) {
+	f := stateOf(ts).fleet
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for range number(ts, args[0]) {
+		for _, target := range f.Targets() {
+			resp, err := client.Get(target + "/patterns/search?" + backend.ParamCrash + "=1")
+			ts.Check(err)
+			_ = resp.Body.Close()
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	runs := 0
+	for _, server := range f.Backends {
+		entries, err := execlog.Read(server.ExecutionLog)
+		ts.Check(err)
+		lost := slices.ContainsFunc(entries, isCrash)
+		if !lost {
+			continue
+		}
+		runs++
+		ts.Check(f.Restart(context.Background(), server))
+	}
+	if bound := number(ts, args[1]); runs == 0 || runs > bound {
+		ts.Fatalf("%d servers lost, want 1 to %d", runs, bound)
+	}
+}
+
+func isCrash(e execlog.Entry) bool {
+	return e.Event == execlog.EventStart && strings.Contains(e.Path, backend.ParamCrash+"=1")
+}
