--- a/internal/scenario/proofs_test.go
+++ b/internal/scenario/proofs_test.go
@@ -64,7 +64,7 @@
 			"watch":     watch,
 			"drain":     drainServer,
 			"quiet":     quiet,
-			"poison":    poison,
+			"poison":    poisonRounds,
 		},
 	})
 }
@@ -269,10 +269,10 @@
 	}
 }
 
-// poison sends a request that crashes backend servers to each daemon in turn,
+// poisonRounds sends a request that crashes backend servers to each daemon in turn,
 // for some rounds, and fails if it ran more often than a bound: poison ROUNDS
 // BOUND. It then restarts the servers.
-func poison(ts *testscript.TestScript, _ bool, args []string) {
+func poisonRounds(ts *testscript.TestScript, _ bool, args []string) {
 	f := stateOf(ts).fleet
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for range number(ts, args[0]) {
