Load: goodput counts only what ended within the load's duration

At twice the capacity a policy that queues served its backlog after the load's end, and its goodput came out above the servers' capacity (random 3498/s of 3000/s). Answers that end later no longer count. Seen failing with the old count: TestLatencyCountsFromTheIntendedTime, goodput 3 for 2.

--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -107,8 +107,13 @@
 		r.record(call{mark: "b"}, time.Now(), result{verdict: Failed})
 		time.Sleep(200 * time.Millisecond)
 		r.record(call{mark: "c"}, start, result{verdict: Whole})
+		time.Sleep(time.Second)
+		r.record(call{mark: "d"}, time.Now(), result{verdict: Whole})
 		report, err := r.report()
-		if err != nil || report.Latency.P50 < 499 || report.Latency.P50 > 501 || report.LongestGapMS != 200 {
+		if report.Goodput != 2 || report.Verdicts[Whole] != 3 {
+			t.Errorf("goodput %v of %v", report.Goodput, report.Verdicts)
+		}
+		if err != nil || report.Latency.P50 < 499 || report.Latency.P50 > 501 || report.LongestGapMS != 1000 {
 			t.Errorf("latency %+v, %v", report, err)
 		}
 	})
--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -39,7 +39,8 @@
 	// LongestGapMS is the longest time between the ends of two whole answers
 	// that followed each other, in milliseconds.
 	LongestGapMS float64 `json:"longest_gap_ms"`
-	// Goodput is whole answers a second of the load's duration.
+	// Goodput is whole answers a second that ended within the load's
+	// duration; those of a backlog served later do not count.
 	Goodput   float64    `json:"goodput_per_second"`
 	Latency   Latency    `json:"latency_ms"`
 	Intervals []Interval `json:"intervals"`
@@ -89,8 +90,10 @@
 
 	mu     sync.Mutex
 	result Report
-	// wholeAt is the end of the latest whole answer.
+	// wholeAt is the end of the latest whole answer, inTime the number of
+	// those that ended within the load's duration.
 	wholeAt time.Time
+	inTime  int
 }
 
 func newHistogram() *hdrhistogram.Histogram {
@@ -114,7 +117,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	latency := now.Sub(intended)
-	r.noteGap(res.verdict, now)
+	r.noteWhole(res.verdict, now)
 	r.result.Sent++
 	r.tell(c, res.verdict)
 	if c.resent {
@@ -138,7 +141,7 @@
 	}
 }
 
-func (r *recorder) noteGap(verdict Verdict, now time.Time) {
+func (r *recorder) noteWhole(verdict Verdict, now time.Time) {
 	if verdict != Whole {
 		return
 	}
@@ -147,6 +150,9 @@
 		r.result.LongestGapMS = max(r.result.LongestGapMS, gap)
 	}
 	r.wholeAt = now
+	if now.Sub(r.start) <= r.opts.Duration {
+		r.inTime++
+	}
 }
 
 // recordRetried adds the result of a request after which the caller sends again.
@@ -196,7 +202,7 @@
 	defer r.mu.Unlock()
 	report := &r.result
 	report.DurationSeconds = r.opts.Duration.Seconds()
-	report.Goodput = float64(report.Verdicts[Whole]) / report.DurationSeconds
+	report.Goodput = float64(r.inTime) / report.DurationSeconds
 	report.Latency = summarize(report.histogram)
 	for i := range report.Intervals {
 		report.Intervals[i].P99 = quantile(report.Intervals[i].histogram, 99)
