--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -55,7 +55,7 @@
 			"entry":    entry,
 			"backend":  backendCommand,
 			"platform": platformCommand,
-			"poison":   poison,
+			"poison":   sendPoison,
 			"judge":    judge,
 			"check":    check,
 		},
@@ -214,8 +214,8 @@
 	ts.Check(stateOf(ts).fleet.Platform.SetFaults(context.Background(), faults))
 }
 
-// poison sends a request that crashes servers, to one daemon after the other.
-func poison(ts *testscript.TestScript, _ bool, args []string) {
+// sendPoison sends a request that crashes servers, to one daemon after the other.
+func sendPoison(ts *testscript.TestScript, _ bool, args []string) {
 	s := stateOf(ts)
 	targets := s.fleet.Targets()
 	s.figures = make(map[string]float64)
