Revive a group whose recorded holders died

After a restart of the whole fleet no successor could gather a blocking set of the recorded holders, so the group granted nothing for good. Holders out of the view for 10 s, and any after 60 s, now count as gone; coordinators that their holders prove read the record every 10 s. TestGroupOutlivesItsHolders fails without either rule.

--- a/slot/authority.go
+++ b/slot/authority.go
@@ -17,6 +17,16 @@
 // quorum, which ends the second one. It acts authorityTTL later. An earlier
 // epoch whose own successor never got that far counts like the last one.
 
+const (
+	// goneAfter is how long a holder must be out of the view to count as gone.
+	goneAfter = 10 * time.Second
+	// abandonAfter is the time from which a successor waits for nobody.
+	abandonAfter = time.Minute
+	// checkInterval is the distance of the reads by which a coordinator that
+	// its holders prove learns of a successor.
+	checkInterval = 10 * time.Second
+)
+
 // quorum is the number of holders that prove an epoch to its coordinator; a
 // single recorded holder proves nothing.
 func quorum(recorded int) int {
@@ -140,7 +150,7 @@
 	for _, set := range c.earlier {
 		reached := 0
 		for _, id := range set {
-			if h := c.holders[id]; h != nil && h.reached {
+			if h := c.holders[id]; h != nil && h.reached || c.gone[id] {
 				reached++
 			}
 		}
@@ -151,6 +161,27 @@
 	return true
 }
 
+// noteView counts holders as gone that were out of the view for goneAfter, and
+// any that were not reached for abandonAfter. Without it, a group could not be
+// revived after most of its recorded holders died at once. An earlier
+// coordinator that lives on with them has resigned by then unless it is cut
+// off from the table service too.
+func (c *coordinator) noteView(inView func(id string) bool, now time.Time) {
+	if c.acting {
+		return
+	}
+	for _, set := range c.earlier {
+		for _, id := range set {
+			if inView(id) || c.seenAt[id].IsZero() {
+				c.seenAt[id] = now
+			}
+			if now.Sub(c.seenAt[id]) >= goneAfter || now.Sub(c.startedAt) >= abandonAfter {
+				c.gone[id] = true
+			}
+		}
+	}
+}
+
 func (c *coordinator) act(now time.Time) {
 	c.acting = true
 	for _, h := range c.ordered {
--- a/slot/coordinator.go
+++ b/slot/coordinator.go
@@ -115,6 +115,11 @@
 	earlier [][]string
 	// acting tells that no coordinator of an earlier epoch can act any more.
 	acting bool
+	// startedAt is when this coordinator began; seenAt and gone are the
+	// holders of earlier epochs that were in the view, or count as dead.
+	startedAt time.Time
+	seenAt    map[string]time.Time
+	gone      map[string]bool
 	// proved is the latest proof of the epoch that was looked up.
 	proved time.Time
 	// wonAt is when enough holders had left earlier epochs that none of
@@ -172,6 +177,9 @@
 		grantBase:   cfg.grantBase,
 		confirmedAt: cfg.confirmedAt,
 		tickedAt:    now,
+		startedAt:   now,
+		seenAt:      make(map[string]time.Time),
+		gone:        make(map[string]bool),
 	}
 	for _, id := range cfg.recorded {
 		c.recorded[id] = true
--- a/slot/coordinator_test.go
+++ b/slot/coordinator_test.go
@@ -94,6 +94,38 @@
 	}
 }
 
+// TestGroupOutlivesItsHolders covers a fleet of which most instances died at
+// once: those in the view are waited for, though not for ever.
+func TestGroupOutlivesItsHolders(t *testing.T) {
+	all := []string{"a", "b", "c", "d", "e"}
+	for name, listed := range map[string]bool{"dropped": false, "still listed": true} {
+		d := newDesk(coordinatorConfig{recorded: append(all, "new"), earlier: [][]string{all}})
+		inView := func(id string) bool { return listed || id == "new" }
+		limit := goneAfter
+		if listed {
+			limit = abandonAfter
+		}
+		for length := time.Duration(0); length < limit-time.Second; length += time.Second {
+			d.noteView(inView, d.now)
+			d.pass(time.Second)
+		}
+		if !d.wonAt.IsZero() {
+			t.Errorf("%s: the successor won after less than %v", name, limit)
+		}
+		d.pass(2 * time.Second)
+		d.noteView(inView, d.now)
+		d.ask("new", &slotpb.Ask{Want: 1})
+		for range 60 {
+			d.confirm(d.now)
+			d.pass(100 * time.Millisecond)
+			d.ask("new", &slotpb.Ask{Session: d.holders["new"].session, Want: 1})
+		}
+		if d.granted("new") == 0 {
+			t.Errorf("%s: the group was not revived", name)
+		}
+	}
+}
+
 func TestExpiredLeasesAreNotTakenOver(t *testing.T) {
 	all := []string{"a", "b"}
 	for _, age := range []time.Duration{leaseTTL / 2, leaseTTL} {
--- a/slot/duty.go
+++ b/slot/duty.go
@@ -2,9 +2,11 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/pomelolock/pomelolock/platform"
 	"github.com/pomelolock/pomelolock/slot/slotpb"
 )
 
@@ -24,6 +26,8 @@
 	syncedAt time.Time
 	// proofSince is when a proof of the epoch began to be needed.
 	proofSince time.Time
+	// checkedAt is when the record was last checked for a higher epoch.
+	checkedAt time.Time
 }
 
 func (d *duty) onAsk(from string, ask *slotpb.Ask, now time.Time) []outgoingGrant {
@@ -43,9 +47,10 @@
 }
 
 // tick does the periodic work and tells what else is to be done.
-func (d *duty) tick(now time.Time) (out []outgoingGrant, sync, resigned bool) {
+func (d *duty) tick(inView func(string) bool, now time.Time) (out []outgoingGrant, sync, resigned bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.c.noteView(inView, now)
 	d.c.tick(now)
 	d.seekProof(now)
 	sync = d.syncDue(now)
@@ -94,10 +99,12 @@
 func (m *Manager) tickDuties(now time.Time) {
 	var grants []outgoingGrant
 	for g, d := range m.allDuties() {
-		out, sync, resigned := d.tick(now)
+		out, sync, resigned := d.tick(m.inView, now)
 		grants = append(grants, out...)
 		if sync {
 			m.submit(storeJob{group: g})
+		} else if d.checkDue(now) {
+			m.submit(storeJob{group: g, check: true})
 		}
 		if resigned {
 			m.dropDuty(g, d)
@@ -106,6 +113,22 @@
 	m.sendGrants(grants)
 }
 
+// checkDue reports whether the record should be read for a higher epoch.
+func (d *duty) checkDue(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now.Sub(d.checkedAt) < checkInterval || !d.c.inUse() {
+		return false
+	}
+	d.checkedAt = now
+	return true
+}
+
+// inView reports whether the instance is believed live.
+func (m *Manager) inView(id string) bool {
+	return slices.ContainsFunc(m.opts.View.Entries(), func(i platform.Instance) bool { return i.ID == id })
+}
+
 // settleDuty does what an ask made necessary at once.
 func (m *Manager) settleDuty(g group, d *duty, now time.Time) {
 	d.mu.Lock()
--- a/slot/record.go
+++ b/slot/record.go
@@ -29,6 +29,8 @@
 	epoch uint64
 	// suspect tells that the recorded coordinator doesn't answer from.
 	suspect bool
+	// check only reads the record for a higher epoch.
+	check bool
 }
 
 // submit queues a job unless the group has one under way or the queue is full;
@@ -64,9 +66,12 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	var err error
-	if d := m.duty(job.group); d != nil {
+	switch d := m.duty(job.group); {
+	case job.check:
+		err = m.checkRecord(ctx, job.group, d)
+	case d != nil:
 		err = m.syncRecord(ctx, job.group, d)
-	} else {
+	default:
 		err = m.takeOver(ctx, job)
 	}
 	if err != nil {
@@ -218,6 +223,18 @@
 	return nil
 }
 
+// checkRecord makes a coordinator resign whose epoch is no longer the present one.
+func (m *Manager) checkRecord(ctx context.Context, g group, d *duty) error {
+	record, _, err := m.readRecord(ctx, g)
+	if err != nil || d == nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.c.resigned = d.c.resigned || record.GetEpoch() > d.c.epoch
+	return nil
+}
+
 // nextRecord returns the record to write after the one that was read, or nil if
 // that is of another epoch.
 func (d *duty) nextRecord(record *slotpb.Record, self string, live func(string) bool, now time.Time) *slotpb.Record {
