--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -3,17 +3,18 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	_ "github.com/pomelolock/pomelolock/internal/fixedseed"
 	"github.com/pomelolock/pomelolock/outcome"
+	"github.com/pomelolock/pomelolock/proxy"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -68,7 +69,7 @@
 		return func() fault { return fault(beds.next[i].Load()) }
 	}
 	beds.open = newTestbed(t, nil, script(0), script(1))
-	unreachable := func(doc *table.Document) { doc.Servers[0].Address = closedAddress(t) }
+	unreachable := func(doc *table.Document) { doc.Servers[0].Address = closedAddress }
 	beds.closed = newTestbed(t, unreachable, script(0), script(1))
 	return beds
 }
@@ -123,6 +124,7 @@
 			warm:   rapid.Bool().Draw(rt, "warm"),
 		})
 	})
+	beds.checkReleased(t)
 }
 
 // TestOrdersRunAtMostOnceOnReusedConnections covers each kind of order whose
@@ -140,6 +142,15 @@
 			}
 		}
 	}
+	beds.checkReleased(t)
+}
+
+// checkReleased checks that the room of all bodies is given back.
+func (b *outcomeBeds) checkReleased(t *testing.T) {
+	for _, bed := range []*testbed{b.open, b.closed} {
+		gomega.NewWithT(t).Eventually(func() int64 { return bed.proxy.Stats().BufferedBytes }).
+			WithTimeout(time.Minute).Should(gomega.BeZero(), "room of bodies is not given back")
+	}
 }
 
 func judge(g gomega.Gomega, bed *testbed, got reply, id string, order bool) {
@@ -163,17 +174,24 @@
 	}
 }
 
-func closedAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
+// closedAddress is outside the ports that other processes are given.
+const closedAddress = "127.0.0.1:1"
 
 func always(f fault) func() fault { return func() fault { return f } }
 
+// TestBodiesBeyondTheLimitAreNotHeld leaves room for the answers alone.
+func TestBodiesBeyondTheLimitAreNotHeld(t *testing.T) {
+	g := gomega.NewWithT(t)
+	bed := newTestbedWith(t, func(o *proxy.Options) { o.MaxBufferedBytes = 30 }, nil, always(faultNone))
+	large := bed.send(g, http.MethodPost, "/order", "a", "", strings.Repeat("x", 31))
+	g.Expect(large.status).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(large.outcome).To(gomega.Equal(string(outcome.NotRun)))
+	long := strings.Repeat("y", 40)
+	streamed := bed.send(g, http.MethodPost, "/order", long, "", "x")
+	g.Expect(streamed.body).To(gomega.Equal(answerText + long))
+	g.Expect(bed.proxy.Stats().BufferedBytes).To(gomega.BeZero())
+}
+
 func TestLookupMovesToAnotherServer(t *testing.T) {
 	for f := faultCloseOnAccept; f < faultCount; f++ {
 		if f == faultCloseMidLongAnswer {
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -13,12 +13,8 @@
 	"github.com/pomelolock/pomelolock/outcome"
 )
 
-const (
-	// writeStall is how long a caller may take to accept one chunk.
-	writeStall = 30 * time.Second
-	// chunkSize is the size of the chunks of a streamed answer.
-	chunkSize = 32 << 10
-)
+// chunkSize is the size in bytes of the chunks of a streamed answer.
+const chunkSize = 32 << 10
 
 var chunks = sync.Pool{New: func() any {
 	b := make([]byte, chunkSize)
@@ -33,9 +29,9 @@
 		x.record(false)
 		level = slog.LevelWarn
 	}
-	x.p.opts.Logger.Log(context.Background(), level, "request not served",
-		slog.String("request", x.id), slog.String("code", string(failed.Code)),
-		slog.String("outcome", string(failed.Outcome)), slog.Int("status", failed.Status), slog.Any("error", failed.Err))
+	x.p.log(level, "request not served "+string(failed.Code),
+		slog.String("request", x.id), slog.String("outcome", string(failed.Outcome)),
+		slog.Int("status", failed.Status), slog.Any("error", failed.Err))
 	if failed.Status == statusCallerGone {
 		panic(http.ErrAbortHandler)
 	}
@@ -71,7 +67,7 @@
 		return
 	}
 	x.p.counters.aborted.Add(1)
-	x.p.opts.Logger.Warn("answer aborted", slog.String("request", x.id),
+	x.p.log(slog.LevelWarn, "answer aborted", slog.String("request", x.id),
 		slog.String("server", ans.server), slog.Any("error", err))
 	panic(http.ErrAbortHandler)
 }
@@ -99,6 +95,8 @@
 
 func (x *exchange) writeBody(ans *answer) error {
 	if len(ans.held) > 0 {
+		rc := http.NewResponseController(x.w)
+		_ = rc.SetWriteDeadline(time.Now().Add(x.p.opts.WriteTimeout))
 		if _, err := x.w.Write(ans.held); err != nil {
 			return err
 		}
@@ -116,7 +114,7 @@
 	for {
 		n, readErr := ans.rest.Read(*buf)
 		if n > 0 {
-			_ = rc.SetWriteDeadline(time.Now().Add(writeStall))
+			_ = rc.SetWriteDeadline(time.Now().Add(x.p.opts.WriteTimeout))
 			if _, err := x.w.Write((*buf)[:n]); err != nil {
 				return err
 			}
