--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,13 @@
 build:
 	go build -o $(BIN)/ ./cmd/...
 
+# Packages whose tests start processes; they run one after the other, so that
+# they don't starve each other.
+PROCESS_TESTS := ./internal/cli ./internal/fleet ./internal/scenario
+
 test: fmt lint
-	go test ./...
+	go test $$(go list ./... | grep -v -E 'internal/(cli|fleet|scenario)$$')
+	go test -p 1 $(PROCESS_TESTS)
 
 fmt:
 	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt would change:"; echo "$$out"; exit 1; fi
--- a/certs/certs.go
+++ b/certs/certs.go
@@ -8,7 +8,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
 	"fmt"
 	"os"
 	"sync"
@@ -29,7 +28,12 @@
 // Unwrap returns the cause.
 func (e *FileError) Unwrap() error { return e.Err }
 
-var errNoAuthority = errors.New("no certificate in PEM found")
+// Reason tells why a file can't be used.
+type Reason string
+
+func (r Reason) Error() string { return "certs: " + string(r) }
+
+const errNoAuthority Reason = "no certificate in PEM found"
 
 // Options name the files of a [Source].
 type Options struct {
--- a/claim/codec.go
+++ b/claim/codec.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"errors"
 	"sort"
 
 	"google.golang.org/protobuf/proto"
@@ -13,7 +12,7 @@
 
 const hashBytes = 16
 
-var errMalformed = errors.New("malformed message")
+const errMalformed Reason = "malformed message"
 
 // keyOf hashes the service and key of a request. The service is hashed first,
 // so that no two pairs share an encoding.
--- a/claim/journal.go
+++ b/claim/journal.go
@@ -34,11 +34,11 @@
 	retryAfterDown = time.Second
 )
 
-var (
-	errNotStarted = errors.New("journal not started")
-	errLeaving    = errors.New("instance is leaving")
-	errBusy       = errors.New("partition is busy")
-	errNoOwner    = errors.New("no instance could decide the claim")
+const (
+	errNotStarted Reason = "journal not started"
+	errLeaving    Reason = "instance is leaving"
+	errBusy       Reason = "partition is busy"
+	errNoOwner    Reason = "no instance could decide the claim"
 )
 
 // Journal implements [Claimer] on the platform's table service and object
@@ -227,7 +227,7 @@
 func (j *Journal) ask(ctx context.Context, s *started, c *claimpb.Claim) (Decision, error) {
 	self := j.opts.Messenger.Self()
 	number := partitionOf(keyID(c.GetKey()), len(s.partitions))
-	last := errNoOwner
+	var last error = errNoOwner
 	tried := false
 	for _, target := range j.router.targets(number, len(s.partitions), self) {
 		if target == self {
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -17,11 +17,11 @@
 	storeRest = 200 * time.Millisecond
 )
 
-var (
-	errContended = errors.New("too many writers of the partition")
-	errStopped   = errors.New("journal stopped")
-	errQueueFull = errors.New("queue full")
-	errKeysFull  = errors.New("no memory for more keys")
+const (
+	errContended Reason = "too many writers of the partition"
+	errStopped   Reason = "journal stopped"
+	errQueueFull Reason = "queue full"
+	errKeysFull  Reason = "no memory for more keys"
 )
 
 type result struct {
--- a/claim/store.go
+++ b/claim/store.go
@@ -23,9 +23,14 @@
 	rotateRest = time.Second
 )
 
-var (
-	errStaleRead    = errors.New("the table service answers with old records")
-	errTailOverflow = errors.New("head record is full and the object store fails")
+// Reason tells why a claim could not be decided or recorded.
+type Reason string
+
+func (r Reason) Error() string { return "claim: " + string(r) }
+
+const (
+	errStaleRead    Reason = "the table service answers with old records"
+	errTailOverflow Reason = "head record is full and the object store fails"
 )
 
 // partitionStore keeps the index of one partition in step with its head
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -2,22 +2,33 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"time"
 )
 
-var errConnSealed = errors.New("proxy: connection sealed")
+// SendRefusal tells why a connection refused to send bytes.
+type SendRefusal string
 
-// countedConn counts the bytes handed to the network and can be sealed, after
-// which no further byte leaves.
+func (s SendRefusal) Error() string { return "proxy: " + string(s) }
+
+const (
+	errConnSealed SendRefusal = "connection sealed"
+	errSendLate   SendRefusal = "deadline passed before sending"
+)
+
+// countedConn counts the bytes handed to the network. It can be sealed, after
+// which no further byte leaves, and sends nothing after the present attempt's
+// deadline, however long the process was stopped meanwhile.
 type countedConn struct {
 	net.Conn
 
 	mu      sync.Mutex
 	written int64
 	sealed  bool
+	// notAfter is the deadline of the present attempt.
+	notAfter time.Time
 }
 
 // Write implements [net.Conn].
@@ -27,14 +38,21 @@
 		c.mu.Unlock()
 		return 0, errConnSealed
 	}
+	if !c.notAfter.IsZero() && time.Now().After(c.notAfter) {
+		c.mu.Unlock()
+		return 0, errSendLate
+	}
 	c.written += int64(len(p))
 	c.mu.Unlock()
 	return c.Conn.Write(p)
 }
 
-func (c *countedConn) count() int64 {
+// begin starts an attempt with the given deadline and returns the bytes
+// written before it.
+func (c *countedConn) begin(deadline time.Time) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.notAfter = deadline
 	return c.written
 }
 
@@ -54,6 +72,8 @@
 
 // sendRecord proves whether any byte of an attempt left the instance.
 type sendRecord struct {
+	deadline time.Time
+
 	mu       sync.Mutex
 	uses     []connUse
 	answered bool
@@ -61,6 +81,7 @@
 
 // trace returns a context that fills the record during a round trip.
 func (s *sendRecord) trace(ctx context.Context) context.Context {
+	s.deadline, _ = ctx.Deadline()
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:              s.gotConn,
 		GotFirstResponseByte: s.gotFirstByte,
@@ -74,7 +95,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.uses = append(s.uses, connUse{conn: conn, start: conn.count()})
+	s.uses = append(s.uses, connUse{conn: conn, start: conn.begin(s.deadline)})
 }
 
 func (s *sendRecord) gotFirstByte() {
--- a/settings/load.go
+++ b/settings/load.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -143,7 +142,12 @@
 	return faults
 }
 
-var errNoCertificate = errors.New("no certificate found")
+// FileReason tells why a file can't be used.
+type FileReason string
+
+func (f FileReason) Error() string { return "settings: " + string(f) }
+
+const errNoCertificate FileReason = "no certificate found"
 
 // LoadPool reads a file of authorities in PEM. It fails with [FileError].
 func LoadPool(path string) (*x509.CertPool, error) {
--- a/slot/handover.go
+++ b/slot/handover.go
@@ -30,10 +30,15 @@
 // Unwrap returns the cause.
 func (e *HandoverError) Unwrap() error { return e.Err }
 
-var (
-	errNoSuccessor = errors.New("no successor is connected")
-	errUnsettled   = errors.New("the takeover is not complete")
-	errRefused     = errors.New("the successor refused")
+// Reason tells why a coordinator could not be handed over.
+type Reason string
+
+func (r Reason) Error() string { return "slot: " + string(r) }
+
+const (
+	errNoSuccessor Reason = "no successor is connected"
+	errUnsettled   Reason = "the takeover is not complete"
+	errRefused     Reason = "the successor refused"
 )
 
 // Handover passes all coordinators of this instance on and starts no further
