--- a/cmd/bench/control.go
+++ b/cmd/bench/control.go
@@ -6,7 +6,6 @@
 
 	"github.com/pomelolock/pomelolock/internal/fleet"
 	"github.com/pomelolock/pomelolock/internal/loadgen"
-	"github.com/pomelolock/pomelolock/table"
 )
 
 const (
@@ -55,7 +54,7 @@
 	}
 	done := make(chan loaded, 1)
 	go func() {
-		report, _, err := b.runPolicy(ctx, table.PolicyLeases, load, seconds)
+		report, _, err := b.runPolicy(ctx, leases, load, seconds)
 		done <- loaded{report, err}
 	}()
 	after, err := b.usages(ctx, seconds)
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -122,17 +122,28 @@
 	return loadgen.WritePlot(filepath.Join(b.cli.Out, "bench.png"), "policies at half load", b.series...)
 }
 
-// slug is the policy's name in figures.
-func slug(policy table.Policy) string {
-	switch policy {
-	case table.PolicyBestOfTwo:
-		return "best_of_two"
-	default:
-		return string(policy)
-	}
+// variant is one way of choosing servers that is compared. Each has a service
+// of its own.
+type variant struct {
+	// name is that of the service and in figures.
+	name   string
+	policy table.Policy
+	// hedge is the service's hedge percentile.
+	hedge float64
 }
 
-var policies = []table.Policy{table.PolicyRandom, table.PolicyBestOfTwo, table.PolicyLeases}
+const hedgePercentile = 95
+
+var (
+	random    = variant{name: "random", policy: table.PolicyRandom}
+	bestOfTwo = variant{name: "best_of_two", policy: table.PolicyBestOfTwo}
+	leases    = variant{name: "leases", policy: table.PolicyLeases}
+	hedged    = variant{name: "leases_hedged", policy: table.PolicyLeases, hedge: hedgePercentile}
+
+	// policies are compared at each load, hedging at half load only.
+	policies = []variant{random, bestOfTwo, leases}
+	variants = []variant{random, bestOfTwo, leases, hedged}
+)
 
 func (b *bench) serversOf(service string) []*fleet.Backend {
 	servers := slices.Clone(b.fleet.Backends)
--- a/cmd/bench/runs.go
+++ b/cmd/bench/runs.go
@@ -59,10 +59,10 @@
 	}
 }
 
-// runPolicy sends load to one policy's servers, which slow down at random from
+// runPolicy sends load to one variant's servers, which slow down at random from
 // the start of the run.
-func (b *bench) runPolicy(ctx context.Context, policy table.Policy, load float64, seconds int) (*loadgen.Report, backend.Counts, error) {
-	servers := b.serversOf(string(policy))
+func (b *bench) runPolicy(ctx context.Context, v variant, load float64, seconds int) (*loadgen.Report, backend.Counts, error) {
+	servers := b.serversOf(v.name)
 	time.Sleep(pause)
 	for _, server := range servers {
 		if err := server.SetFaults(ctx, b.cli.faults()); err != nil {
@@ -74,7 +74,7 @@
 	}
 	report, err := loadgen.Run(ctx, loadgen.Options{
 		Targets:  b.fleet.Targets(),
-		Kinds:    []loadgen.Kind{{Path: pathPrefix + string(policy), Weight: 1}},
+		Kinds:    []loadgen.Kind{{Path: pathPrefix + v.name, Weight: 1}},
 		Rate:     load * b.cli.capacity(),
 		Duration: time.Duration(seconds) * time.Second,
 		Seed:     b.cli.Seed,
@@ -85,9 +85,9 @@
 	}
 	counts, err := b.sum(ctx, servers)
 	if b.cli.Verbose {
-		fmt.Fprintf(os.Stderr, "%s at %.1f of capacity: verdicts %v, codes %v\n", policy, load, report.Verdicts, report.Codes)
+		fmt.Fprintf(os.Stderr, "%s at %.1f of capacity: verdicts %v, codes %v\n", v.name, load, report.Verdicts, report.Codes)
 	}
-	if policy == table.PolicyLeases {
+	if v.policy == table.PolicyLeases {
 		b.overLimit += counts.OverLimit
 	}
 	return report, counts, err
@@ -114,28 +114,31 @@
 // halfLoad compares the policies' tails at half of the servers' capacity.
 func (b *bench) halfLoad(ctx context.Context) error {
 	const load = 0.5
-	p99 := make(map[table.Policy]float64)
-	for _, policy := range policies {
-		report, counts, err := b.runPolicy(ctx, policy, load, b.cli.Seconds)
+	p99 := make(map[variant]float64)
+	for _, v := range variants {
+		report, counts, err := b.runPolicy(ctx, v, load, b.cli.Seconds)
 		if err != nil {
 			return err
 		}
-		p99[policy] = report.Latency.P99
-		b.series = append(b.series, loadgen.Series{Label: slug(policy), Report: report})
-		b.report("half_", policy, report, counts)
+		p99[v] = report.Latency.P99
+		b.series = append(b.series, loadgen.Series{Label: v.name, Report: report})
+		b.report("half_", v, report, counts)
 	}
-	b.add("p99_vs_local", p99[table.PolicyLeases]/p99[table.PolicyBestOfTwo])
-	b.add("p99_vs_random", p99[table.PolicyLeases]/p99[table.PolicyRandom])
+	b.add("p99_vs_local", p99[leases]/p99[bestOfTwo])
+	b.add("p99_vs_random", p99[leases]/p99[random])
+	b.add("p99_hedged_vs_local", p99[hedged]/p99[bestOfTwo])
+	b.add("p99_hedged_vs_leases", p99[hedged]/p99[leases])
 	return nil
 }
 
 // report adds the figures of one run.
-func (b *bench) report(prefix string, policy table.Policy, r *loadgen.Report, counts backend.Counts) {
-	name := slug(policy)
+func (b *bench) report(prefix string, v variant, r *loadgen.Report, counts backend.Counts) {
+	name := v.name
 	b.add(prefix+"p50_ms_"+name, r.Latency.P50)
 	b.add(prefix+"p99_ms_"+name, r.Latency.P99)
 	b.add(prefix+"whole_share_"+name, float64(r.Verdicts[loadgen.Whole])/float64(max(r.Sent, 1)))
 	b.add(prefix+"over_limit_share_"+name, float64(counts.OverLimit)/float64(max(counts.Arrivals, 1)))
+	b.add(prefix+"executions_per_request_"+name, float64(counts.Executions)/float64(max(r.Sent, 1)))
 	b.add(prefix+"max_connections_"+name, float64(counts.MaxConnections))
 }
 
@@ -144,19 +147,19 @@
 func (b *bench) overload(ctx context.Context) error {
 	const full, twice = 1.0, 2.0
 	seconds := max(b.cli.Seconds-1, 1)
-	atFull, _, err := b.runPolicy(ctx, table.PolicyLeases, full, seconds)
+	atFull, _, err := b.runPolicy(ctx, leases, full, seconds)
 	if err != nil {
 		return err
 	}
 	b.add("full_goodput_leases", atFull.Goodput)
-	for _, policy := range policies {
-		report, counts, err := b.runPolicy(ctx, policy, twice, seconds)
+	for _, v := range policies {
+		report, counts, err := b.runPolicy(ctx, v, twice, seconds)
 		if err != nil {
 			return err
 		}
-		b.add("overload_goodput_"+slug(policy), report.Goodput)
-		b.report("overload_", policy, report, counts)
-		if policy == table.PolicyLeases && atFull.Goodput > 0 {
+		b.add("overload_goodput_"+v.name, report.Goodput)
+		b.report("overload_", v, report, counts)
+		if v == leases && atFull.Goodput > 0 {
 			b.add("goodput_overload", report.Goodput/atFull.Goodput)
 		}
 	}
--- a/cmd/bench/spec.go
+++ b/cmd/bench/spec.go
@@ -30,12 +30,13 @@
 		Seed:        c.Seed,
 		LogLevel:    "warn",
 	}
-	for _, policy := range policies {
-		row := fleet.NewService(string(policy))
-		row.Policy = policy
+	for _, v := range variants {
+		row := fleet.NewService(v.name)
+		row.Policy = v.policy
+		row.HedgePercentile = v.hedge
 		row.DeadlineMS = deadlineMS
 		spec.Services = append(spec.Services, fleet.Service{Row: row, Servers: c.Servers, ServiceTime: c.ServiceTime})
-		spec.Routes = append(spec.Routes, table.Route{PathPrefix: pathPrefix + string(policy), Service: row.Name, Repeatable: true})
+		spec.Routes = append(spec.Routes, table.Route{PathPrefix: pathPrefix + v.name, Service: row.Name, Repeatable: true})
 	}
 	for _, name := range []string{hopService, directService} {
 		service := fleet.Service{
--- a/cmd/bench/takeover.go
+++ b/cmd/bench/takeover.go
@@ -6,7 +6,6 @@
 
 	"github.com/pomelolock/pomelolock/internal/fleet"
 	"github.com/pomelolock/pomelolock/internal/loadgen"
-	"github.com/pomelolock/pomelolock/table"
 )
 
 const (
@@ -29,7 +28,7 @@
 	report, err := loadgen.Run(ctx, loadgen.Options{
 		Targets:   b.fleet.Targets(),
 		ReadyURLs: b.fleet.ReadyURLs(),
-		Kinds:     []loadgen.Kind{{Path: pathPrefix + string(table.PolicyLeases), Weight: 1}},
+		Kinds:     []loadgen.Kind{{Path: pathPrefix + leases.name, Weight: 1}},
 		Rate:      takeoverLoad * b.cli.capacity(),
 		Duration:  takeoverTime,
 		Seed:      b.cli.Seed,
