--- a/slot/service.go
+++ b/slot/service.go
@@ -97,7 +97,8 @@
 	if retryAfter, ok := s.queue.admit(w, now); !ok {
 		return nil, &loadbalancer.OverloadError{Service: s.name, RetryAfter: retryAfter}
 	}
-	s.updateWant(now)
+	// Those that wait already may be unable to use a lease that is idle.
+	s.serve(now)
 	return w, nil
 }
 
