--- a/slot/holder.go
+++ b/slot/holder.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/pomelolock/pomelolock/loadbalancer"
@@ -16,6 +15,8 @@
 	renewRetry = leaseTTL / 10
 	// suspectAfter is the silence from which a coordinator is taken for lost.
 	suspectAfter = leaseTTL / 5
+	// returnDelay is for how long returns of idle leases are collected.
+	returnDelay = 50 * time.Millisecond
 	// busyWeight is the weight of one tick in the average of busy leases.
 	busyWeight = 0.2
 )
@@ -89,6 +90,11 @@
 	want int
 	// busy is the average number of leases in use.
 	busy float64
+	// reportedAt is when good results were last reported.
+	reportedAt time.Time
+	// returnedAt is when a lease was returned that the coordinator doesn't
+	// know of and needn't know of at once; zero if there is none.
+	returnedAt time.Time
 	// due tells that the coordinator should hear the present state now.
 	due    bool
 	sentAt time.Time
@@ -194,6 +200,15 @@
 	h.due = true
 }
 
+// dropLater returns a lease that nobody asked for: the next ask, within
+// returnDelay, no longer lists it.
+func (h *holder) dropLater(l *lease, now time.Time) {
+	delete(h.leases, l.id)
+	if h.returnedAt.IsZero() {
+		h.returnedAt = now
+	}
+}
+
 // tick ends cooling, returns leases that were idle for long, and renews.
 func (h *holder) tick(now time.Time) {
 	h.usual = h.usualLatency()
@@ -208,17 +223,25 @@
 				h.idle(l, now)
 			}
 		case leaseIdle:
-			if l.recalled || now.Sub(l.since) >= h.idleTime {
+			if l.recalled {
 				h.drop(l)
+			} else if now.Sub(l.since) >= h.idleTime {
+				h.dropLater(l, now)
 			}
 		case leaseBusy:
 			h.noteOverdue(l, now)
 		}
 	}
+	if h.want == 0 && len(h.leases) == 0 {
+		h.waitingSince = time.Time{}
+	}
 	h.busy += busyWeight * (float64(inUse) - h.busy)
 	if len(h.leases) > 0 && now.Sub(h.basis) >= renewAfter && now.Sub(h.sentAt) >= renewRetry {
 		h.due = true
 	}
+	if !h.returnedAt.IsZero() && now.Sub(h.returnedAt) >= returnDelay {
+		h.due = true
+	}
 	if h.want > 0 && now.Sub(h.sentAt) >= renewRetry {
 		h.due = true
 	}
@@ -242,7 +265,7 @@
 	if !h.due {
 		return nil
 	}
-	h.due = false
+	h.due, h.returnedAt = false, time.Time{}
 	h.askSeq++
 	h.sent.put(h.askSeq, now)
 	h.sentAt, h.wantSent = now, h.want
@@ -255,7 +278,7 @@
 		Session: h.session,
 		Want:    uint32(h.want),
 		DrainMs: h.drain.Milliseconds(),
-		Reports: h.takeReports(),
+		Reports: h.takeReports(now),
 		Suspect: h.suspect(now),
 		BasisMs: int64(mostElapsed(now, h.basis)/time.Millisecond) + 1,
 		Stale:   now.Before(h.staleUntil),
@@ -280,104 +303,3 @@
 		h.waitingSince = now
 	}
 }
-
-// onGrant takes in a grant.
-func (h *holder) onGrant(from string, g *slotpb.Grant, now time.Time) {
-	if g.GetCoordinator() != "" {
-		h.redirect(g, now)
-		return
-	}
-	if g.GetEpoch() < h.epoch || g.GetEpoch() == h.epoch && g.GetSeq() <= h.grantSeq {
-		return
-	}
-	if g.GetEpoch() > h.epoch {
-		h.keep = -1
-	}
-	h.epoch, h.grantSeq = g.GetEpoch(), g.GetSeq()
-	h.coordinator, h.waitingSince = from, time.Time{}
-	if g.GetGather() {
-		h.due = true
-		return
-	}
-	if g.GetSession() != h.session {
-		h.startSession(g.GetSession(), now)
-	}
-	if sent := h.sent.at(g.GetAck()); sent.After(h.basis) {
-		h.basis = sent
-	}
-	h.divisor = int(g.GetConnectionDivisor())
-	h.add(g.GetLeases(), now)
-	h.recall(g, now)
-}
-
-// redirect follows a redirection at once, unless one follows another.
-func (h *holder) redirect(g *slotpb.Grant, now time.Time) {
-	if g.GetEpoch() < h.epoch || g.GetCoordinator() == h.coordinator {
-		return
-	}
-	h.coordinator = g.GetCoordinator()
-	h.due = h.due || now.Sub(h.redirectedAt) >= renewRetry
-	h.redirectedAt = now
-}
-
-// startSession voids the leases of the previous session. Their requests end as
-// they may; the leases are not used again.
-func (h *holder) startSession(session uint64, now time.Time) {
-	for _, l := range h.leases {
-		if l.state != leaseIdle {
-			h.staleUntil = now.Add(h.drain)
-		}
-	}
-	clear(h.leases)
-	h.session = session
-	h.basis = time.Time{}
-}
-
-func (h *holder) add(leases []*slotpb.Lease, now time.Time) {
-	for _, granted := range leases {
-		id := leaseID(granted.GetId())
-		if h.leases[id] == nil {
-			h.leases[id] = &lease{id: id, server: granted.GetServer(), session: h.session, since: now}
-		}
-	}
-}
-
-// recall marks the leases that the coordinator wants back and returns those
-// that are idle and beyond what is needed here.
-func (h *holder) recall(g *slotpb.Grant, now time.Time) {
-	h.keep = int(g.GetKeep()) - 1
-	for _, id := range g.GetRecall() {
-		if l := h.leases[leaseID(id)]; l != nil && !l.recalled {
-			l.recalled = true
-			h.recalls++
-			h.due = h.due || l.state == leaseIdle
-		}
-	}
-	if h.keep < 0 || len(h.leases) <= h.keep {
-		return
-	}
-	h.recalls++
-	for _, l := range h.idleByScore(now) {
-		if len(h.leases) <= h.keep {
-			return
-		}
-		h.drop(l)
-	}
-}
-
-// idleByScore returns the idle leases, the worst first.
-func (h *holder) idleByScore(now time.Time) []*lease {
-	var idle []*lease
-	for _, l := range h.leases {
-		if l.state == leaseIdle {
-			idle = append(idle, l)
-		}
-	}
-	slices.SortFunc(idle, func(a, b *lease) int {
-		if difference := h.score(b, now) - h.score(a, now); difference != 0 {
-			return int(difference)
-		}
-		return int(a.id) - int(b.id)
-	})
-	return idle
-}
