--- a/internal/prove/check.go
+++ b/internal/prove/check.go
@@ -68,10 +68,15 @@
 }
 
 func declares(dir, test string) bool {
+	return anyTestFile(dir, func(source string) bool { return strings.Contains(source, "\nfunc "+test+"(") })
+}
+
+// anyTestFile reports whether the source of a test file in dir matches.
+func anyTestFile(dir string, matches func(source string) bool) bool {
 	files, _ := filepath.Glob(filepath.Join(dir, "*_test.go"))
 	for _, file := range files {
 		source, err := os.ReadFile(file)
-		if err == nil && strings.Contains(string(source), "\nfunc "+test+"(") {
+		if err == nil && matches(string(source)) {
 			return true
 		}
 	}
--- a/internal/prove/run.go
+++ b/internal/prove/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"time"
@@ -106,8 +107,19 @@
 }
 
 func (r *Runner) test(ctx context.Context, row Row, overlay string) (string, error) {
-	return r.goTool(ctx, overlay, "test", "-count=1", "-v", "-vet=off",
-		"-timeout="+r.opts.Timeout.String(), "-run", row.pattern(), "./"+row.Package)
+	args := []string{"test", "-count=1", "-v", "-vet=off", "-timeout=" + r.opts.Timeout.String(), "-run", row.pattern(), "./" + row.Package}
+	if usesRapid(filepath.Join(r.opts.Root, row.Package)) {
+		// A failure without the mechanism leaves no file behind.
+		args = append(args, "-rapid.nofailfile")
+	}
+	return r.goTool(ctx, overlay, args...)
+}
+
+// usesRapid reports whether the package's tests take rapid's flags.
+func usesRapid(dir string) bool {
+	return anyTestFile(dir, func(source string) bool {
+		return strings.Contains(source, `"pgregory.net/rapid"`) || strings.Contains(source, "/internal/fixedseed\"")
+	})
 }
 
 func (r *Runner) goTool(ctx context.Context, overlay string, args ...string) (string, error) {
