--- a/internal/prove/prove_test.go
+++ b/internal/prove/prove_test.go
@@ -37,9 +37,13 @@
 	g.Expect(Check(root, []Row{row, missing})).To(gomega.HaveLen(4), "no test, text twice, not in the page")
 }
 
-func TestPatternMatchesOneTest(t *testing.T) {
+func TestPatternMatchesTheRowsAlone(t *testing.T) {
 	g := gomega.NewWithT(t)
-	g.Expect(Row{Test: "TestScenarios/lost_answers"}.pattern()).To(gomega.Equal("^(TestScenarios)$/^(lost_answers)$"))
-	g.Expect(ranTest("testing: warning: no tests to run\nPASS\n")).To(gomega.BeFalse())
+	rows := []Row{{Test: "TestScenarios/lost"}, {Test: "TestProofScenarios/once"}, {Test: "TestScenarios/killed"}}
+	g.Expect(pattern(rows)).To(gomega.Equal("^(TestProofScenarios|TestScenarios)$/^(killed|lost|once)$"))
+	g.Expect(pattern([]Row{{Test: "TestA"}})).To(gomega.Equal("^(TestA)$"))
+	g.Expect(passed("testing: warning: no tests to run\nPASS\n", "TestA")).To(gomega.BeFalse())
+	g.Expect(passed("--- PASS: TestAB (0.00s)\nPASS\n", "TestA")).To(gomega.BeFalse())
+	g.Expect(passed("    --- PASS: TestA/b (0.00s)\nPASS\n", "TestA/b")).To(gomega.BeTrue())
 	g.Expect(failedTest("FAIL\tp [build failed]\n", "TestA")).To(gomega.BeFalse())
 }
--- a/internal/prove/rows.go
+++ b/internal/prove/rows.go
@@ -5,6 +5,7 @@
 	_ "embed"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -73,11 +74,32 @@
 	return selected
 }
 
-// pattern returns the argument of -run that matches the test alone.
-func (r Row) pattern() string {
-	parts := strings.Split(r.Test, "/")
-	for i, part := range parts {
-		parts[i] = "^(" + part + ")$"
+// script returns the name of the script that the test runs, if any.
+func (r Row) script() string {
+	_, script, _ := strings.Cut(r.Test, "/")
+	return script
+}
+
+// sameRun reports whether one run of the go tool can take both tests.
+func (r Row) sameRun(other Row) bool {
+	return r.Package == other.Package && (r.script() == "") == (other.script() == "")
+}
+
+// pattern returns the argument of -run that matches the rows' tests alone.
+func pattern(rows []Row) string {
+	var names, scripts []string
+	for _, row := range rows {
+		name, script, _ := strings.Cut(row.Test, "/")
+		names, scripts = append(names, name), append(scripts, script)
+	}
+	all := alternatives(names)
+	if scripts[0] != "" {
+		all += "/" + alternatives(scripts)
 	}
-	return strings.Join(parts, "/")
+	return all
+}
+
+func alternatives(names []string) string {
+	slices.Sort(names)
+	return "^(" + strings.Join(slices.Compact(names), "|") + ")$"
 }
--- a/internal/prove/run.go
+++ b/internal/prove/run.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
 	"strings"
 	"time"
 )
@@ -44,12 +43,22 @@
 	return &Runner{opts: opts}
 }
 
-// Run runs each row's test, which has to pass.
+// Run runs the rows' tests, package by package. Each has to pass.
 func (r *Runner) Run(ctx context.Context, rows []Row) {
-	for _, row := range rows {
-		output, err := r.test(ctx, row, "")
-		ok := err == nil && ranTest(output)
-		r.report(ok, row.ID, row.Test, "", output)
+	for len(rows) > 0 {
+		var group, rest []Row
+		for _, row := range rows {
+			if row.sameRun(rows[0]) {
+				group = append(group, row)
+			} else {
+				rest = append(rest, row)
+			}
+		}
+		output, _ := r.test(ctx, group, "")
+		for _, row := range group {
+			r.report(passed(output, row.Test), row.ID, row.Test, "", output)
+		}
+		rows = rest
 	}
 }
 
@@ -96,7 +105,7 @@
 	if output, err := r.goTool(ctx, overlay, append([]string{"build"}, off.packages()...)...); err != nil {
 		return notBuilt, output
 	}
-	output, err := r.test(ctx, row, overlay)
+	output, err := r.test(ctx, []Row{row}, overlay)
 	if err == nil {
 		return passedWithout, output
 	}
@@ -106,9 +115,11 @@
 	return failedWithout, output
 }
 
-func (r *Runner) test(ctx context.Context, row Row, overlay string) (string, error) {
-	args := []string{"test", "-count=1", "-v", "-vet=off", "-timeout=" + r.opts.Timeout.String(), "-run", row.pattern(), "./" + row.Package}
-	if usesRapid(filepath.Join(r.opts.Root, row.Package)) {
+// test runs the tests of rows of one package together.
+func (r *Runner) test(ctx context.Context, rows []Row, overlay string) (string, error) {
+	timeout := r.opts.Timeout * time.Duration(len(rows))
+	args := []string{"test", "-count=1", "-v", "-vet=off", "-timeout=" + timeout.String(), "-run", pattern(rows), "./" + rows[0].Package}
+	if usesRapid(filepath.Join(r.opts.Root, rows[0].Package)) {
 		// A failure without the mechanism leaves no file behind.
 		args = append(args, "-rapid.nofailfile")
 	}
@@ -134,11 +145,11 @@
 	return string(output), err
 }
 
-var passLine = regexp.MustCompile(`(?m)^\s*--- PASS: `)
-
-// ranTest reports whether a test ran and passed, as the go tool also succeeds
-// without any or with all skipped.
-func ranTest(output string) bool { return passLine.MatchString(output) }
+// passed reports whether the test ran and passed; the go tool also succeeds
+// without any test or with all skipped.
+func passed(output, test string) bool {
+	return strings.Contains(output, "--- PASS: "+test+" (")
+}
 
 // failedTest reports whether the test itself failed, hung or crashed.
 func failedTest(output, test string) bool {
