--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GOBIN := $(CURDIR)/.bin
 BIN := $(CURDIR)/bin
 
-.PHONY: build test fmt lint generate demo bench prove
+.PHONY: build test fmt lint generate demo bench slopes prove
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -32,3 +32,6 @@
 
 bench: build
 	$(BIN)/bench
+
+slopes: build
+	$(BIN)/slopes --bin $(BIN)
--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -53,6 +53,16 @@
 	}
 }
 
+// BenchmarkClaimRate measures what claims cost the store by their rate: each
+// caller makes at most ten a second.
+func BenchmarkClaimRate(b *testing.B) {
+	for _, callers := range []int{10, 30, 100, 300} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			benchmarkClaim(b, claimLoad{delay: 3 * time.Millisecond, callers: callers, think: 100 * time.Millisecond}, claim.Options{})
+		})
+	}
+}
+
 // claimLoad is a closed loop of callers over a store with a delay.
 type claimLoad struct {
 	delay   time.Duration
--- /dev/null
+++ b/internal/slopes/list.go
@@ -0,0 +1,51 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+
+	"github.com/pomelolock/pomelolock/internal/standin/platformd"
+	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/platform/httpplatform"
+	"github.com/pomelolock/pomelolock/platform/memory"
+)
+
+// listSizes are numbers of rows: entry instances and backend servers.
+var listSizes = []int{52, 350, 1600}
+
+// InstanceList measures the bytes of one read of the instance list.
+func InstanceList(ctx context.Context, samples *Samples) error {
+	store := memory.New()
+	server := httptest.NewServer(platformd.NewHandler(store))
+	defer server.Close()
+	rows := 0
+	for _, size := range listSizes {
+		for ; rows < size; rows++ {
+			if err := store.SetInstance(ctx, row(rows)); err != nil {
+				return fmt.Errorf("fill list: %w", err)
+			}
+		}
+		resp, err := http.Get(server.URL + httpplatform.PathInstances)
+		if err != nil {
+			return fmt.Errorf("read list: %w", err)
+		}
+		bytes, err := io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
+			return fmt.Errorf("read list: %w", err)
+		}
+		samples.add("membership.list read", "B", "rows", float64(size), float64(bytes))
+	}
+	return nil
+}
+
+func row(i int) platform.Instance {
+	return platform.Instance{
+		ID: fmt.Sprintf("service-%02d-server-%04d", i%37, i), Role: platform.RoleBackend, State: platform.StateLive,
+		Region: fmt.Sprintf("region-%d", i%3), DataCentre: fmt.Sprintf("dc-%d", i%7),
+		Address: fmt.Sprintf("10.%d.%d.%d:8000", i%7, i>>8, i&0xff),
+	}
+}
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime"
+	"syscall"
 	"testing"
 	"time"
 
@@ -55,17 +57,36 @@
 }
 
 // BenchmarkIdle reports the bytes that one idle mesh sends in a second, without
-// TCP and IP headers.
+// TCP and IP headers, and its processor time and memory by session.
 func BenchmarkIdle(b *testing.B) {
-	for _, n := range []int{6, 18, 36} {
+	for _, n := range []int{4, 9, 18, 36} {
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			bare := memoryInUse()
 			meshes := benchMeshes(b, n)
 			time.Sleep(time.Second)
-			before, start := meshes[0].Stats(), time.Now()
+			before, usedBefore, start := meshes[0].Stats(), processorTime(), time.Now()
 			time.Sleep(3 * time.Second)
-			after, seconds := meshes[0].Stats(), time.Since(start).Seconds()
+			after, used, seconds := meshes[0].Stats(), processorTime()-usedBefore, time.Since(start).Seconds()
+			sessionEnds := float64(n * (n - 1))
 			b.ReportMetric(float64(after.WireSent-before.WireSent)/seconds, "sent-B/s")
+			b.ReportMetric(float64(used.Microseconds())/seconds/float64(n), "cpu-us/s")
+			b.ReportMetric((memoryInUse()-bare)/sessionEnds, "B/session")
 			b.ReportMetric(0, "ns/op")
 		})
 	}
 }
+
+// memoryInUse returns the bytes of heap and stacks.
+func memoryInUse() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc + stats.StackInuse)
+}
+
+// processorTime returns the time that the process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/slot/coordinator_test.go
+++ b/slot/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -240,3 +241,42 @@
 		d.ask(id, &slotpb.Ask{Session: d.holders[id].session, Want: 1, Held: held(kept...), Reports: []*slotpb.ServerReport{report}})
 	}
 }
+
+// BenchmarkCoordinatorMemory reports the heap of a coordinator by its leases,
+// with one server for six leases and all of them held by 18 holders.
+func BenchmarkCoordinatorMemory(b *testing.B) {
+	for _, leases := range []int{204, 1950, 7800} {
+		b.Run(fmt.Sprintf("leases=%d", leases), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				d := loadedDesk(18, leases/6)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(d)
+			}
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-B")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// loadedDesk returns a coordinator whose leases are all granted.
+func loadedDesk(holders, servers int) *desk {
+	var ids []string
+	for i := range holders {
+		ids = append(ids, fmt.Sprintf("entry-%d", i))
+	}
+	d := newDesk(coordinatorConfig{recorded: ids, fresh: true})
+	var specs []serverSpec
+	for i := range servers {
+		specs = append(specs, serverSpec{name: fmt.Sprintf("server-%d", i), slots: 6, weight: 1, usable: true})
+	}
+	d.setServers(specs, d.now)
+	for _, id := range ids {
+		d.ask(id, &slotpb.Ask{})
+		d.ask(id, &slotpb.Ask{Session: d.holders[id].session, Want: uint32(6*servers/holders + 1)})
+	}
+	return d
+}
