--- a/internal/slopes/daemons.go
+++ b/internal/slopes/daemons.go
@@ -43,7 +43,9 @@
 	// fleetRates are calls a second over the whole fleet: a quarter, half and
 	// three quarters of what the servers can run.
 	fleetRates = []float64{600, 1200, 1800}
-	hopRates   = []float64{250, 500, 1000}
+	// fewServers are further numbers of servers for the largest fleet.
+	fewServers = []int{2, 4}
+	hopRates   = []float64{125, 250, 500}
 	// connections are those of callers to one daemon.
 	connections = []int{250, 500, 1000}
 )
@@ -68,10 +70,35 @@
 			return err
 		}
 	}
+	for _, count := range fewServers {
+		if err := measureFewServers(ctx, bin, count, samples); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
+// measureFleet measures a fleet with the usual number of servers.
 func measureFleet(ctx context.Context, bin string, size int, samples *Samples) error {
+	return withFleet(ctx, bin, size, servers, samples, (*fleetRun).measure)
+}
+
+// measureFewServers measures the largest fleet at half load with another number
+// of servers, for the cost of leases by the slots that a holder can have.
+func measureFewServers(ctx context.Context, bin string, count int, samples *Samples) error {
+	largest := fleetSizes[len(fleetSizes)-1]
+	return withFleet(ctx, bin, largest, count, samples, func(r *fleetRun, ctx context.Context) error {
+		time.Sleep(settleTime)
+		used, err := r.callsOfLeases(ctx, r.halfLoad())
+		if err != nil {
+			return err
+		}
+		r.addSlots(used)
+		return nil
+	})
+}
+
+func withFleet(ctx context.Context, bin string, size, count int, samples *Samples, measure func(*fleetRun, context.Context) error) error {
 	dir, err := os.MkdirTemp("", "pomelolock-slopes-")
 	if err != nil {
 		return fmt.Errorf("make directory: %w", err)
@@ -80,15 +107,15 @@
 	if bin, err = filepath.Abs(bin); err != nil {
 		return fmt.Errorf("find programs: %w", err)
 	}
-	f, err := fleet.StartReady(ctx, spec(bin, dir, size))
+	f, err := fleet.StartReady(ctx, spec(bin, dir, size, count))
 	if err != nil {
 		return err
 	}
-	r := &fleetRun{Fleet: f, size: float64(size), samples: samples}
-	return errors.Join(r.measure(ctx), f.Stop())
+	r := &fleetRun{Fleet: f, size: float64(size), servers: count, samples: samples}
+	return errors.Join(measure(r, ctx), f.Stop())
 }
 
-func spec(bin, dir string, size int) fleet.Spec {
+func spec(bin, dir string, size, count int) fleet.Spec {
 	s := fleet.Spec{
 		Bin: bin, Dir: dir, Region: "region-1", DataCentres: []string{"dc-1"},
 		Entries: size, Seed: 1, LogLevel: "error",
@@ -98,7 +125,7 @@
 			Row: fleet.NewService(name), Servers: hopServers, ServiceTime: time.Millisecond, Distribution: backend.DistributionFixed,
 		}
 		if name == workService {
-			service.Servers, service.ServiceTime, service.Distribution = servers, serviceTime, ""
+			service.Servers, service.ServiceTime, service.Distribution = count, serviceTime, ""
 		}
 		s.Services = append(s.Services, service)
 		s.Routes = append(s.Routes, table.Route{PathPrefix: "/" + name, Service: name, Repeatable: true})
@@ -110,6 +137,8 @@
 type fleetRun struct {
 	*fleet.Fleet
 	size float64
+	// servers is the number of those that run calls of the leases.
+	servers int
 	// idleBytes is what a daemon without callers exchanges in a second.
 	idleBytes float64
 	// storeWrites and takeovers are those of the coordinators so far.
@@ -159,6 +188,7 @@
 	seconds := idleTime.Seconds()
 	r.perFleet("idle bytes", "B/s a daemon", used.bytes/seconds/r.size)
 	r.perFleet("idle cpu", "% of a core a daemon", used.cpu/seconds/r.size*percent)
+	r.perFleet("idle control cpu", "% of a core a daemon", used.control/loadTime.Seconds()/r.size*percent)
 	r.perFleet("idle memory", "B a daemon", used.resident/r.size)
 	r.perFleet("idle store reads", "1/s a daemon", float64(after.Reads-before.Reads)/seconds/r.size)
 	r.perFleet("idle store writes", "1/s a daemon", float64(after.Writes-before.Writes)/seconds/r.size)
@@ -169,13 +199,7 @@
 // load measures what calls of the leases cost. Sizes are calls a second and
 // daemon.
 func (r *fleetRun) load(ctx context.Context, rate float64) error {
-	used, err := r.use(ctx, func() error {
-		_, err := loadgen.Run(ctx, loadgen.Options{
-			Targets: r.Targets(), Kinds: []loadgen.Kind{{Path: "/" + workService, Weight: 1}},
-			Rate: rate, Duration: loadTime, Seed: 1, Timeout: callTimeout,
-		})
-		return err
-	})
+	used, err := r.callsOfLeases(ctx, rate)
 	if err != nil {
 		return err
 	}
@@ -186,9 +210,9 @@
 	r.storeWrites, r.takeovers = used.storeWrites, used.takeovers
 	add("control bytes", "B/s a daemon", used.bytes/seconds/r.size)
 	add("control bytes a call", "B", used.bytes/used.requests)
-	if rate == fleetRates[1] {
+	if rate == r.halfLoad() {
 		r.perFleet("control bytes a call at half load", "B", (used.bytes/seconds-r.idleBytes*r.size)/rate)
-		r.perFleet("slot messages a call at half load", "1", used.messages/used.requests)
+		r.addSlots(used)
 	}
 	add("slot messages a call", "1", used.messages/used.requests)
 	add("control bytes of the busiest", "B/s", used.mostBytes/seconds)
@@ -201,6 +225,29 @@
 	return nil
 }
 
+// addSlots adds the cost of leases by the slots that a holder can have.
+func (r *fleetRun) addSlots(used usage) {
+	share := float64(r.servers*fleet.ServerSlots) / r.size
+	add := func(name, unit string, value float64) { r.samples.add("slots."+name, unit, "slots a holder", share, value) }
+	add("messages a call", "1", used.messages/used.requests)
+	add("bytes a call", "B", used.bytes/used.requests)
+}
+
+// halfLoad is the number of calls a second that takes half of the slots.
+func (r *fleetRun) halfLoad() float64 {
+	return float64(r.servers*fleet.ServerSlots) / serviceTime.Seconds() / 2
+}
+
+func (r *fleetRun) callsOfLeases(ctx context.Context, rate float64) (usage, error) {
+	return r.use(ctx, func() error {
+		_, err := loadgen.Run(ctx, loadgen.Options{
+			Targets: r.Targets(), Kinds: []loadgen.Kind{{Path: "/" + workService, Weight: 1}},
+			Rate: rate, Duration: loadTime, Seed: 1, Timeout: callTimeout,
+		})
+		return err
+	})
+}
+
 // acceptances measures the time from the acceptance of a table until it is in
 // force on every daemon.
 func (r *fleetRun) acceptances(ctx context.Context) error {
--- a/internal/slopes/extrapolate.go
+++ b/internal/slopes/extrapolate.go
@@ -58,12 +58,11 @@
 	figures []Figure
 }
 
-func (p *plan) add(name string, value float64, unit, from string) float64 {
+func (p *plan) add(name string, value float64, unit, from string) {
 	if math.IsNaN(value) || math.IsInf(value, 0) {
 		value, from = -1, "not measured: "+from
 	}
 	p.figures = append(p.figures, Figure{Name: name, Value: value, Unit: unit, From: from})
-	return value
 }
 
 // line returns a series; one that was not measured has values that are not
@@ -83,6 +82,14 @@
 	return s.Points[len(s.Points)-1].Value
 }
 
+// first returns the value at the smallest size.
+func (s *Series) first() float64 {
+	if len(s.Points) == 0 {
+		return math.NaN()
+	}
+	return s.Points[0].Value
+}
+
 // Extrapolate works the figures of a size out.
 func Extrapolate(series []Series, size Size) []Figure {
 	p := &plan{series: make(map[string]*Series), size: size}
@@ -136,19 +143,21 @@
 	rate := p.size.Calls / entries
 	holders := entries / p.size.DataCentres
 	groups := p.size.Services * p.size.DataCentres
-	bytes, messages := p.line("daemon.control bytes a call at half load"), p.line("daemon.slot messages a call at half load")
-	p.add("control bytes a call", bytes.last(), "B", "half load, largest fleet")
-	p.add("slot traffic a daemon", bytes.last()*rate/1000, "KB/s", "control bytes a call x calls a daemon")
-	p.add("slot messages a daemon", messages.last()*rate, "1/s", "slot messages a call x calls a daemon")
+	bytes, messages := p.line("slots.bytes a call"), p.line("slots.messages a call")
+	p.add("slots a holder and group", p.size.Servers*6/groups/holders, "slots", "slots / groups / instances of a data centre")
+	p.add("control bytes a call", bytes.first(), "B", "slots.bytes a call at the fewest slots a holder")
+	p.add("slot messages a call", messages.first(), "1", "slots.messages a call at the fewest slots a holder")
+	p.add("slot traffic a daemon", bytes.first()*rate/1000, "KB/s", "control bytes a call x calls a daemon")
+	p.add("slot messages a daemon", messages.first()*rate, "1/s", "slot messages a call x calls a daemon")
 	ask := p.line("slot.CoordinatorAsk ns/op").At(holders)
 	p.add("cpu an ask", ask/1000, "µs", "slot.CoordinatorAsk at holders of a data centre")
-	asks := messages.last() / 2 * p.size.Calls / groups
+	asks := messages.first() / 2 * p.size.Calls / groups
 	p.add("asks a group", asks, "1/s", "half of the messages a call x calls / groups")
 	p.add("groups a daemon", groups/entries, "groups", "services x data centres / entry instances")
 	p.add("coordinator cpu a group", asks*ask/nanoseconds*percent, "% of a core", "asks a group x cpu an ask")
 	leases := p.size.Servers * 6 / groups
 	p.add("coordinator memory a group", p.line("slot.CoordinatorMemory heap-B").At(leases)/1000, "KB", "slot.CoordinatorMemory at the leases of a group")
-	p.add("most calls a daemon within 20 KB/s", 20_000/bytes.last(), "1/s", "20 KB/s / control bytes a call")
+	p.add("most calls a daemon within 20 KB/s", 20_000/bytes.first(), "1/s", "20 KB/s / control bytes a call")
 }
 
 func (p *plan) claims(entries float64) {
