--- a/internal/slopes/daemons.go
+++ b/internal/slopes/daemons.go
@@ -228,7 +228,9 @@
 // addSlots adds the cost of leases by the slots that a holder can have.
 func (r *fleetRun) addSlots(used usage) {
 	share := float64(r.servers*fleet.ServerSlots) / r.size
-	add := func(name, unit string, value float64) { r.samples.add("slots."+name, unit, "slots a holder", share, value) }
+	add := func(name, unit string, value float64) {
+		r.samples.add("slots."+name, unit, "slots a holder", share, value)
+	}
 	add("messages a call", "1", used.messages/used.requests)
 	add("bytes a call", "B", used.bytes/used.requests)
 }
