Count only slot messages as the bytes of a lease

With few servers the calls of the run are few, so that heartbeats were nearly half of the bytes a call (2.7 KB/s of 18 idle daemons at 300 calls/s).

--- a/internal/slopes/daemons.go
+++ b/internal/slopes/daemons.go
@@ -232,7 +232,7 @@
 		r.samples.add("slots."+name, unit, "slots a holder", share, value)
 	}
 	add("messages a call", "1", used.messages/used.requests)
-	add("bytes a call", "B", used.bytes/used.requests)
+	add("bytes a call", "B sent and received", 2*used.slotBytes/used.requests)
 }
 
 // halfLoad is the number of calls a second that takes half of the slots.
--- a/internal/slopes/extrapolate.go
+++ b/internal/slopes/extrapolate.go
@@ -145,9 +145,9 @@
 	groups := p.size.Services * p.size.DataCentres
 	bytes, messages := p.line("slots.bytes a call"), p.line("slots.messages a call")
 	p.add("slots a holder and group", p.size.Servers*6/groups/holders, "slots", "slots / groups / instances of a data centre")
-	p.add("control bytes a call", bytes.first(), "B", "slots.bytes a call at the fewest slots a holder")
+	p.add("slot bytes a call", bytes.first(), "B", "slots.bytes a call at the fewest slots a holder")
 	p.add("slot messages a call", messages.first(), "1", "slots.messages a call at the fewest slots a holder")
-	p.add("slot traffic a daemon", bytes.first()*rate/1000, "KB/s", "control bytes a call x calls a daemon")
+	p.add("slot traffic a daemon", bytes.first()*rate/1000, "KB/s", "slot bytes a call x calls a daemon")
 	p.add("slot messages a daemon", messages.first()*rate, "1/s", "slot messages a call x calls a daemon")
 	ask := p.line("slot.CoordinatorAsk ns/op").At(holders)
 	p.add("cpu an ask", ask/1000, "µs", "slot.CoordinatorAsk at holders of a data centre")
@@ -157,7 +157,7 @@
 	p.add("coordinator cpu a group", asks*ask/nanoseconds*percent, "% of a core", "asks a group x cpu an ask")
 	leases := p.size.Servers * 6 / groups
 	p.add("coordinator memory a group", p.line("slot.CoordinatorMemory heap-B").At(leases)/1000, "KB", "slot.CoordinatorMemory at the leases of a group")
-	p.add("most calls a daemon within 20 KB/s", 20_000/bytes.first(), "1/s", "20 KB/s / control bytes a call")
+	p.add("most calls a daemon within 20 KB/s", 20_000/bytes.first(), "1/s", "20 KB/s / slot bytes a call")
 }
 
 func (p *plan) claims(entries float64) {
--- a/internal/slopes/usage.go
+++ b/internal/slopes/usage.go
@@ -22,6 +22,7 @@
 	metricSent        = "pomelolock_peer_sent_bytes_total"
 	metricReceived    = "pomelolock_peer_received_bytes_total"
 	metricMessages    = "pomelolock_slot_messages_total"
+	metricSlotBytes   = "pomelolock_slot_message_bytes_total"
 	metricTakeovers   = "pomelolock_slot_takeovers_total"
 	metricStoreWrites = "pomelolock_slot_store_writes_total"
 	metricVersion     = "pomelolock_table_version"
@@ -32,7 +33,7 @@
 
 // usage is what the daemons of a fleet used together. Times are in seconds.
 type usage struct {
-	requests, bytes, mostBytes, messages, mallocs float64
+	requests, bytes, mostBytes, messages, slotBytes, mallocs float64
 	// cpu is that of the processes, control the part that the profile
 	// finds in packages of control.
 	cpu, control, resident float64
@@ -78,6 +79,7 @@
 	u.bytes += bytes
 	u.mostBytes = max(u.mostBytes, bytes)
 	u.messages += grown(metricMessages)
+	u.slotBytes += grown(metricSlotBytes)
 	u.mallocs += after.mallocs - before.mallocs
 	u.cpu += after.cpu - before.cpu
 	u.resident += after.resident
