--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GOBIN := $(CURDIR)/.bin
 BIN := $(CURDIR)/bin
 
-.PHONY: build test fmt lint generate demo bench prove prove-off
+.PHONY: build test fmt lint generate demo bench slopes prove prove-off
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -44,3 +44,6 @@
 
 prove-off:
 	go run ./cmd/prove off
+
+slopes: build
+	$(BIN)/slopes --bin $(BIN)
