--- a/cmd/prove/main.go
+++ b/cmd/prove/main.go
@@ -67,15 +67,15 @@
 
 // Run runs the tests.
 func (c runCommand) Run(ctx context.Context) error {
-	return c.each(func(r *prove.Runner, rows []prove.Row) { r.Run(ctx, rows) })
+	return c.each(ctx, func(r *prove.Runner, rows []prove.Row) { r.Run(ctx, rows) })
 }
 
 // Run runs the tests with each switch-off.
 func (c offCommand) Run(ctx context.Context) error {
-	return c.each(func(r *prove.Runner, rows []prove.Row) { r.Off(ctx, rows) })
+	return c.each(ctx, func(r *prove.Runner, rows []prove.Row) { r.Off(ctx, rows) })
 }
 
-func (c common) each(run func(*prove.Runner, []prove.Row)) error {
+func (c common) each(ctx context.Context, run func(*prove.Runner, []prove.Row)) error {
 	rows, err := prove.Rows()
 	if err != nil {
 		return err
@@ -87,6 +87,9 @@
 	runner := prove.NewRunner(prove.Options{Root: root, Timeout: c.Timeout, Out: os.Stdout, Verbose: c.Verbose})
 	run(runner, prove.Select(rows, c.Rows))
 	fmt.Println(runner.Summary())
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("prove: stopped before the last row: %w", err)
+	}
 	if runner.Failed() > 0 {
 		return &FailedError{runner.Failed()}
 	}
--- a/internal/prove/run.go
+++ b/internal/prove/run.go
@@ -55,6 +55,9 @@
 			}
 		}
 		output, _ := r.test(ctx, group, "")
+		if ctx.Err() != nil {
+			return
+		}
 		for _, row := range group {
 			r.report(passed(output, row.Test), row.ID, row.Test, "", output)
 		}
@@ -66,11 +69,17 @@
 // fail. What a row does not show counts as failed.
 func (r *Runner) Off(ctx context.Context, rows []Row) {
 	for _, row := range rows {
+		if ctx.Err() != nil {
+			return
+		}
 		if row.NotShown != "" {
 			r.report(false, row.ID, row.Test, "not shown: "+row.NotShown, "")
 		}
 		for _, off := range row.Off {
 			seen, output := r.off(ctx, row, off)
+			if ctx.Err() != nil {
+				return
+			}
 			r.report(seen == failedWithout, row.ID, row.Test, off.Name+": "+string(seen), output)
 		}
 	}
