--- a/cmd/bench/control.go
+++ b/cmd/bench/control.go
@@ -20,19 +20,6 @@
 	bytesPerMB = 1e6
 )
 
-// controlPackages are those whose work is control, wherever it is called from.
-var controlPackages = []string{
-	"github.com/pomelolock/pomelolock/slot.",
-	"github.com/pomelolock/pomelolock/peer.",
-	"github.com/pomelolock/pomelolock/membership.",
-	"github.com/pomelolock/pomelolock/table.(*Sync",
-	"github.com/pomelolock/pomelolock/claim.",
-	"github.com/pomelolock/pomelolock/probe.",
-	"github.com/pomelolock/pomelolock/quarantine.",
-	"github.com/pomelolock/pomelolock/platform",
-	"github.com/hashicorp/yamux.",
-}
-
 // usage is what one daemon has used.
 type usage struct {
 	metrics map[string]float64
@@ -88,7 +75,7 @@
 func read(ctx context.Context, entry *fleet.Entry, seconds int) usage {
 	var u usage
 	if seconds > 0 {
-		if u.cpu, u.err = entry.Profile(ctx, seconds, controlPackages); u.err != nil {
+		if u.cpu, u.err = entry.Profile(ctx, seconds, fleet.ControlPackages); u.err != nil {
 			return u
 		}
 	}
--- a/internal/fleet/observe.go
+++ b/internal/fleet/observe.go
@@ -116,6 +116,19 @@
 	Matched time.Duration
 }
 
+// ControlPackages are the prefixes of functions whose work is control, wherever it is called from.
+var ControlPackages = []string{
+	"github.com/pomelolock/pomelolock/slot.",
+	"github.com/pomelolock/pomelolock/peer.",
+	"github.com/pomelolock/pomelolock/membership.",
+	"github.com/pomelolock/pomelolock/table.(*Sync",
+	"github.com/pomelolock/pomelolock/claim.",
+	"github.com/pomelolock/pomelolock/probe.",
+	"github.com/pomelolock/pomelolock/quarantine.",
+	"github.com/pomelolock/pomelolock/platform",
+	"github.com/hashicorp/yamux.",
+}
+
 // Profile samples the daemon's processor time for whole seconds and matches
 // its stacks with function name prefixes.
 func (e *Entry) Profile(ctx context.Context, seconds int, prefixes []string) (CPUTime, error) {
--- a/internal/slopes/daemons.go
+++ b/internal/slopes/daemons.go
@@ -50,19 +50,6 @@
 	connections = []int{250, 500, 1000}
 )
 
-// controlPackages are those whose work is control, wherever it is called from.
-var controlPackages = []string{
-	"github.com/pomelolock/pomelolock/slot.",
-	"github.com/pomelolock/pomelolock/peer.",
-	"github.com/pomelolock/pomelolock/membership.",
-	"github.com/pomelolock/pomelolock/table.(*Sync",
-	"github.com/pomelolock/pomelolock/claim.",
-	"github.com/pomelolock/pomelolock/probe.",
-	"github.com/pomelolock/pomelolock/quarantine.",
-	"github.com/pomelolock/pomelolock/platform",
-	"github.com/hashicorp/yamux.",
-}
-
 // Daemons measures fleets of daemons on loopback.
 func Daemons(ctx context.Context, bin string, samples *Samples) error {
 	for _, size := range fleetSizes {
--- a/internal/slopes/usage.go
+++ b/internal/slopes/usage.go
@@ -58,7 +58,7 @@
 	}
 	var group sync.WaitGroup
 	for i, entry := range r.Entries {
-		group.Go(func() { profiles[i], errs[i] = entry.Profile(ctx, int(loadTime.Seconds()), controlPackages) })
+		group.Go(func() { profiles[i], errs[i] = entry.Profile(ctx, int(loadTime.Seconds()), fleet.ControlPackages) })
 	}
 	errs[len(r.Entries)] = work()
 	group.Wait()
