--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,18 @@
 GOBIN := $(CURDIR)/.bin
 BIN := $(CURDIR)/bin
 
-.PHONY: build test fmt lint generate demo bench slopes prove
+.PHONY: build test fmt lint generate demo bench slopes prove prove-off
 
 build:
 	go build -o $(BIN)/ ./cmd/...
 
+# Packages whose tests start processes; they run one after the other, so that
+# they don't starve each other.
+PROCESS_TESTS := ./internal/cli ./internal/fleet ./internal/scenario
+
 test: fmt lint
-	go test ./...
+	go test $$(go list ./... | grep -v -E 'internal/(cli|fleet|scenario)$$')
+	go test -p 1 $(PROCESS_TESTS)
 
 fmt:
 	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt would change:"; echo "$$out"; exit 1; fi
@@ -33,5 +38,12 @@
 bench: build
 	$(BIN)/bench
 
+prove:
+	go run ./cmd/prove check
+	go run ./cmd/prove run
+
+prove-off:
+	go run ./cmd/prove off
+
 slopes: build
 	$(BIN)/slopes --bin $(BIN)
--- a/claim/journal.go
+++ b/claim/journal.go
@@ -34,11 +34,11 @@
 	retryAfterDown = time.Second
 )
 
-var (
-	errNotStarted = errors.New("journal not started")
-	errLeaving    = errors.New("instance is leaving")
-	errBusy       = errors.New("partition is busy")
-	errNoOwner    = errors.New("no instance could decide the claim")
+const (
+	errNotStarted Reason = "journal not started"
+	errLeaving    Reason = "instance is leaving"
+	errBusy       Reason = "partition is busy"
+	errNoOwner    Reason = "no instance could decide the claim"
 )
 
 // Journal implements [Claimer] on the platform's table service and object
@@ -227,13 +227,16 @@
 func (j *Journal) ask(ctx context.Context, s *started, c *claimpb.Claim) (Decision, error) {
 	self := j.opts.Messenger.Self()
 	number := partitionOf(keyID(c.GetKey()), len(s.partitions))
-	last := errNoOwner
+	var last error = errNoOwner
 	tried := false
 	for _, target := range j.router.targets(number, len(s.partitions), self) {
 		if target == self {
 			decision, err := s.partitions[number].submit(ctx, c)
 			return decision, afterTry(tried, err)
 		}
+		if j.router.isSilent(target, time.Now()) {
+			continue
+		}
 		decision, retry, err := j.callUntilServed(ctx, target, c)
 		if !retry {
 			return decision, afterTry(tried, err)
@@ -267,14 +270,17 @@
 }
 
 // call asks a peer. It reports retry if another instance should be asked.
-func (j *Journal) call(ctx context.Context, target string, c *claimpb.Claim) (decision Decision, retry bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, j.opts.PeerTimeout)
+func (j *Journal) call(parent context.Context, target string, c *claimpb.Claim) (decision Decision, retry bool, err error) {
+	ctx, cancel := context.WithTimeout(parent, j.opts.PeerTimeout)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	wait := time.Until(deadline) * busyShare / 100
 	req := &claimpb.ClaimRequest{Claim: c, WaitMs: wait.Milliseconds()}
 	reply := new(claimpb.ClaimReply)
 	if err := j.opts.Messenger.Call(ctx, target, peerpb.Kind_KIND_CLAIM, req, reply); err != nil {
+		if ctx.Err() != nil && parent.Err() == nil {
+			j.router.noteSilent(target, time.Now())
+		}
 		return Decision{}, true, err
 	}
 	if reply.GetLeaving() {
@@ -283,8 +289,9 @@
 	if reply.GetBusy() {
 		return Decision{}, true, errBusy
 	}
+	// An owner that can't reach the store says nothing about others.
 	decision, err = decisionOf(reply)
-	return decision, false, err
+	return decision, err != nil && !neverTried(err), err
 }
 
 // Finish implements [Claimer]. It has no effect on a request that was not told
