slot: a request that excludes servers no longer starves on their leases

Its two attempts had failed on the lost servers, so it excluded them; the coordinator did not know that and granted their slots again and again, which lay idle at the holder until they expired. Ruled out: load of the machine (seen at load 4), the quarantine (the lookup was never refused). Change: an ask names the servers that none of the waiting requests may use, and the coordinator grants others. Returning the holder's idle leases of those servers as well was tried and dropped: newcomers can use them.

--- a/slot/coordinator.go
+++ b/slot/coordinator.go
@@ -36,6 +36,10 @@
 // holderState is what a coordinator knows of one holder.
 type holderState struct {
 	id string
+	// avoid are the servers whose leases its waiting requests can't use.
+	avoid []uint64
+	// passed tells that no slot that it can use is free.
+	passed bool
 	// reached tells that the holder accepted the epoch, admitted that its
 	// leases of earlier epochs are settled.
 	reached  bool
@@ -264,6 +268,7 @@
 	}
 	h.askSeq, h.askedAt, h.replyDue = ask.GetSeq(), now, true
 	h.busy, h.want = int(ask.GetBusy()), int(ask.GetWant())
+	h.avoid = ask.GetAvoid()
 	h.unsure = h.unsure || ask.GetStale() && !c.settled
 	if !h.admitted {
 		c.claim(h, ask)
--- a/slot/grant.go
+++ b/slot/grant.go
@@ -48,14 +48,21 @@
 // the one that holds least.
 func (c *coordinator) grantFree(now time.Time) {
 	median := c.median()
+	for _, h := range c.ordered {
+		h.passed = false
+	}
 	for {
 		h := c.neediest(now)
 		if h == nil {
 			return
 		}
-		lease, ok := c.bestSlot(median, now)
+		lease, ok := c.bestSlot(h, median, now)
 		if !ok {
-			return
+			h.passed = true
+			if len(h.avoid) == 0 {
+				return
+			}
+			continue
 		}
 		c.charge(h, lease, unsent)
 		c.byID[lease.server()].quality.granted(now)
@@ -69,7 +76,7 @@
 func (c *coordinator) neediest(now time.Time) *holderState {
 	var neediest *holderState
 	for _, h := range c.ordered {
-		if h.want <= 0 || len(h.held) >= h.share || !c.eligible(h, now) {
+		if h.passed || h.want <= 0 || len(h.held) >= h.share || !c.eligible(h, now) {
 			continue
 		}
 		if neediest == nil || moreNeedy(h, neediest) {
@@ -87,12 +94,16 @@
 	return a.grantedAt < b.grantedAt
 }
 
-// bestSlot returns a free slot of the server with the best score.
-func (c *coordinator) bestSlot(median time.Duration, now time.Time) (leaseID, bool) {
+// bestSlot returns a free slot of the server with the best score, of those that
+// the holder can use.
+func (c *coordinator) bestSlot(h *holderState, median time.Duration, now time.Time) (leaseID, bool) {
 	var best *coordinatorServer
 	var bestScore float64
 	for _, server := range c.servers {
-		if !server.usable || server.leased >= c.limit(server, now) || c.freeSlot(server) < 0 {
+		if !server.usable || slices.Contains(h.avoid, uint64(server.id)) {
+			continue
+		}
+		if server.leased >= c.limit(server, now) || c.freeSlot(server) < 0 {
 			continue
 		}
 		score := server.quality.score(server.leased, server.slots, median) / float64(max(server.weight, 1))
--- a/slot/holder.go
+++ b/slot/holder.go
@@ -88,6 +88,8 @@
 	usual time.Duration
 
 	want int
+	// avoid are the servers that none of the waiting requests may use.
+	avoid []serverID
 	// busy is the average number of leases in use.
 	busy float64
 	// reportedAt is when good results were last reported.
@@ -252,12 +254,17 @@
 	return !h.waitingSince.IsZero() && now.Sub(h.waitingSince) >= suspectAfter
 }
 
-// setWant notes how many requests wait for a lease of this group.
-func (h *holder) setWant(want int) {
+// setWant notes how many requests wait for a lease of this group, and which
+// servers none of them may use.
+func (h *holder) setWant(want int, avoid []string) {
 	if want > h.wantSent {
 		h.due = true
 	}
 	h.want = want
+	h.avoid = h.avoid[:0]
+	for _, server := range avoid {
+		h.avoid = append(h.avoid, idOfServer(server))
+	}
 }
 
 // ask returns the message that is due, or nil.
@@ -283,6 +290,9 @@
 		BasisMs: int64(mostElapsed(now, h.basis)/time.Millisecond) + 1,
 		Stale:   now.Before(h.staleUntil),
 	}
+	for _, server := range h.avoid {
+		ask.Avoid = append(ask.Avoid, uint64(server))
+	}
 	ids := make([]leaseID, 0, len(h.leases))
 	for id := range h.leases {
 		ids = append(ids, id)
--- a/slot/manager_test.go
+++ b/slot/manager_test.go
@@ -296,3 +296,23 @@
 		}
 	})
 }
+
+// TestExcludedServerDoesNotStarveRequest keeps every slot of one server busy,
+// though leases of the other, excluded one would be granted first as often.
+func TestExcludedServerDoesNotStarveRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		doc := fleetTable()
+		doc.Servers = doc.Servers[:2]
+		f := newFleetOf(t, doc, func(int) string { return "dc-1" })
+		defer f.close()
+		for i := range fleetSlots {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			permit, err := f.managers[0].Acquire(ctx, loadbalancer.Request{Service: "lookup", Exclude: []string{"server-1"}})
+			if err != nil {
+				t.Fatalf("request %d: %v", i, err)
+			}
+			defer permit.Release(loadbalancer.Result{Latency: work})
+		}
+	})
+}
--- a/slot/queue.go
+++ b/slot/queue.go
@@ -228,6 +228,25 @@
 }
 
 // oldest returns when the longest waiting request was queued.
+// avoided returns the servers that every waiter excludes.
+func (q *queue) avoided() []string {
+	var avoided []string
+	first := true
+	for _, flow := range q.flows {
+		for _, w := range flow.waiters {
+			if len(w.exclude) == 0 {
+				return nil
+			}
+			if first {
+				avoided, first = slices.Clone(w.exclude), false
+				continue
+			}
+			avoided = slices.DeleteFunc(avoided, func(server string) bool { return !slices.Contains(w.exclude, server) })
+		}
+	}
+	return avoided
+}
+
 func (q *queue) oldest() time.Time {
 	var oldest time.Time
 	for _, flow := range q.flows {
--- a/slot/service.go
+++ b/slot/service.go
@@ -190,15 +190,16 @@
 // at first, the others too once that gave none in time.
 func (s *service) updateWant(now time.Time) {
 	spill := s.queue.size > 0 && now.Sub(s.queue.oldest()) >= spillAfter
+	avoid := s.queue.avoided()
 	for i, h := range s.holders {
 		switch {
 		case i == 0:
-			h.setWant(s.queue.size)
+			h.setWant(s.queue.size, avoid)
 		case spill || s.holders[0].suspect(now):
 			others := len(s.holders) - 1
-			h.setWant((s.queue.size + others - 1) / others)
+			h.setWant((s.queue.size+others-1)/others, avoid)
 		default:
-			h.setWant(0)
+			h.setWant(0, nil)
 		}
 	}
 }
