--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -211,7 +211,7 @@
 // tryServers makes attempts until one yields an answer or none may follow.
 func (x *exchange) tryServers(ctx context.Context) (*answer, *outcome.Error) {
 	for {
-		permit, err := x.p.opts.Balancer.Acquire(ctx, x.balanceRequest(false))
+		permit, err := x.p.opts.Balancer.Acquire(ctx, x.balanceRequest())
 		if err != nil {
 			return nil, x.acquireFailed(ctx, err)
 		}
@@ -238,12 +238,11 @@
 	return ctx
 }
 
-func (x *exchange) balanceRequest(noWait bool) loadbalancer.Request {
+func (x *exchange) balanceRequest() loadbalancer.Request {
 	return loadbalancer.Request{
 		Service: x.service.Name,
 		Exclude: x.failed,
 		Flow:    x.in.Header.Get(outcome.HeaderCaller),
-		NoWait:  noWait,
 	}
 }
 
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -127,7 +127,7 @@
 	if !x.state.budget.take() {
 		return nil
 	}
-	req := x.balanceRequest(false)
+	req := x.balanceRequest()
 	req.Exclude = append(append([]string(nil), req.Exclude...), first)
 	permits := make(chan *loadbalancer.Permit, 1)
 	go func() {
