--- a/table/defaults.go
+++ b/table/defaults.go
@@ -23,6 +23,7 @@
 		QueueLimit:         200,
 		MaxBodyBytes:       1 << 20,
 		RetryPercent:       10,
+		HedgePercentile:    95,
 		CancelGraceMS:      100,
 		RampMS:             2000,
 		ObjectivePercent:   99.9,
