--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -165,6 +165,16 @@
 		Current:   d.current,
 		Logger:    d.logger.With("part", "claim"),
 	})
+	d.quarantine = quarantine.New(quarantine.Options{
+		Messenger: d.mesh,
+		Logger:    d.logger.With("part", "quarantine"),
+	})
+	d.wireBurn()
+	d.wireProbes()
+	d.wireProxy()
+}
+
+func (d *Daemon) wireBurn() {
 	d.recorder = burn.NewRecorder()
 	d.burn = burn.NewKeeper(burn.Options{
 		Recorder: d.recorder,
@@ -173,30 +183,31 @@
 		Current:  d.current,
 		Logger:   d.logger.With("part", "burn"),
 	})
-	d.wireProbes()
-	d.quarantine = quarantine.New(quarantine.Options{
-		Messenger: d.mesh,
-		Logger:    d.logger.With("part", "quarantine"),
-	})
-	leaving := func(s table.Server) bool { return d.tracker.LeavingServer(s.Address) }
-	d.proxy = proxy.New(proxy.Options{
-		Current: d.current,
-		Balancer: loadbalancer.NewByPolicy(d.current, map[table.Policy]loadbalancer.Balancer{
-			table.PolicyLeases:    d.slots,
-			table.PolicyBestOfTwo: loadbalancer.NewBestOfTwo(d.current, leaving),
-			table.PolicyRandom:    loadbalancer.NewRandom(d.current, leaving),
-		}),
-		Claimer:  d.claims,
-		Recorder: d.recorder,
-		Observer: d.watch,
-
-		Quarantine: d.quarantine,
-		ConnLimit:  d.connLimit,
-		Logger:     d.logger.With("part", "proxy"),
-		Instance:   d.self.ID,
+}
 
+func (d *Daemon) wireProxy() {
+	d.proxy = proxy.New(proxy.Options{
+		Current:          d.current,
+		Balancer:         d.balancer(),
+		Claimer:          d.claims,
+		Logger:           d.logger.With("part", "proxy"),
+		Quarantine:       d.quarantine,
+		Recorder:         d.recorder,
+		Observer:         d.watch,
+		ConnLimit:        d.connLimit,
 		MaxBufferedBytes: d.set.Limits.MaxBufferedBytes,
 		WriteTimeout:     d.set.Limits.BodyTimeout(),
+		Instance:         d.self.ID,
+	})
+}
+
+// balancer applies each service's policy.
+func (d *Daemon) balancer() loadbalancer.Balancer {
+	leaving := func(s table.Server) bool { return d.tracker.LeavingServer(s.Address) }
+	return loadbalancer.NewByPolicy(d.current, map[table.Policy]loadbalancer.Balancer{
+		table.PolicyLeases:    d.slots,
+		table.PolicyBestOfTwo: loadbalancer.NewBestOfTwo(d.current, leaving),
+		table.PolicyRandom:    loadbalancer.NewRandom(d.current, leaving),
 	})
 }
 
