--- a/loadbalancer/loadbalancer.go
+++ b/loadbalancer/loadbalancer.go
@@ -16,7 +16,7 @@
 	Exclude []string
 	// Flow names the caller for fair queueing; "" is one shared flow.
 	Flow string
-	// NoWait makes Acquire fail at once if no server is free, as hedges do.
+	// NoWait makes Acquire fail at once if no server is free.
 	NoWait bool
 }
 
