--- a/claim/claim.go
+++ b/claim/claim.go
@@ -74,8 +74,8 @@
 // Claimer claims keys. Implementations are safe for concurrent use.
 type Claimer interface {
 	// Claim decides whether the request may run. On error the request must
-	// not be sent; the claim may nevertheless be recorded, and Finish with
-	// EndNotRun frees it.
+	// not be sent, and there is nothing to finish: a claim that may have been
+	// recorded nevertheless is freed.
 	Claim(ctx context.Context, req Request) (Decision, error)
 	// Finish records the end of an attempt. It queues the record, does not
 	// block, and is best effort: a lost record leaves the key taken.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -103,20 +103,13 @@
 		Role:            platform.RoleEntry,
 		Region:          set.Instance.Region,
 		DataCentre:      set.Instance.DataCentre,
-		PeerAddress:     orElse(set.Advertise.Peer, set.Listen.Peer),
-		Address:         orElse(set.Advertise.Caller, set.Listen.Caller),
-		OperatorAddress: orElse(set.Advertise.Operator, set.Listen.Operator),
+		PeerAddress:     set.Advertise.Peer,
+		Address:         set.Advertise.Caller,
+		OperatorAddress: set.Advertise.Operator,
 		State:           platform.StateLive,
 	}
 }
 
-func orElse(value, fallback string) string {
-	if value == "" {
-		return fallback
-	}
-	return value
-}
-
 // wireFleet creates what instances share: sessions, membership, the table.
 func (d *Daemon) wireFleet() error {
 	tlsConfig, err := d.peerTLS()
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pomelolock/pomelolock/loadbalancer"
@@ -102,7 +103,7 @@
 	for _, name := range []string{outcome.HeaderIdempotencyKey, "X-Idempotency-Key"} {
 		if values, ok := header[name]; ok {
 			delete(header, name)
-			header[asciiLower(name)] = values
+			header[strings.ToLower(name)] = values
 		}
 	}
 }
@@ -122,13 +123,17 @@
 	switch {
 	case f.notRun && !cancelled:
 		class = loadbalancer.ClassUnreachable
-	case cancelled && !errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case givenUp(ctx):
 		class = loadbalancer.ClassCancelled
 	}
 	a.release(class, nil, !f.notRun)
 	return f
 }
 
+// givenUp reports whether the instance ended the attempt itself, other than by
+// its deadline.
+func givenUp(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
+
 // check returns the reason for which the answer can't be used, if any.
 func (a *attempt) check(resp *http.Response) error {
 	server := a.permit.Server.Name
@@ -189,7 +194,7 @@
 	whole, err := a.hold(ans, resp)
 	if err != nil {
 		a.x.p.memory.release(room)
-		return nil, a.truncated(ctx, resp, err)
+		return nil, a.truncated(ctx, resp, load, err)
 	}
 	if !whole {
 		return a.stream(ans, resp, load, room), nil
@@ -233,14 +238,14 @@
 	return nil, &failure{server: ans.server, err: err, ans: ans}
 }
 
-func (a *attempt) truncated(ctx context.Context, resp *http.Response, err error) *failure {
-	cancelled := ctx.Err() != nil
+func (a *attempt) truncated(ctx context.Context, resp *http.Response, load *loadbalancer.Load, err error) *failure {
+	cancelled := givenUp(ctx)
 	_ = resp.Body.Close()
 	class := loadbalancer.ClassFailed
-	if cancelled && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if cancelled {
 		class = loadbalancer.ClassCancelled
 	}
-	a.release(class, parseLoad(resp.Header), true)
+	a.release(class, load, true)
 	return &failure{server: a.permit.Server.Name, err: &TruncatedError{Server: a.permit.Server.Name, Err: err}}
 }
 
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -45,8 +45,6 @@
 	// maybeRan is set once an attempt ended without proof that it did not
 	// run.
 	maybeRan bool
-	// lastLost is set if the last attempt's connection broke off abruptly.
-	lastLost bool
 }
 
 // ServeHTTP implements [http.Handler].
@@ -157,7 +155,7 @@
 	}
 	limit := x.service.MaxBodyBytes
 	hold := min(x.p.opts.HoldBytes, limit)
-	if !x.route.Repeatable && x.in.Header.Get(outcome.HeaderIdempotencyKey) != "" {
+	if x.keyed() {
 		hold = limit
 	}
 	size := heldSize(x.in.ContentLength, hold)
@@ -249,7 +247,6 @@
 // note records a failed attempt.
 func (x *exchange) note(f *failure) {
 	x.failed = append(x.failed, f.server)
-	x.lastLost = f.lost
 	if !f.notRun {
 		x.maybeRan = true
 	}
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -60,7 +60,6 @@
 	decision, err := x.p.opts.Claimer.Claim(ctx, req)
 	if err != nil {
 		cancel()
-		x.p.opts.Claimer.Finish(req, claim.EndNotRun, nil)
 		return nil, x.claimFailed(err)
 	}
 	if decision.Verdict != claim.Run {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -240,5 +240,3 @@
 	out.Host = address
 	return &out
 }
-
-func asciiLower(s string) string { return strings.ToLower(s) }
--- a/slot/queue.go
+++ b/slot/queue.go
@@ -256,3 +256,12 @@
 	}
 	return oldest
 }
+
+// addLatency takes in the time that a served request needed.
+func (q *queue) addLatency(latency time.Duration) {
+	if q.latency == 0 {
+		q.latency = latency
+		return
+	}
+	q.latency += time.Duration(latencyWeight * float64(latency-q.latency))
+}
--- a/slot/service.go
+++ b/slot/service.go
@@ -261,10 +261,8 @@
 func (s *service) setIdleTime(idleTime time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i, h := range s.holders {
-		if i == 0 {
-			h.idleTime = idleTime
-		}
+	if len(s.holders) > 0 {
+		s.holders[0].idleTime = idleTime
 	}
 }
 
@@ -280,12 +278,3 @@
 		h.want = 0
 	}
 }
-
-// addLatency takes in the time that a served request needed.
-func (q *queue) addLatency(latency time.Duration) {
-	if q.latency == 0 {
-		q.latency = latency
-		return
-	}
-	q.latency += time.Duration(latencyWeight * float64(latency-q.latency))
-}
