--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 	GOBIN=$(GOBIN) go install $(GOLANGCI)
 
 generate:
-	GOBIN=$(GOBIN) go install $(BUF) $(PROTOC_GEN_GO)
+	GOBIN=$(GOBIN) go install $(BUF)
+	GOBIN=$(GOBIN) go install $(PROTOC_GEN_GO)
 	PATH=$(GOBIN):$$PATH buf generate
 
 demo: build
--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/pomelolock/pomelolock/burn"
 	_ "github.com/pomelolock/pomelolock/internal/fixedseed"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/memory"
 )
 
 var objectives = []burn.Objective{{Service: "orders", Percent: 99, Latency: 100 * time.Millisecond}}
@@ -25,12 +25,12 @@
 	ids  []string
 }
 
-func (v view) Self() platform.Instance { return platform.Instance{ID: v.self} }
+func (v view) Self() storage.Instance { return storage.Instance{ID: v.self} }
 
-func (v view) Entries() []platform.Instance {
-	var entries []platform.Instance
+func (v view) Entries() []storage.Instance {
+	var entries []storage.Instance
 	for _, id := range v.ids {
-		entries = append(entries, platform.Instance{ID: id})
+		entries = append(entries, storage.Instance{ID: id})
 	}
 	return entries
 }
--- a/burn/example_test.go
+++ b/burn/example_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/burn"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage/memory"
 )
 
 func Example() {
--- a/burn/keeper.go
+++ b/burn/keeper.go
@@ -11,7 +11,7 @@
 
 	"github.com/pomelolock/pomelolock/burn/burnpb"
 	"github.com/pomelolock/pomelolock/membership"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -36,7 +36,7 @@
 // Options configures a [Keeper].
 type Options struct {
 	Recorder *Recorder
-	Objects  platform.ObjectStore
+	Objects  storage.ObjectStore
 	View     membership.View
 	// Current gives the objectives; it may be nil if they are set directly.
 	Current *table.Current
--- a/burn/report.go
+++ b/burn/report.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/burn/burnpb"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 // Alarm tells how urgent a service's burn is.
@@ -95,7 +95,7 @@
 
 // BuildReport reads what the fleet measured and reports the burn at now. It
 // fails if the store cannot list the objects.
-func BuildReport(ctx context.Context, objects platform.ObjectStore, objectives []Objective, now time.Time) (Report, error) {
+func BuildReport(ctx context.Context, objects storage.ObjectStore, objectives []Objective, now time.Time) (Report, error) {
 	end := minuteOf(now.Add(-reportLag))
 	h, err := readHistory(ctx, objects, end)
 	if err != nil {
@@ -120,7 +120,7 @@
 }
 
 // readHistory reads the objects of the longest window that ends at minute end.
-func readHistory(ctx context.Context, objects platform.ObjectStore, end int64) (*history, error) {
+func readHistory(ctx context.Context, objects storage.ObjectStore, end int64) (*history, error) {
 	names, err := objects.ListObjects(ctx, objectPrefix)
 	if err != nil {
 		return nil, fmt.Errorf("burn: list objects: %w", err)
@@ -145,7 +145,7 @@
 
 // readAll reads objects concurrently. Merged objects come first. An object that
 // was deleted since it was listed is in a merged one and left out.
-func readAll(ctx context.Context, objects platform.ObjectStore, names []string) []readResult {
+func readAll(ctx context.Context, objects storage.ObjectStore, names []string) []readResult {
 	slices.SortStableFunc(names, func(a, b string) int { return mergedRank(a) - mergedRank(b) })
 	results := make([]readResult, len(names))
 	queue := make(chan int)
@@ -162,7 +162,7 @@
 	}
 	close(queue)
 	wg.Wait()
-	var missing *platform.NotFoundError
+	var missing *storage.NotFoundError
 	return slices.DeleteFunc(results, func(r readResult) bool { return errors.As(r.err, &missing) })
 }
 
@@ -173,7 +173,7 @@
 	return 1
 }
 
-func readOne(ctx context.Context, objects platform.ObjectStore, name string) readResult {
+func readOne(ctx context.Context, objects storage.ObjectStore, name string) readResult {
 	data, err := objects.GetObject(ctx, name)
 	if err != nil {
 		return readResult{err: err}
--- a/claim/append.go
+++ b/claim/append.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pomelolock/pomelolock/claim/claimpb"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 // append writes the plan's batch to the head that the index reflects and
@@ -53,7 +53,7 @@
 	}
 	s.rotateAfter = time.Now().Add(rotateRest)
 	if full {
-		return nil, 1, &platform.UnavailableError{Op: "append", Err: fmt.Errorf("%w: %w", errTailOverflow, err)}
+		return nil, 1, &storage.UnavailableError{Op: "append", Err: fmt.Errorf("%w: %w", errTailOverflow, err)}
 	}
 	return next, 2, nil
 }
@@ -77,7 +77,7 @@
 	return next, replaced
 }
 
-func (s *partitionStore) put(ctx context.Context, head *claimpb.Head) (platform.Version, error) {
+func (s *partitionStore) put(ctx context.Context, head *claimpb.Head) (storage.Version, error) {
 	data, err := proto.Marshal(head)
 	if err != nil {
 		return 0, err
@@ -86,7 +86,7 @@
 	defer cancel()
 	s.stats.wrote(len(data))
 	version, err := s.opts.Tables.Put(ctx, headKey(s.number), data, s.version)
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	if errors.As(err, &conflict) {
 		s.stats.conflicts.Add(1)
 		s.lowest = s.version + 1
--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/pomelolock/pomelolock/claim"
 	"github.com/pomelolock/pomelolock/peer/peertest"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
 
--- a/claim/fleet_test.go
+++ b/claim/fleet_test.go
@@ -13,8 +13,8 @@
 	"github.com/pomelolock/pomelolock/peer"
 	"github.com/pomelolock/pomelolock/peer/peerpb"
 	"github.com/pomelolock/pomelolock/peer/peertest"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -38,7 +38,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.dead {
-		return &platform.UnavailableError{Op: op, Err: errDead}
+		return &storage.UnavailableError{Op: op, Err: errDead}
 	}
 	return nil
 }
@@ -66,24 +66,24 @@
 
 // gatedTables may freeze before and after each operation.
 type gatedTables struct {
-	platform.TableService
+	storage.TableService
 	gate *gate
 }
 
-func (s gatedTables) Get(ctx context.Context, key string) (platform.Record, error) {
+func (s gatedTables) Get(ctx context.Context, key string) (storage.Record, error) {
 	s.gate.pass()
 	defer s.gate.pass()
 	if err := s.gate.check("get"); err != nil {
-		return platform.Record{}, err
+		return storage.Record{}, err
 	}
 	return s.TableService.Get(ctx, key)
 }
 
-func (s gatedTables) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (s gatedTables) Put(ctx context.Context, key string, value []byte, expect storage.Version) (storage.Version, error) {
 	s.gate.pass()
 	defer s.gate.pass()
 	if err := s.gate.check("put"); err != nil {
-		return platform.Absent, err
+		return storage.Absent, err
 	}
 	return s.TableService.Put(ctx, key, value, expect)
 }
@@ -115,14 +115,14 @@
 	changed chan struct{}
 }
 
-func (v *view) Self() platform.Instance { return platform.Instance{ID: v.self} }
+func (v *view) Self() storage.Instance { return storage.Instance{ID: v.self} }
 
-func (v *view) Entries() []platform.Instance {
+func (v *view) Entries() []storage.Instance {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var entries []platform.Instance
+	var entries []storage.Instance
 	for _, id := range v.ids {
-		entries = append(entries, platform.Instance{ID: id})
+		entries = append(entries, storage.Instance{ID: id})
 	}
 	return entries
 }
--- a/claim/index_bench_test.go
+++ b/claim/index_bench_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/pomelolock/pomelolock/claim/claimpb"
 	"github.com/pomelolock/pomelolock/peer/peertest"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
 
--- a/claim/journal.go
+++ b/claim/journal.go
@@ -14,7 +14,7 @@
 	"github.com/pomelolock/pomelolock/claim/claimpb"
 	"github.com/pomelolock/pomelolock/peer"
 	"github.com/pomelolock/pomelolock/peer/peerpb"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 const (
@@ -142,7 +142,7 @@
 	ctx, cancel := context.WithTimeout(ctx, j.opts.StoreTimeout)
 	defer cancel()
 	record, err := j.opts.Tables.Get(ctx, layoutKey)
-	var missing *platform.NotFoundError
+	var missing *storage.NotFoundError
 	if errors.As(err, &missing) {
 		return j.createLayout(ctx)
 	}
@@ -164,7 +164,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if _, err := j.opts.Tables.Put(ctx, layoutKey, data, platform.Absent); err != nil {
+	if _, err := j.opts.Tables.Put(ctx, layoutKey, data, storage.Absent); err != nil {
 		return 0, err
 	}
 	return j.opts.Partitions, nil
--- a/claim/journal_test.go
+++ b/claim/journal_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/claim"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
 
--- a/claim/once_test.go
+++ b/claim/once_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/pomelolock/pomelolock/claim"
 	_ "github.com/pomelolock/pomelolock/internal/fixedseed"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
 
--- a/claim/options.go
+++ b/claim/options.go
@@ -6,7 +6,7 @@
 
 	"github.com/pomelolock/pomelolock/membership"
 	"github.com/pomelolock/pomelolock/peer"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -40,8 +40,8 @@
 	// Messenger, View, Tables, Objects and Current are required.
 	Messenger peer.Messenger
 	View      membership.View
-	Tables    platform.TableService
-	Objects   platform.ObjectStore
+	Tables    storage.TableService
+	Objects   storage.ObjectStore
 	Current   *table.Current
 	Logger    *slog.Logger
 	// Partitions is the number of partitions of a journal that does not
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/claim/claimpb"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 const (
@@ -231,7 +231,7 @@
 
 // isRetryable reports whether reading the head again settles the failure.
 func isRetryable(err error) bool {
-	var conflict *platform.ConflictError
-	var unknown *platform.UnknownOutcomeError
+	var conflict *storage.ConflictError
+	var unknown *storage.UnknownOutcomeError
 	return errors.As(err, &conflict) || errors.As(err, &unknown)
 }
--- a/claim/store.go
+++ b/claim/store.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pomelolock/pomelolock/claim/claimpb"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 const (
@@ -47,8 +47,8 @@
 	// stale asks for a read before the next plan.
 	stale bool
 	// lowest is the lowest version that a read may return.
-	lowest  platform.Version
-	version platform.Version
+	lowest  storage.Version
+	version storage.Version
 	head    *claimpb.Head
 	// index reflects head, which is the record at version.
 	index *index
@@ -105,7 +105,7 @@
 		if last = s.tryLoad(ctx); last == nil {
 			return nil
 		}
-		var missing *platform.NotFoundError
+		var missing *storage.NotFoundError
 		if !errors.Is(last, errStaleRead) && !errors.As(last, &missing) {
 			return last
 		}
@@ -153,14 +153,14 @@
 	return nil
 }
 
-func (s *partitionStore) readHead(ctx context.Context) (platform.Version, *claimpb.Head, error) {
+func (s *partitionStore) readHead(ctx context.Context) (storage.Version, *claimpb.Head, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.StoreTimeout)
 	defer cancel()
 	s.stats.reads.Add(1)
 	record, err := s.opts.Tables.Get(ctx, headKey(s.number))
-	var missing *platform.NotFoundError
+	var missing *storage.NotFoundError
 	if errors.As(err, &missing) {
-		return platform.Absent, &claimpb.Head{}, nil
+		return storage.Absent, &claimpb.Head{}, nil
 	}
 	if err != nil {
 		return 0, nil, err
--- a/claim/store_test.go
+++ b/claim/store_test.go
@@ -8,18 +8,18 @@
 	"pgregory.net/rapid"
 
 	"github.com/pomelolock/pomelolock/peer/peertest"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
 
 // interruptedTables runs a function before the next write.
 type interruptedTables struct {
-	platform.TableService
+	storage.TableService
 	interrupt func()
 }
 
-func (s *interruptedTables) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (s *interruptedTables) Put(ctx context.Context, key string, value []byte, expect storage.Version) (storage.Version, error) {
 	if interrupt := s.interrupt; interrupt != nil {
 		s.interrupt = nil
 		interrupt()
--- a/cmd/standin/backend.go
+++ b/cmd/standin/backend.go
@@ -11,8 +11,8 @@
 
 	"github.com/pomelolock/pomelolock/internal/standin/backend"
 	"github.com/pomelolock/pomelolock/internal/standin/execlog"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/httpplatform"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/httpplatform"
 )
 
 const listTimeout = 2 * time.Second
@@ -58,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	list.set(ctx, platform.StateLive)
+	list.set(ctx, storage.StateLive)
 	defer list.remove(ctx)
 	logger.Info("backend_serving", "name", c.Name, "address", work.Addr().String(), "admin", admin.Addr().String())
 	return c.serveBoth(ctx, server, work, admin)
@@ -100,13 +100,13 @@
 // does nothing.
 type registration struct {
 	client   *httpplatform.Client
-	instance platform.Instance
+	instance storage.Instance
 	logger   *slog.Logger
 }
 
 func (c *backendCommand) newRegistration(address string, logger *slog.Logger) (*registration, error) {
-	r := &registration{logger: logger, instance: platform.Instance{
-		ID: c.Name, Role: platform.RoleBackend, Region: c.Region, DataCentre: c.DataCentre, Address: address,
+	r := &registration{logger: logger, instance: storage.Instance{
+		ID: c.Name, Role: storage.RoleBackend, Region: c.Region, DataCentre: c.DataCentre, Address: address,
 	}}
 	if c.Platform == "" {
 		return r, nil
@@ -116,7 +116,7 @@
 	return r, err
 }
 
-func (r *registration) set(ctx context.Context, state platform.InstanceState) {
+func (r *registration) set(ctx context.Context, state storage.InstanceState) {
 	if r.client == nil {
 		return
 	}
@@ -128,9 +128,9 @@
 }
 
 func (r *registration) onDrain(draining bool) {
-	state := platform.StateLive
+	state := storage.StateLive
 	if draining {
-		state = platform.StateLeaving
+		state = storage.StateLeaving
 	}
 	r.set(context.Background(), state)
 }
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -7,7 +7,7 @@
 	"net"
 
 	"github.com/pomelolock/pomelolock/internal/standin/platformd"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage/memory"
 )
 
 type platformCommand struct {
--- /dev/null
+++ b/gossip/gossippb/doc.go
@@ -0,0 +1,2 @@
+// Package gossippb holds the generated messages between entry instances.
+package gossippb
--- a/internal/cli/accept.go
+++ b/internal/cli/accept.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/operator"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -126,7 +126,7 @@
 // acceptance ID makes repeating the request safe.
 func (a *app) send(members []member, request operator.AcceptRequest) (operator.AcceptAnswer, error) {
 	members = slices.DeleteFunc(members, func(m member) bool {
-		return m.instance.State != platform.StateLive || m.instance.OperatorAddress == ""
+		return m.instance.State != storage.StateLive || m.instance.OperatorAddress == ""
 	})
 	if len(members) == 0 {
 		return operator.AcceptAnswer{}, &noInstanceError{}
@@ -212,7 +212,7 @@
 	for _, state := range a.states(members) {
 		id := state.Instance.ID
 		switch {
-		case state.Instance.State != platform.StateLive:
+		case state.Instance.State != storage.StateLive:
 		case state.TableVersion < version:
 			behind = append(behind, id)
 		case !inForce[id]:
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -6,9 +6,9 @@
 	"fmt"
 
 	"github.com/pomelolock/pomelolock/operator"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/httpplatform"
 	"github.com/pomelolock/pomelolock/settings"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/httpplatform"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -96,7 +96,7 @@
 
 func remoteCode(err error) Code {
 	var unreachable *operator.UnreachableError
-	var unavailable *platform.UnavailableError
+	var unavailable *storage.UnavailableError
 	var none *noInstanceError
 	switch {
 	case operator.HasCode(err, operator.CodeInvalid):
--- a/internal/cli/fleet_test.go
+++ b/internal/cli/fleet_test.go
@@ -17,8 +17,8 @@
 	"github.com/pomelolock/pomelolock/internal/fleet"
 	"github.com/pomelolock/pomelolock/internal/standin/backend"
 	"github.com/pomelolock/pomelolock/outcome"
-	"github.com/pomelolock/pomelolock/platform/httpplatform"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage/httpplatform"
+	"github.com/pomelolock/pomelolock/storage/memory"
 )
 
 // tool runs commands and checks their exit codes.
--- a/internal/cli/remote.go
+++ b/internal/cli/remote.go
@@ -10,14 +10,14 @@
 	"sync"
 
 	"github.com/pomelolock/pomelolock/operator"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/httpplatform"
 	"github.com/pomelolock/pomelolock/settings"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/httpplatform"
 	"github.com/pomelolock/pomelolock/table"
 )
 
 // platform returns a client of the platform.
-func (a *app) platform() (platform.Platform, error) {
+func (a *app) platform() (storage.Platform, error) {
 	url := a.Platform
 	if url == "" && a.Settings != "" {
 		s, err := settings.Load(a.Settings)
@@ -42,7 +42,7 @@
 
 // member is an entry instance that the tool may ask.
 type member struct {
-	instance platform.Instance
+	instance storage.Instance
 	client   *operator.Client
 }
 
@@ -71,10 +71,10 @@
 	return members, nil
 }
 
-func (a *app) listed() ([]platform.Instance, error) {
-	var instances []platform.Instance
+func (a *app) listed() ([]storage.Instance, error) {
+	var instances []storage.Instance
 	for _, address := range a.Operator {
-		instances = append(instances, platform.Instance{OperatorAddress: address, State: platform.StateLive})
+		instances = append(instances, storage.Instance{OperatorAddress: address, State: storage.StateLive})
 	}
 	if len(instances) > 0 {
 		return instances, nil
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return slices.DeleteFunc(all, func(i platform.Instance) bool { return i.Role != platform.RoleEntry }), nil
+	return slices.DeleteFunc(all, func(i storage.Instance) bool { return i.Role != storage.RoleEntry }), nil
 }
 
 // connector returns a function that makes clients of operator listeners.
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -22,8 +22,8 @@
 	"github.com/pomelolock/pomelolock/internal/standin/platformd"
 	"github.com/pomelolock/pomelolock/operator"
 	"github.com/pomelolock/pomelolock/peer/peertest"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -119,8 +119,8 @@
 		server.Close()
 	})
 	f.instances[id] = i
-	return f.mem.SetInstance(ctx, platform.Instance{
-		ID: id, Role: platform.RoleEntry, DataCentre: "praha-1", State: platform.StateLive,
+	return f.mem.SetInstance(ctx, storage.Instance{
+		ID: id, Role: storage.RoleEntry, DataCentre: "praha-1", State: storage.StateLive,
 		OperatorAddress: strings.TrimPrefix(server.URL, "http://"),
 	})
 }
@@ -141,7 +141,7 @@
 }
 
 func (i *testInstance) Status() operator.Status {
-	status := operator.Status{Instance: platform.Instance{ID: i.id, DataCentre: "praha-1"}, Build: "test"}
+	status := operator.Status{Instance: storage.Instance{ID: i.id, DataCentre: "praha-1"}, Build: "test"}
 	if snapshot := i.current.Load(); snapshot != nil {
 		status.TableVersion = snapshot.Version()
 	}
@@ -163,12 +163,12 @@
 	ids  []string
 }
 
-func (v idView) Self() platform.Instance { return platform.Instance{ID: v.self} }
+func (v idView) Self() storage.Instance { return storage.Instance{ID: v.self} }
 
-func (v idView) Entries() []platform.Instance {
-	var entries []platform.Instance
+func (v idView) Entries() []storage.Instance {
+	var entries []storage.Instance
 	for _, id := range v.ids {
-		entries = append(entries, platform.Instance{ID: id})
+		entries = append(entries, storage.Instance{ID: id})
 	}
 	return entries
 }
--- a/internal/cli/table.go
+++ b/internal/cli/table.go
@@ -11,7 +11,7 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -84,7 +84,7 @@
 		return store.Load(a.ctx)
 	}
 	doc, err := store.Version(a.ctx, version)
-	var missing *platform.NotFoundError
+	var missing *storage.NotFoundError
 	if errors.As(err, &missing) {
 		return doc, &usageError{reason: fmt.Sprintf("version %d is not kept", version)}
 	}
--- a/internal/cli/tls_test.go
+++ b/internal/cli/tls_test.go
@@ -23,7 +23,7 @@
 	"github.com/pomelolock/pomelolock/internal/standin/platformd"
 	"github.com/pomelolock/pomelolock/operator"
 	"github.com/pomelolock/pomelolock/peer/peertest"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,13 +16,13 @@
 	"github.com/pomelolock/pomelolock/membership"
 	"github.com/pomelolock/pomelolock/metrics"
 	"github.com/pomelolock/pomelolock/peer"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/httpplatform"
 	"github.com/pomelolock/pomelolock/probe"
 	"github.com/pomelolock/pomelolock/proxy"
 	"github.com/pomelolock/pomelolock/quarantine"
 	"github.com/pomelolock/pomelolock/settings"
 	"github.com/pomelolock/pomelolock/slot"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/httpplatform"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -33,7 +33,7 @@
 type Daemon struct {
 	set    *settings.Settings
 	logger *slog.Logger
-	self   platform.Instance
+	self   storage.Instance
 	// started is when the process started.
 	started time.Time
 
@@ -97,16 +97,16 @@
 	return d, nil
 }
 
-func instanceOf(set *settings.Settings) platform.Instance {
-	return platform.Instance{
+func instanceOf(set *settings.Settings) storage.Instance {
+	return storage.Instance{
 		ID:              set.Instance.ID,
-		Role:            platform.RoleEntry,
+		Role:            storage.RoleEntry,
 		Region:          set.Instance.Region,
 		DataCentre:      set.Instance.DataCentre,
 		PeerAddress:     set.Advertise.Peer,
 		Address:         set.Advertise.Caller,
 		OperatorAddress: set.Advertise.Operator,
-		State:           platform.StateLive,
+		State:           storage.StateLive,
 	}
 }
 
--- a/internal/fleet/accept.go
+++ b/internal/fleet/accept.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"github.com/pomelolock/pomelolock/platform/httpplatform"
+	"github.com/pomelolock/pomelolock/storage/httpplatform"
 	"github.com/pomelolock/pomelolock/table"
 )
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,7 +15,7 @@
 	"github.com/pomelolock/pomelolock/internal/standin/backend"
 	"github.com/pomelolock/pomelolock/internal/standin/execlog"
 	"github.com/pomelolock/pomelolock/internal/standin/platformd"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage/memory"
 )
 
 const (
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/pomelolock/pomelolock/internal/loadgen"
 	"github.com/pomelolock/pomelolock/internal/standin/backend"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/httpplatform"
 	"github.com/pomelolock/pomelolock/settings"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/httpplatform"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -54,7 +54,7 @@
 		t.Fatal(err)
 	}
 	rows, err := client.ListInstances(ctx)
-	if err != nil || len(rows) != 3 || rows[2].DataCentre != "dc-2" || rows[2].Role != platform.RoleBackend {
+	if err != nil || len(rows) != 3 || rows[2].DataCentre != "dc-2" || rows[2].Role != storage.RoleBackend {
 		t.Errorf("instances %+v, %v", rows, err)
 	}
 	server := f.Backends[0]
@@ -73,7 +73,7 @@
 		t.Fatal(err)
 	}
 	rows, err = client.ListInstances(ctx)
-	if err != nil || rows[1].Address != server.Address || rows[1].State != platform.StateLeaving {
+	if err != nil || rows[1].Address != server.Address || rows[1].State != storage.StateLeaving {
 		t.Errorf("instances %+v, %v", rows, err)
 	}
 	judgement, err := f.Judge(ctx, &loadgen.Report{Calls: map[string]loadgen.Told{"c1": {Sent: 1, NotRun: 1}}})
--- a/internal/fleet/observe.go
+++ b/internal/fleet/observe.go
@@ -125,7 +125,7 @@
 	"github.com/pomelolock/pomelolock/claim.",
 	"github.com/pomelolock/pomelolock/probe.",
 	"github.com/pomelolock/pomelolock/quarantine.",
-	"github.com/pomelolock/pomelolock/platform",
+	"github.com/pomelolock/pomelolock/storage",
 	"github.com/hashicorp/yamux.",
 }
 
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -16,7 +16,7 @@
 	"github.com/pomelolock/pomelolock/internal/fleet"
 	"github.com/pomelolock/pomelolock/internal/loadgen"
 	"github.com/pomelolock/pomelolock/internal/standin/backend"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage/memory"
 )
 
 // oneFleet keeps scenarios from running beside each other.
--- a/internal/scenario/servers_test.go
+++ b/internal/scenario/servers_test.go
@@ -13,7 +13,7 @@
 	"github.com/pomelolock/pomelolock/internal/loadgen"
 	"github.com/pomelolock/pomelolock/internal/standin/backend"
 	"github.com/pomelolock/pomelolock/outcome"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage/memory"
 )
 
 const searchPath = "/patterns/search"
--- a/internal/slopes/list.go
+++ b/internal/slopes/list.go
@@ -8,9 +8,9 @@
 	"net/http/httptest"
 
 	"github.com/pomelolock/pomelolock/internal/standin/platformd"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/httpplatform"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/httpplatform"
+	"github.com/pomelolock/pomelolock/storage/memory"
 )
 
 // listSizes are numbers of rows: entry instances and backend servers.
@@ -42,9 +42,9 @@
 	return nil
 }
 
-func row(i int) platform.Instance {
-	return platform.Instance{
-		ID: fmt.Sprintf("service-%02d-server-%04d", i%37, i), Role: platform.RoleBackend, State: platform.StateLive,
+func row(i int) storage.Instance {
+	return storage.Instance{
+		ID: fmt.Sprintf("service-%02d-server-%04d", i%37, i), Role: storage.RoleBackend, State: storage.StateLive,
 		Region: fmt.Sprintf("region-%d", i%3), DataCentre: fmt.Sprintf("dc-%d", i%7),
 		Address: fmt.Sprintf("10.%d.%d.%d:8000", i%7, i>>8, i&0xff),
 	}
--- a/internal/standin/platformd/platformd.go
+++ b/internal/standin/platformd/platformd.go
@@ -18,9 +18,9 @@
 	"net/http"
 	"strconv"
 
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/httpplatform"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/httpplatform"
+	"github.com/pomelolock/pomelolock/storage/memory"
 )
 
 // Paths of the switches.
@@ -75,9 +75,9 @@
 // fail maps a failure of the store to the wire.
 func fail(w http.ResponseWriter, err error) {
 	var (
-		notFound *platform.NotFoundError
-		conflict *platform.ConflictError
-		unknown  *platform.UnknownOutcomeError
+		notFound *storage.NotFoundError
+		conflict *storage.ConflictError
+		unknown  *storage.UnknownOutcomeError
 	)
 	switch {
 	case errors.As(err, &notFound):
@@ -115,11 +115,11 @@
 }
 
 // expected parses the expected version, or answers and returns false.
-func expected(w http.ResponseWriter, r *http.Request) (platform.Version, bool) {
+func expected(w http.ResponseWriter, r *http.Request) (storage.Version, bool) {
 	version, err := strconv.ParseUint(r.URL.Query().Get(httpplatform.ParamExpect), 10, 64)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
-		return platform.Absent, false
+		return storage.Absent, false
 	}
-	return platform.Version(version), true
+	return storage.Version(version), true
 }
--- a/internal/standin/platformd/services.go
+++ b/internal/standin/platformd/services.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"strconv"
 
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/httpplatform"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/httpplatform"
 )
 
 func (s *server) get(w http.ResponseWriter, r *http.Request) {
@@ -110,7 +110,7 @@
 	if !ok {
 		return
 	}
-	var instance platform.Instance
+	var instance storage.Instance
 	if err := json.Unmarshal(body, &instance); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/membership/converge_test.go
+++ b/membership/converge_test.go
@@ -12,8 +12,8 @@
 	"pgregory.net/rapid"
 
 	_ "github.com/pomelolock/pomelolock/internal/fixedseed"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/memory"
 )
 
 // step is one random event of a fleet.
@@ -81,9 +81,9 @@
 	case 5:
 		_ = f.list.RemoveInstance(context.Background(), id)
 	case 6:
-		state := platform.StateLive
+		state := storage.StateLive
 		if s.flag {
-			state = platform.StateLeaving
+			state = storage.StateLeaving
 		}
 		_ = f.list.SetInstance(context.Background(), backend("row-"+address, address, state))
 	default:
--- a/membership/entries.go
+++ b/membership/entries.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 const (
@@ -21,7 +21,7 @@
 
 // entry is what is known of another entry instance.
 type entry struct {
-	instance  platform.Instance
+	instance  storage.Instance
 	listed    bool
 	connected bool
 	// leaving never returns to false: a replacement has a new ID.
@@ -43,7 +43,7 @@
 }
 
 // learn adds or completes an instance and returns nil for the local one.
-func (e *entries) learn(instance platform.Instance, now time.Time) *entry {
+func (e *entries) learn(instance storage.Instance, now time.Time) *entry {
 	if instance.ID == "" || instance.ID == e.self {
 		return nil
 	}
@@ -58,17 +58,17 @@
 	if instance.PeerAddress != "" {
 		known.instance = instance
 	}
-	known.leaving = known.leaving || instance.State == platform.StateLeaving
+	known.leaving = known.leaving || instance.State == storage.StateLeaving
 	return known
 }
 
 // setListed applies the rows of a successful read of the list.
-func (e *entries) setListed(rows []platform.Instance, now time.Time) {
+func (e *entries) setListed(rows []storage.Instance, now time.Time) {
 	for _, known := range e.byID {
 		known.listed = false
 	}
 	for _, row := range rows {
-		if row.Role != platform.RoleEntry {
+		if row.Role != storage.RoleEntry {
 			continue
 		}
 		if known := e.learn(row, now); known != nil {
@@ -83,7 +83,7 @@
 	connected := make(map[string]bool, len(ids))
 	for _, id := range ids {
 		connected[id] = true
-		known := e.learn(platform.Instance{ID: id, Role: platform.RoleEntry, State: platform.StateLive}, now)
+		known := e.learn(storage.Instance{ID: id, Role: storage.RoleEntry, State: storage.StateLive}, now)
 		if known != nil && !known.connected {
 			known.connected = true
 			opened = append(opened, id)
@@ -124,9 +124,9 @@
 }
 
 // live returns the instances in view, sorted by ID.
-func (e *entries) live(now time.Time) []platform.Instance {
+func (e *entries) live(now time.Time) []storage.Instance {
 	isolated := e.isolated()
-	var live []platform.Instance
+	var live []storage.Instance
 	for _, known := range e.byID {
 		if known.inView(isolated, now) {
 			live = append(live, known.instance)
@@ -147,8 +147,8 @@
 }
 
 // targets returns all instances to keep sessions with, sorted by ID.
-func (e *entries) targets() []platform.Instance {
-	targets := make([]platform.Instance, 0, len(e.byID))
+func (e *entries) targets() []storage.Instance {
+	targets := make([]storage.Instance, 0, len(e.byID))
 	for _, known := range e.byID {
 		targets = append(targets, known.instance)
 	}
@@ -157,8 +157,8 @@
 }
 
 // reachable returns the instances with a session, to be told to others.
-func (e *entries) reachable() []platform.Instance {
-	var reachable []platform.Instance
+func (e *entries) reachable() []storage.Instance {
+	var reachable []storage.Instance
 	for _, known := range e.byID {
 		if known.connected && known.instance.PeerAddress != "" && !known.leaving {
 			reachable = append(reachable, known.instance)
@@ -167,4 +167,4 @@
 	return reachable
 }
 
-func byID(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) }
+func byID(a, b storage.Instance) int { return strings.Compare(a.ID, b.ID) }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -14,17 +14,17 @@
 package membership
 
 import (
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 // View is a read-only view of the fleet. Implementations are safe for
 // concurrent use.
 type View interface {
 	// Self returns the local instance.
-	Self() platform.Instance
+	Self() storage.Instance
 	// Entries returns the entry instances believed live and not leaving,
 	// sorted by ID. It contains Self unless Self is leaving.
-	Entries() []platform.Instance
+	Entries() []storage.Instance
 	// LeavingServer reports whether the backend server with this address
 	// is known to be leaving.
 	LeavingServer(address string) bool
--- a/membership/mesh_test.go
+++ b/membership/mesh_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/pomelolock/pomelolock/membership"
 	"github.com/pomelolock/pomelolock/peer"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/memory"
 )
 
 // patience bounds waits whose end is certain.
@@ -77,7 +77,7 @@
 }
 
 // startReal runs a mesh with a tracker on loopback.
-func startReal(t *testing.T, id string, list platform.InstanceList) (*membership.Tracker, *freezer) {
+func startReal(t *testing.T, id string, list storage.InstanceList) (*membership.Tracker, *freezer) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/membership/notice.go
+++ b/membership/notice.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pomelolock/pomelolock/peer/peerpb"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 const (
@@ -136,25 +136,25 @@
 	return t.opts.List.RemoveInstance(ctx, t.opts.Self.ID)
 }
 
-func encodeEntry(instance platform.Instance) *peerpb.Entry {
+func encodeEntry(instance storage.Instance) *peerpb.Entry {
 	return &peerpb.Entry{
 		InstanceId:  instance.ID,
 		Region:      instance.Region,
 		DataCentre:  instance.DataCentre,
 		PeerAddress: instance.PeerAddress,
 		Address:     instance.Address,
-		Leaving:     instance.State == platform.StateLeaving,
+		Leaving:     instance.State == storage.StateLeaving,
 	}
 }
 
-func decodeEntry(e *peerpb.Entry) platform.Instance {
-	state := platform.StateLive
+func decodeEntry(e *peerpb.Entry) storage.Instance {
+	state := storage.StateLive
 	if e.GetLeaving() {
-		state = platform.StateLeaving
+		state = storage.StateLeaving
 	}
-	return platform.Instance{
+	return storage.Instance{
 		ID:          e.GetInstanceId(),
-		Role:        platform.RoleEntry,
+		Role:        storage.RoleEntry,
 		Region:      e.GetRegion(),
 		DataCentre:  e.GetDataCentre(),
 		PeerAddress: e.GetPeerAddress(),
--- a/membership/servers.go
+++ b/membership/servers.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/peer/peerpb"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 const (
@@ -32,13 +32,13 @@
 type servers struct {
 	records map[string]serverRecord
 	// rows holds the listed row of each address.
-	rows map[string]platform.Instance
+	rows map[string]storage.Instance
 	// generation counts the changes of state.
 	generation uint64
 }
 
 func newServers() *servers {
-	return &servers{records: make(map[string]serverRecord), rows: make(map[string]platform.Instance)}
+	return &servers{records: make(map[string]serverRecord), rows: make(map[string]storage.Instance)}
 }
 
 func (s *servers) isLeaving(address string) bool { return s.records[address].leaving }
@@ -47,7 +47,7 @@
 // is known.
 func (s *servers) report(address string, leaving bool, now time.Time) *peerpb.ServerNotice {
 	present, known := s.records[address]
-	if !leaving && s.rows[address].State == platform.StateLeaving {
+	if !leaving && s.rows[address].State == storage.StateLeaving {
 		return nil
 	}
 	if present.leaving == leaving || !known && len(s.records) >= maxServers {
@@ -96,11 +96,11 @@
 // setListed applies the backend rows of a successful read of the list and
 // returns the notices of the changes. A server returns to service when its row
 // turns from leaving to live or when another live row takes its address.
-func (s *servers) setListed(rows []platform.Instance, now time.Time) []*peerpb.ServerNotice {
+func (s *servers) setListed(rows []storage.Instance, now time.Time) []*peerpb.ServerNotice {
 	previous := s.rows
-	s.rows = make(map[string]platform.Instance, len(previous))
+	s.rows = make(map[string]storage.Instance, len(previous))
 	for _, row := range rows {
-		if row.Role == platform.RoleBackend && row.Address != "" {
+		if row.Role == storage.RoleBackend && row.Address != "" {
 			s.addRow(row)
 		}
 	}
@@ -119,19 +119,19 @@
 }
 
 // addRow keeps the live row if two rows share an address.
-func (s *servers) addRow(row platform.Instance) {
-	if other, ok := s.rows[row.Address]; ok && other.State == platform.StateLive {
+func (s *servers) addRow(row storage.Instance) {
+	if other, ok := s.rows[row.Address]; ok && other.State == storage.StateLive {
 		return
 	}
 	s.rows[row.Address] = row
 }
 
-func (s *servers) compare(row, previous platform.Instance, now time.Time) *peerpb.ServerNotice {
-	if row.State == platform.StateLeaving {
+func (s *servers) compare(row, previous storage.Instance, now time.Time) *peerpb.ServerNotice {
+	if row.State == storage.StateLeaving {
 		return s.report(row.Address, true, now)
 	}
 	record := s.records[row.Address]
-	returned := previous.State == platform.StateLeaving && previous.ID == row.ID
+	returned := previous.State == storage.StateLeaving && previous.ID == row.ID
 	replaced := record.rowID != "" && record.rowID != row.ID
 	if record.leaving && (returned || replaced) {
 		return s.report(row.Address, false, now)
@@ -144,7 +144,7 @@
 func (s *servers) draining() []string {
 	var addresses []string
 	for address, record := range s.records {
-		if record.leaving && s.rows[address].State == platform.StateLive {
+		if record.leaving && s.rows[address].State == storage.StateLive {
 			addresses = append(addresses, address)
 		}
 	}
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -10,7 +10,7 @@
 
 	"github.com/pomelolock/pomelolock/peer"
 	"github.com/pomelolock/pomelolock/peer/peerpb"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 const (
@@ -33,15 +33,15 @@
 // TargetSetter is told which instances to keep sessions with. [peer.Mesh]
 // implements it.
 type TargetSetter interface {
-	SetTargets(instances []platform.Instance)
+	SetTargets(instances []storage.Instance)
 }
 
 // Options configure a [Tracker]. Self, List and Messenger are required.
 type Options struct {
 	// Self is the local instance.
-	Self platform.Instance
+	Self storage.Instance
 	// List is the platform's instance list.
-	List platform.InstanceList
+	List storage.InstanceList
 	// Messenger carries notices.
 	Messenger peer.Messenger
 	// Targets follows the known instances; nil if sessions come by other
@@ -61,8 +61,8 @@
 	mu       sync.RWMutex
 	entries  *entries
 	servers  *servers
-	view     []platform.Instance
-	targets  []platform.Instance
+	view     []storage.Instance
+	targets  []storage.Instance
 	leaving  bool
 	changed  chan struct{}
 	unsent   map[string]bool
@@ -84,14 +84,14 @@
 	if opts.Logger == nil {
 		opts.Logger = slog.New(slog.DiscardHandler)
 	}
-	opts.Self.Role = platform.RoleEntry
-	opts.Self.State = platform.StateLive
+	opts.Self.Role = storage.RoleEntry
+	opts.Self.State = storage.StateLive
 	t := &Tracker{
 		opts:    opts,
 		events:  opts.Messenger.Subscribe(eventBuffer),
 		entries: newEntries(opts.Self.ID),
 		servers: newServers(),
-		view:    []platform.Instance{opts.Self},
+		view:    []storage.Instance{opts.Self},
 		changed: make(chan struct{}),
 		unsent:  make(map[string]bool),
 	}
@@ -100,22 +100,22 @@
 }
 
 // Self implements [View].
-func (t *Tracker) Self() platform.Instance {
+func (t *Tracker) Self() storage.Instance {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	return t.selfLocked()
 }
 
-func (t *Tracker) selfLocked() platform.Instance {
+func (t *Tracker) selfLocked() storage.Instance {
 	self := t.opts.Self
 	if t.leaving {
-		self.State = platform.StateLeaving
+		self.State = storage.StateLeaving
 	}
 	return self
 }
 
 // Entries implements [View].
-func (t *Tracker) Entries() []platform.Instance {
+func (t *Tracker) Entries() []storage.Instance {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	return slices.Clone(t.view)
@@ -238,14 +238,14 @@
 func (t *Tracker) register(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	if t.Self().State == platform.StateLeaving {
+	if t.Self().State == storage.StateLeaving {
 		return true
 	}
 	if err := t.opts.List.SetInstance(ctx, t.opts.Self); err != nil {
 		t.opts.Logger.Debug("register_failed", "error", err)
 		return false
 	}
-	if self := t.Self(); self.State == platform.StateLeaving {
+	if self := t.Self(); self.State == storage.StateLeaving {
 		// Leave may have written its row before this one.
 		return t.opts.List.SetInstance(ctx, self) == nil
 	}
@@ -273,8 +273,8 @@
 	return t.absentLocked(rows)
 }
 
-func (t *Tracker) absentLocked(rows []platform.Instance) bool {
-	if slices.ContainsFunc(rows, func(row platform.Instance) bool { return row.ID == t.opts.Self.ID }) {
+func (t *Tracker) absentLocked(rows []storage.Instance) bool {
+	if slices.ContainsFunc(rows, func(row storage.Instance) bool { return row.ID == t.opts.Self.ID }) {
 		t.absences = 0
 		return false
 	}
--- a/membership/tracker_test.go
+++ b/membership/tracker_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/pomelolock/pomelolock/membership"
 	"github.com/pomelolock/pomelolock/peer/peertest"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/memory"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -27,10 +27,10 @@
 // targetRecorder keeps the targets that a tracker sets.
 type targetRecorder struct {
 	mu      sync.Mutex
-	targets []platform.Instance
+	targets []storage.Instance
 }
 
-func (r *targetRecorder) SetTargets(instances []platform.Instance) {
+func (r *targetRecorder) SetTargets(instances []storage.Instance) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.targets = instances
@@ -69,9 +69,9 @@
 	return f
 }
 
-func instance(id string) platform.Instance {
-	return platform.Instance{
-		ID: id, Role: platform.RoleEntry, DataCentre: "dc-1", PeerAddress: id + ":7000", State: platform.StateLive,
+func instance(id string) storage.Instance {
+	return storage.Instance{
+		ID: id, Role: storage.RoleEntry, DataCentre: "dc-1", PeerAddress: id + ":7000", State: storage.StateLive,
 	}
 }
 
@@ -109,7 +109,7 @@
 	f.net.Close()
 }
 
-func (f *fleet) setRow(row platform.Instance) {
+func (f *fleet) setRow(row storage.Instance) {
 	f.t.Helper()
 	if err := f.list.SetInstance(context.Background(), row); err != nil {
 		f.t.Fatalf("set row: %v", err)
@@ -236,21 +236,21 @@
 		time.Sleep(settled)
 		f.want("b", "b", "c")
 		rows, err := f.list.ListInstances(t.Context())
-		if err != nil || rows[0].State != platform.StateLeaving {
+		if err != nil || rows[0].State != storage.StateLeaving {
 			t.Fatalf("list: %v, error %v", rows, err)
 		}
 	})
 }
 
-func backend(id, address string, state platform.InstanceState) platform.Instance {
-	return platform.Instance{ID: id, Role: platform.RoleBackend, Address: address, State: state}
+func backend(id, address string, state storage.InstanceState) storage.Instance {
+	return storage.Instance{ID: id, Role: storage.RoleBackend, Address: address, State: state}
 }
 
 func TestLeavingServerIsKnownEverywhereAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "a", "b", "c")
 		defer f.stop()
-		f.setRow(backend("s1", "10.0.0.1:80", platform.StateLive))
+		f.setRow(backend("s1", "10.0.0.1:80", storage.StateLive))
 		time.Sleep(settled)
 		knows := func(want bool, address string, ids ...string) {
 			t.Helper()
@@ -279,11 +279,11 @@
 		}
 
 		_ = f.list.RemoveInstance(t.Context(), "s1")
-		f.setRow(backend("s2", "10.0.0.1:80", platform.StateLive))
+		f.setRow(backend("s2", "10.0.0.1:80", storage.StateLive))
 		time.Sleep(2 * time.Second)
 		knows(false, "10.0.0.1:80", "a", "b", "c", "late")
 
-		f.setRow(backend("s2", "10.0.0.1:80", platform.StateLeaving))
+		f.setRow(backend("s2", "10.0.0.1:80", storage.StateLeaving))
 		time.Sleep(2 * time.Second)
 		knows(true, "10.0.0.1:80", "a", "b", "c", "late")
 		f.trackers["b"].ReportServingServer("10.0.0.1:80")
@@ -291,7 +291,7 @@
 		if got := f.trackers["b"].DrainingServers(); len(got) > 0 {
 			t.Fatalf("draining although the list holds it as leaving: %v", got)
 		}
-		f.setRow(backend("s2", "10.0.0.1:80", platform.StateLive))
+		f.setRow(backend("s2", "10.0.0.1:80", storage.StateLive))
 		time.Sleep(2 * time.Second)
 		knows(false, "10.0.0.1:80", "a", "b", "c", "late")
 	})
--- a/operator/messages.go
+++ b/operator/messages.go
@@ -6,13 +6,13 @@
 	"net/http"
 	"time"
 
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 	"github.com/pomelolock/pomelolock/table"
 )
 
 // Status is what an instance tells about itself.
 type Status struct {
-	Instance platform.Instance `json:"instance"`
+	Instance storage.Instance `json:"instance"`
 	// Build is the release that runs.
 	Build     string    `json:"build"`
 	StartedAt time.Time `json:"started_at"`
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -19,8 +19,8 @@
 
 	"github.com/pomelolock/pomelolock/burn"
 	"github.com/pomelolock/pomelolock/operator"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -42,7 +42,7 @@
 
 func newFake() *fake {
 	mem := memory.New()
-	return &fake{store: table.NewStore(mem, mem), status: operator.Status{Instance: platform.Instance{ID: "entry-1"}}}
+	return &fake{store: table.NewStore(mem, mem), status: operator.Status{Instance: storage.Instance{ID: "entry-1"}}}
 }
 
 func (f *fake) handler() http.Handler {
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -10,20 +10,20 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/peer/peerpb"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 // benchMeshes starts n connected meshes with default options.
 func benchMeshes(b *testing.B, n int) []*Mesh {
 	b.Helper()
 	var meshes []*Mesh
-	var all []platform.Instance
+	var all []storage.Instance
 	for i := range n {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			b.Fatal(err)
 		}
-		self := platform.Instance{ID: fmt.Sprintf("entry-%03d", i), PeerAddress: listener.Addr().String()}
+		self := storage.Instance{ID: fmt.Sprintf("entry-%03d", i), PeerAddress: listener.Addr().String()}
 		mesh := NewMesh(Options{Fleet: "bench", Self: self})
 		mesh.Handle(testKind, echo)
 		go func() { _ = mesh.Serve(context.Background(), listener) }()
--- a/peer/example_test.go
+++ b/peer/example_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/pomelolock/pomelolock/peer"
 	"github.com/pomelolock/pomelolock/peer/peerpb"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 // Two instances keep a session, over which one calls the other.
@@ -18,14 +18,14 @@
 	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
 	defer stop()
 	var meshes []*peer.Mesh
-	var instances []platform.Instance
+	var instances []storage.Instance
 	for _, id := range []string{"entry-1", "entry-2"} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			fmt.Println(err)
 			return
 		}
-		self := platform.Instance{ID: id, PeerAddress: listener.Addr().String()}
+		self := storage.Instance{ID: id, PeerAddress: listener.Addr().String()}
 		mesh := peer.NewMesh(peer.Options{Fleet: "example", Self: self})
 		defer mesh.Close()
 		mesh.Handle(peerpb.Kind_KIND_STATUS, func(context.Context, string, []byte) (proto.Message, error) {
--- a/peer/helpers_test.go
+++ b/peer/helpers_test.go
@@ -10,7 +10,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/pomelolock/pomelolock/peer/peerpb"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 const (
@@ -83,7 +83,7 @@
 
 type testMesh struct {
 	*Mesh
-	instance platform.Instance
+	instance storage.Instance
 	gate     *gate
 }
 
@@ -94,7 +94,7 @@
 		t.Fatal(err)
 	}
 	gate := newGate()
-	self := platform.Instance{ID: id, DataCentre: "dc-1", PeerAddress: listener.Addr().String()}
+	self := storage.Instance{ID: id, DataCentre: "dc-1", PeerAddress: listener.Addr().String()}
 	opts := Options{
 		Fleet: "test", Self: self, Heartbeat: 100 * time.Millisecond,
 		RedialMin: 5 * time.Millisecond, RedialMax: 50 * time.Millisecond,
@@ -124,7 +124,7 @@
 }
 
 func join(meshes ...*testMesh) {
-	var all []platform.Instance
+	var all []storage.Instance
 	for _, mesh := range meshes {
 		all = append(all, mesh.instance)
 	}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pomelolock/pomelolock/peer/peerpb"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 // Defaults of [Options].
@@ -37,7 +37,7 @@
 	// Fleet is the fleet's name; peers of another fleet are refused.
 	Fleet string
 	// Self is the local instance.
-	Self platform.Instance
+	Self storage.Instance
 	// TLS secures sessions; nil means plain TCP. For mutual
 	// authentication set ClientAuth, ClientCAs and RootCAs. Peers verify
 	// that a certificate is valid for ServerName, by default Fleet.
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -15,7 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pomelolock/pomelolock/peer/peerpb"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -249,7 +249,7 @@
 }
 
 func TestCrossingDialIsToldFromRedial(t *testing.T) {
-	mesh := NewMesh(Options{Fleet: "test", Self: platform.Instance{ID: "m"}})
+	mesh := NewMesh(Options{Fleet: "test", Self: storage.Instance{ID: "m"}})
 	defer mesh.Close()
 	dialling := &target{dialing: true}
 	tests := []struct {
@@ -294,7 +294,7 @@
 	if lost := fast.Stats().Lost; lost > 0 {
 		t.Fatalf("%d sessions lost", lost)
 	}
-	mesh := NewMesh(Options{Fleet: "test", Self: platform.Instance{ID: "m"}})
+	mesh := NewMesh(Options{Fleet: "test", Self: storage.Instance{ID: "m"}})
 	defer mesh.Close()
 	for i := range 100 {
 		mesh.sessions[fmt.Sprint(i)] = &session{}
--- a/peer/session.go
+++ b/peer/session.go
@@ -14,7 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pomelolock/pomelolock/peer/peerpb"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 const (
@@ -36,7 +36,7 @@
 // reader, the writer, the heartbeat and the closer; handlers add to them.
 type session struct {
 	mesh   *Mesh
-	peer   platform.Instance
+	peer   storage.Instance
 	id     uint64
 	dialed bool
 
@@ -63,9 +63,9 @@
 	ctx, cancel := context.WithCancelCause(m.ctx)
 	s := &session{
 		mesh: m,
-		peer: platform.Instance{
+		peer: storage.Instance{
 			ID:         hello.GetInstanceId(),
-			Role:       platform.RoleEntry,
+			Role:       storage.RoleEntry,
 			Region:     hello.GetRegion(),
 			DataCentre: hello.GetDataCentre(),
 		},
--- a/peer/target.go
+++ b/peer/target.go
@@ -7,12 +7,12 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 // target is an instance that the mesh keeps a session with.
 type target struct {
-	instance platform.Instance
+	instance storage.Instance
 	cancel   context.CancelFunc
 	// dialing is true while a dial is under way.
 	dialing bool
@@ -27,7 +27,7 @@
 // SetTargets replaces the instances to keep sessions with. Sessions with other
 // instances stay open but are not dialled again. Self and instances without a
 // peer address are ignored.
-func (m *Mesh) SetTargets(instances []platform.Instance) {
+func (m *Mesh) SetTargets(instances []storage.Instance) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	wanted := make(map[string]bool, len(instances))
@@ -46,7 +46,7 @@
 	}
 }
 
-func (m *Mesh) setTargetLocked(instance platform.Instance) {
+func (m *Mesh) setTargetLocked(instance storage.Instance) {
 	present := m.targets[instance.ID]
 	if m.closed || present != nil && present.instance.PeerAddress == instance.PeerAddress {
 		return
--- a/probe/budget.go
+++ b/probe/budget.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 const (
@@ -30,7 +30,7 @@
 // Options configure a [Budget]. All fields but Logger are required.
 type Options struct {
 	// Tables is the platform's table service.
-	Tables platform.TableService
+	Tables storage.TableService
 	// Limit returns the limit of the table in force.
 	Limit func() Limit
 	// Logger receives events; nil discards them.
@@ -132,7 +132,7 @@
 		if err == nil {
 			return pause
 		}
-		var conflict *platform.ConflictError
+		var conflict *storage.ConflictError
 		if !errors.As(err, &conflict) {
 			b.opts.Logger.Debug("probe_lease_failed", "error", err)
 			break
@@ -151,7 +151,7 @@
 		return 0, err
 	}
 	next, rate, sent := b.plan(present, version)
-	if rate == 0 && next.Window == present.Window && version != platform.Absent {
+	if rate == 0 && next.Window == present.Window && version != storage.Absent {
 		return b.untilWindow(), nil
 	}
 	value, err := json.Marshal(next)
@@ -169,12 +169,12 @@
 	return 0, nil
 }
 
-func (b *Budget) read(ctx context.Context) (record, platform.Version, error) {
+func (b *Budget) read(ctx context.Context) (record, storage.Version, error) {
 	b.reads.Add(1)
 	found, err := b.opts.Tables.Get(ctx, recordKey)
-	var missing *platform.NotFoundError
+	var missing *storage.NotFoundError
 	if errors.As(err, &missing) {
-		return create(rand.Uint64(), b.opts.Limit()), platform.Absent, nil
+		return create(rand.Uint64(), b.opts.Limit()), storage.Absent, nil
 	}
 	if err != nil {
 		return record{}, 0, err
@@ -191,11 +191,11 @@
 
 // plan returns the record to write, the rate that it leases and the time from
 // which the lease counts.
-func (b *Budget) plan(present record, version platform.Version) (record, int, time.Duration) {
+func (b *Budget) plan(present record, version storage.Version) (record, int, time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	if version == platform.Absent {
+	if version == storage.Absent {
 		return present, 0, now
 	}
 	limit := b.opts.Limit()
--- a/probe/budget_test.go
+++ b/probe/budget_test.go
@@ -14,7 +14,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/pomelolock/pomelolock/outcome"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage/memory"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/slot/duty.go
+++ b/slot/duty.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/pomelolock/pomelolock/platform"
 	"github.com/pomelolock/pomelolock/slot/slotpb"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 const (
@@ -126,7 +126,7 @@
 
 // inView reports whether the instance is believed live.
 func (m *Manager) inView(id string) bool {
-	return slices.ContainsFunc(m.opts.View.Entries(), func(i platform.Instance) bool { return i.ID == id })
+	return slices.ContainsFunc(m.opts.View.Entries(), func(i storage.Instance) bool { return i.ID == id })
 }
 
 // settleDuty does what an ask made necessary at once.
--- a/slot/example_test.go
+++ b/slot/example_test.go
@@ -8,21 +8,21 @@
 	"github.com/pomelolock/pomelolock/loadbalancer"
 	"github.com/pomelolock/pomelolock/membership"
 	"github.com/pomelolock/pomelolock/peer/peertest"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/memory"
 	"github.com/pomelolock/pomelolock/slot"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
 
 // aloneView is the view of an instance that is alone in its fleet.
-type aloneView struct{ self platform.Instance }
+type aloneView struct{ self storage.Instance }
 
 var _ membership.View = aloneView{}
 
-func (v aloneView) Self() platform.Instance      { return v.self }
-func (v aloneView) Entries() []platform.Instance { return []platform.Instance{v.self} }
-func (v aloneView) LeavingServer(string) bool    { return false }
-func (v aloneView) Changed() <-chan struct{}     { return nil }
+func (v aloneView) Self() storage.Instance      { return v.self }
+func (v aloneView) Entries() []storage.Instance { return []storage.Instance{v.self} }
+func (v aloneView) LeavingServer(string) bool   { return false }
+func (v aloneView) Changed() <-chan struct{}    { return nil }
 
 func Example() {
 	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
@@ -37,7 +37,7 @@
 	}))
 	manager := slot.New(slot.Options{
 		Messenger: peertest.NewNetwork(0).Join("entry-1"),
-		View:      aloneView{platform.Instance{ID: "entry-1", Role: platform.RoleEntry, DataCentre: "praha-1"}},
+		View:      aloneView{storage.Instance{ID: "entry-1", Role: storage.RoleEntry, DataCentre: "praha-1"}},
 		Tables:    memory.New(),
 		Current:   current,
 	})
--- a/slot/fleet_test.go
+++ b/slot/fleet_test.go
@@ -18,9 +18,9 @@
 	"github.com/pomelolock/pomelolock/peer"
 	"github.com/pomelolock/pomelolock/peer/peerpb"
 	"github.com/pomelolock/pomelolock/peer/peertest"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/memory"
 	"github.com/pomelolock/pomelolock/slot"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -34,13 +34,13 @@
 
 // fleetView is a membership view that tests change by hand.
 type fleetView struct {
-	self  platform.Instance
+	self  storage.Instance
 	fleet *fleet
 }
 
-func (v *fleetView) Self() platform.Instance { return v.self }
+func (v *fleetView) Self() storage.Instance { return v.self }
 
-func (v *fleetView) Entries() []platform.Instance {
+func (v *fleetView) Entries() []storage.Instance {
 	v.fleet.mu.Lock()
 	defer v.fleet.mu.Unlock()
 	return slices.Clone(v.fleet.entries)
@@ -112,7 +112,7 @@
 	current *table.Current
 
 	mu      sync.Mutex
-	entries []platform.Instance
+	entries []storage.Instance
 	leaving map[string]bool
 	changed chan struct{}
 	// running are the requests on each server, most the highest seen.
@@ -160,7 +160,7 @@
 	}
 	f.current.Swap(table.Compile(doc))
 	for i := range fleetSize {
-		f.entries = append(f.entries, platform.Instance{ID: fmt.Sprintf("entry-%02d", i), Role: platform.RoleEntry, DataCentre: dataCentre(i)})
+		f.entries = append(f.entries, storage.Instance{ID: fmt.Sprintf("entry-%02d", i), Role: storage.RoleEntry, DataCentre: dataCentre(i)})
 	}
 	for _, instance := range f.entries {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/slot/manager.go
+++ b/slot/manager.go
@@ -10,7 +10,7 @@
 	"github.com/pomelolock/pomelolock/membership"
 	"github.com/pomelolock/pomelolock/peer"
 	"github.com/pomelolock/pomelolock/peer/peerpb"
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -30,7 +30,7 @@
 type Options struct {
 	Messenger peer.Messenger
 	View      membership.View
-	Tables    platform.TableService
+	Tables    storage.TableService
 	Current   *table.Current
 	// Logger receives one event a line; nil discards them.
 	Logger *slog.Logger
--- a/slot/manager_test.go
+++ b/slot/manager_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/loadbalancer"
-	"github.com/pomelolock/pomelolock/platform/memory"
 	"github.com/pomelolock/pomelolock/slot"
+	"github.com/pomelolock/pomelolock/storage/memory"
 )
 
 // TestFleetAtHalfLoad runs 18 instances over 20 servers at half load.
--- a/slot/record.go
+++ b/slot/record.go
@@ -9,8 +9,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/pomelolock/pomelolock/platform"
 	"github.com/pomelolock/pomelolock/slot/slotpb"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 // storeTimeout bounds one access of the table service.
@@ -83,34 +83,34 @@
 }
 
 // readRecord returns the group's record and its version; a missing record is
-// empty and has version [platform.Absent].
-func (m *Manager) readRecord(ctx context.Context, g group) (*slotpb.Record, platform.Version, error) {
+// empty and has version [storage.Absent].
+func (m *Manager) readRecord(ctx context.Context, g group) (*slotpb.Record, storage.Version, error) {
 	m.counters.storeReads.Add(1)
 	stored, err := m.opts.Tables.Get(ctx, g.key())
-	var missing *platform.NotFoundError
+	var missing *storage.NotFoundError
 	if errors.As(err, &missing) {
-		return &slotpb.Record{}, platform.Absent, nil
+		return &slotpb.Record{}, storage.Absent, nil
 	}
 	if err != nil {
-		return nil, platform.Absent, fmt.Errorf("read record: %w", err)
+		return nil, storage.Absent, fmt.Errorf("read record: %w", err)
 	}
 	record := &slotpb.Record{}
 	if err := proto.Unmarshal(stored.Value, record); err != nil {
-		return nil, platform.Absent, fmt.Errorf("decode record: %w", err)
+		return nil, storage.Absent, fmt.Errorf("decode record: %w", err)
 	}
 	return record, stored.Version, nil
 }
 
 // writeRecord writes the record under the version condition. An unknown outcome
 // is settled by reading back.
-func (m *Manager) writeRecord(ctx context.Context, g group, record *slotpb.Record, expect platform.Version) error {
+func (m *Manager) writeRecord(ctx context.Context, g group, record *slotpb.Record, expect storage.Version) error {
 	value, err := proto.Marshal(record)
 	if err != nil {
 		return fmt.Errorf("encode record: %w", err)
 	}
 	m.counters.storeWrites.Add(1)
 	_, err = m.opts.Tables.Put(ctx, g.key(), value, expect)
-	var unknown *platform.UnknownOutcomeError
+	var unknown *storage.UnknownOutcomeError
 	if !errors.As(err, &unknown) {
 		if err != nil {
 			return fmt.Errorf("write record: %w", err)
@@ -159,7 +159,7 @@
 	m.addDuty(newCoordinator(coordinatorConfig{
 		group: job.group, self: m.self, epoch: next.GetEpoch(), recorded: next.GetHolders(),
 		drain:   time.Duration(next.GetDrainMs()) * time.Millisecond,
-		earlier: holderSets(next), fresh: version == platform.Absent, confirmedAt: started,
+		earlier: holderSets(next), fresh: version == storage.Absent, confirmedAt: started,
 	}, time.Now()), time.Now())
 	return nil
 }
--- a/platform/errors.go
+++ b/storage/errors.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import "fmt"
 
@@ -8,7 +8,7 @@
 }
 
 func (e *NotFoundError) Error() string {
-	return fmt.Sprintf("platform: %q not found", e.Key)
+	return fmt.Sprintf("storage: %q not found", e.Key)
 }
 
 // ConflictError reports a conditional write whose expected version differs
@@ -21,7 +21,7 @@
 }
 
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("platform: %q has version %d, expected %d", e.Key, e.Present, e.Expected)
+	return fmt.Sprintf("storage: %q has version %d, expected %d", e.Key, e.Present, e.Expected)
 }
 
 // UnavailableError reports an operation that certainly had no effect because
@@ -32,7 +32,7 @@
 }
 
 func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("platform: %s unavailable: %v", e.Op, e.Err)
+	return fmt.Sprintf("storage: %s unavailable: %v", e.Op, e.Err)
 }
 
 // Unwrap returns the cause.
@@ -46,7 +46,7 @@
 }
 
 func (e *UnknownOutcomeError) Error() string {
-	return fmt.Sprintf("platform: outcome of %s unknown: %v", e.Op, e.Err)
+	return fmt.Sprintf("storage: outcome of %s unknown: %v", e.Op, e.Err)
 }
 
 // Unwrap returns the cause.
--- a/platform/httpplatform/client.go
+++ b/storage/httpplatform/client.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 const (
@@ -40,7 +40,7 @@
 	HTTPClient *http.Client
 }
 
-// Client implements [platform.Platform] over HTTP. It is safe for concurrent
+// Client implements [storage.Platform] over HTTP. It is safe for concurrent
 // use.
 type Client struct {
 	base    string
@@ -48,7 +48,7 @@
 	http    *http.Client
 }
 
-var _ platform.Platform = (*Client)(nil)
+var _ storage.Platform = (*Client)(nil)
 
 // New returns a client. It fails with [OptionsError] and opens no connection.
 func New(opts Options) (*Client, error) {
@@ -108,7 +108,7 @@
 	target := c.base + call.path + "?" + call.query.Encode()
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.method, target, bytes.NewReader(call.body))
 	if err != nil {
-		return answer{}, &platform.UnavailableError{Op: call.op, Err: err}
+		return answer{}, &storage.UnavailableError{Op: call.op, Err: err}
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
@@ -124,9 +124,9 @@
 
 func failure(call call, sent bool, err error) error {
 	if call.isWrite() && sent {
-		return &platform.UnknownOutcomeError{Op: call.op, Err: err}
+		return &storage.UnknownOutcomeError{Op: call.op, Err: err}
 	}
-	return &platform.UnavailableError{Op: call.op, Err: err}
+	return &storage.UnavailableError{Op: call.op, Err: err}
 }
 
 // statusFailure classifies an answer that is neither a success nor one of the
--- a/platform/httpplatform/doc.go
+++ b/storage/httpplatform/doc.go
@@ -10,7 +10,7 @@
 //	GET    /v1/objects?name=N           also PUT and DELETE
 //	GET    /v1/object-names?prefix=P
 //	GET    /v1/instances
-//	PUT    /v1/instances                a JSON platform.Instance
+//	PUT    /v1/instances                a JSON storage.Instance
 //	DELETE /v1/instances?id=I
 //
 // A missing key answers 404. A conditional write whose expected version
@@ -19,6 +19,6 @@
 //
 // Writes that fail in any other way after a connection was obtained, such as
 // a lost answer, a timeout or a 5xx status without that header, may have taken
-// effect and fail with [platform.UnknownOutcomeError]. The client never
+// effect and fail with [storage.UnknownOutcomeError]. The client never
 // resends a write.
 package httpplatform
--- a/platform/httpplatform/httpplatform_test.go
+++ b/storage/httpplatform/httpplatform_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/internal/standin/platformd"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/httpplatform"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/httpplatform"
+	"github.com/pomelolock/pomelolock/storage/memory"
 )
 
 func newClient(t *testing.T, handler http.Handler) *httpplatform.Client {
@@ -44,23 +44,23 @@
 	client := newClient(t, platformd.NewHandler(memory.New()))
 	const key = "a/b?&=é"
 	_, err := client.Get(ctx, key)
-	wantErr[*platform.NotFoundError](t, err)
-	first, err := client.Put(ctx, key, []byte("one"), platform.Absent)
+	wantErr[*storage.NotFoundError](t, err)
+	first, err := client.Put(ctx, key, []byte("one"), storage.Absent)
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, err = client.Put(ctx, key, []byte("two"), platform.Absent)
-	if conflict, ok := errors.AsType[*platform.ConflictError](err); !ok || conflict.Present != first || conflict.Key != key {
+	_, err = client.Put(ctx, key, []byte("two"), storage.Absent)
+	if conflict, ok := errors.AsType[*storage.ConflictError](err); !ok || conflict.Present != first || conflict.Key != key {
 		t.Fatalf("got %v, want a conflict with version %d", err, first)
 	}
-	if _, err = client.Put(ctx, "a/c", nil, platform.Absent); err != nil {
+	if _, err = client.Put(ctx, "a/c", nil, storage.Absent); err != nil {
 		t.Fatal(err)
 	}
 	records, err := client.Scan(ctx, "a/", "", 1)
 	if err != nil || len(records) != 1 || records[0].Key != key || string(records[0].Value) != "one" || records[0].Version != first {
 		t.Fatalf("scan %+v, %v", records, err)
 	}
-	wantErr[*platform.ConflictError](t, client.Delete(ctx, key, first+100))
+	wantErr[*storage.ConflictError](t, client.Delete(ctx, key, first+100))
 	if err := client.Delete(ctx, key, first); err != nil {
 		t.Fatal(err)
 	}
@@ -88,14 +88,14 @@
 		t.Fatal(err)
 	}
 	_, err = client.GetObject(ctx, "seg/1")
-	wantErr[*platform.NotFoundError](t, err)
+	wantErr[*storage.NotFoundError](t, err)
 
-	instance := platform.Instance{ID: "i1", Role: platform.RoleEntry, Address: "127.0.0.1:1", State: platform.StateLive}
+	instance := storage.Instance{ID: "i1", Role: storage.RoleEntry, Address: "127.0.0.1:1", State: storage.StateLive}
 	if err := client.SetInstance(ctx, instance); err != nil {
 		t.Fatal(err)
 	}
 	rows, err := client.ListInstances(ctx)
-	if err != nil || !reflect.DeepEqual(rows, []platform.Instance{instance}) {
+	if err != nil || !reflect.DeepEqual(rows, []storage.Instance{instance}) {
 		t.Fatalf("rows %v, %v", rows, err)
 	}
 	if err := client.RemoveInstance(ctx, "i1"); err != nil {
@@ -107,19 +107,19 @@
 	ctx := t.Context()
 	store := memory.New()
 	client := newClient(t, platformd.NewHandler(store))
-	version, err := client.Put(ctx, "k", []byte("0"), platform.Absent)
+	version, err := client.Put(ctx, "k", []byte("0"), storage.Absent)
 	if err != nil {
 		t.Fatal(err)
 	}
 	store.SetFaults(memory.Faults{LoseAnswers: 1})
 	_, err = client.Put(ctx, "k", []byte("1"), version)
-	wantErr[*platform.UnknownOutcomeError](t, err)
+	wantErr[*storage.UnknownOutcomeError](t, err)
 	record, err := client.Get(ctx, "k")
 	if err != nil || string(record.Value) != "1" {
 		t.Fatalf("record %+v, %v", record, err)
 	}
 	store.SetFaults(memory.Faults{DropWrites: 1})
-	wantErr[*platform.UnknownOutcomeError](t, client.Delete(ctx, "k", record.Version))
+	wantErr[*storage.UnknownOutcomeError](t, client.Delete(ctx, "k", record.Version))
 	if again, err := client.Get(ctx, "k"); err != nil || again.Version != record.Version {
 		t.Fatalf("record %+v, %v", again, err)
 	}
@@ -136,12 +136,12 @@
 	store := memory.New()
 	client := newClient(t, platformd.NewHandler(store))
 	store.SetFaults(memory.Faults{Down: true, ListDown: true})
-	_, err := client.Put(ctx, "k", nil, platform.Absent)
-	wantErr[*platform.UnavailableError](t, err)
-	wantErr[*platform.UnavailableError](t, client.PutObject(ctx, "o", nil))
-	wantErr[*platform.UnavailableError](t, client.RemoveInstance(ctx, "i"))
-	_, err = clientOf(t, nobodyListens).Put(ctx, "k", nil, platform.Absent)
-	wantErr[*platform.UnavailableError](t, err)
+	_, err := client.Put(ctx, "k", nil, storage.Absent)
+	wantErr[*storage.UnavailableError](t, err)
+	wantErr[*storage.UnavailableError](t, client.PutObject(ctx, "o", nil))
+	wantErr[*storage.UnavailableError](t, client.RemoveInstance(ctx, "i"))
+	_, err = clientOf(t, nobodyListens).Put(ctx, "k", nil, storage.Absent)
+	wantErr[*storage.UnavailableError](t, err)
 }
 
 func TestFailuresWithoutProofAreUnknown(t *testing.T) {
@@ -174,10 +174,10 @@
 			if name == "no answer" {
 				defer close(release)
 			}
-			_, err = client.Put(t.Context(), "k", []byte("v"), platform.Absent)
-			wantErr[*platform.UnknownOutcomeError](t, err)
+			_, err = client.Put(t.Context(), "k", []byte("v"), storage.Absent)
+			wantErr[*storage.UnknownOutcomeError](t, err)
 			_, err = client.Get(t.Context(), "k")
-			wantErr[*platform.UnavailableError](t, err)
+			wantErr[*storage.UnavailableError](t, err)
 		})
 	}
 }
--- a/platform/httpplatform/objects.go
+++ b/storage/httpplatform/objects.go
@@ -6,15 +6,15 @@
 	"net/http"
 	"net/url"
 
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
-// PutObject implements [platform.ObjectStore].
+// PutObject implements [storage.ObjectStore].
 func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
 	return c.write(ctx, call{op: "put object", method: http.MethodPut, path: PathObjects, query: url.Values{ParamName: {name}}, body: data})
 }
 
-// GetObject implements [platform.ObjectStore].
+// GetObject implements [storage.ObjectStore].
 func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
 	call := call{op: "get object", method: http.MethodGet, path: PathObjects, query: url.Values{ParamName: {name}}}
 	a, err := c.do(ctx, call)
@@ -25,13 +25,13 @@
 	case http.StatusOK:
 		return a.body, nil
 	case http.StatusNotFound:
-		return nil, &platform.NotFoundError{Key: name}
+		return nil, &storage.NotFoundError{Key: name}
 	default:
 		return nil, statusFailure(call, a)
 	}
 }
 
-// ListObjects implements [platform.ObjectStore].
+// ListObjects implements [storage.ObjectStore].
 func (c *Client) ListObjects(ctx context.Context, prefix string) ([]string, error) {
 	var list NameList
 	call := call{op: "list objects", method: http.MethodGet, path: PathObjectNames, query: url.Values{ParamPrefix: {prefix}}}
@@ -41,13 +41,13 @@
 	return list.Names, nil
 }
 
-// DeleteObject implements [platform.ObjectStore].
+// DeleteObject implements [storage.ObjectStore].
 func (c *Client) DeleteObject(ctx context.Context, name string) error {
 	return c.write(ctx, call{op: "delete object", method: http.MethodDelete, path: PathObjects, query: url.Values{ParamName: {name}}})
 }
 
-// ListInstances implements [platform.InstanceList].
-func (c *Client) ListInstances(ctx context.Context) ([]platform.Instance, error) {
+// ListInstances implements [storage.InstanceList].
+func (c *Client) ListInstances(ctx context.Context) ([]storage.Instance, error) {
 	var rows InstanceRows
 	if err := c.getJSON(ctx, call{op: "list instances", method: http.MethodGet, path: PathInstances}, &rows); err != nil {
 		return nil, err
@@ -55,16 +55,16 @@
 	return rows.Instances, nil
 }
 
-// SetInstance implements [platform.InstanceList].
-func (c *Client) SetInstance(ctx context.Context, instance platform.Instance) error {
+// SetInstance implements [storage.InstanceList].
+func (c *Client) SetInstance(ctx context.Context, instance storage.Instance) error {
 	body, err := json.Marshal(instance)
 	if err != nil {
-		return &platform.UnavailableError{Op: "set instance", Err: err}
+		return &storage.UnavailableError{Op: "set instance", Err: err}
 	}
 	return c.write(ctx, call{op: "set instance", method: http.MethodPut, path: PathInstances, body: body})
 }
 
-// RemoveInstance implements [platform.InstanceList].
+// RemoveInstance implements [storage.InstanceList].
 func (c *Client) RemoveInstance(ctx context.Context, id string) error {
 	return c.write(ctx, call{op: "remove instance", method: http.MethodDelete, path: PathInstances, query: url.Values{ParamID: {id}}})
 }
--- a/platform/httpplatform/table.go
+++ b/storage/httpplatform/table.go
@@ -7,53 +7,53 @@
 	"net/url"
 	"strconv"
 
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
-// Get implements [platform.TableService].
-func (c *Client) Get(ctx context.Context, key string) (platform.Record, error) {
+// Get implements [storage.TableService].
+func (c *Client) Get(ctx context.Context, key string) (storage.Record, error) {
 	call := call{op: "get", method: http.MethodGet, path: PathRecords, query: url.Values{ParamKey: {key}}}
 	a, err := c.do(ctx, call)
 	if err != nil {
-		return platform.Record{}, err
+		return storage.Record{}, err
 	}
 	switch a.status {
 	case http.StatusOK:
 		version, err := parseVersion(a)
 		if err != nil {
-			return platform.Record{}, failure(call, true, err)
+			return storage.Record{}, failure(call, true, err)
 		}
-		return platform.Record{Key: key, Value: a.body, Version: version}, nil
+		return storage.Record{Key: key, Value: a.body, Version: version}, nil
 	case http.StatusNotFound:
-		return platform.Record{}, &platform.NotFoundError{Key: key}
+		return storage.Record{}, &storage.NotFoundError{Key: key}
 	default:
-		return platform.Record{}, statusFailure(call, a)
+		return storage.Record{}, statusFailure(call, a)
 	}
 }
 
-// Put implements [platform.TableService].
-func (c *Client) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+// Put implements [storage.TableService].
+func (c *Client) Put(ctx context.Context, key string, value []byte, expect storage.Version) (storage.Version, error) {
 	call := call{op: "put", method: http.MethodPut, path: PathRecords, query: condition(key, expect), body: value}
 	a, err := c.do(ctx, call)
 	if err != nil {
-		return platform.Absent, err
+		return storage.Absent, err
 	}
 	switch a.status {
 	case http.StatusOK:
 		version, err := parseVersion(a)
 		if err != nil {
-			return platform.Absent, failure(call, true, err)
+			return storage.Absent, failure(call, true, err)
 		}
 		return version, nil
 	case http.StatusPreconditionFailed:
-		return platform.Absent, conflict(key, expect, a)
+		return storage.Absent, conflict(key, expect, a)
 	default:
-		return platform.Absent, statusFailure(call, a)
+		return storage.Absent, statusFailure(call, a)
 	}
 }
 
-// Delete implements [platform.TableService].
-func (c *Client) Delete(ctx context.Context, key string, expect platform.Version) error {
+// Delete implements [storage.TableService].
+func (c *Client) Delete(ctx context.Context, key string, expect storage.Version) error {
 	call := call{op: "delete", method: http.MethodDelete, path: PathRecords, query: condition(key, expect)}
 	a, err := c.do(ctx, call)
 	if err != nil {
@@ -69,16 +69,16 @@
 	}
 }
 
-// Scan implements [platform.TableService].
-func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Record, error) {
+// Scan implements [storage.TableService].
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]storage.Record, error) {
 	query := url.Values{ParamPrefix: {prefix}, ParamAfter: {after}, ParamLimit: {strconv.Itoa(limit)}}
 	var list RecordList
 	if err := c.getJSON(ctx, call{op: "scan", method: http.MethodGet, path: PathScan, query: query}, &list); err != nil {
 		return nil, err
 	}
-	records := make([]platform.Record, 0, len(list.Records))
+	records := make([]storage.Record, 0, len(list.Records))
 	for _, item := range list.Records {
-		records = append(records, platform.Record(item))
+		records = append(records, storage.Record(item))
 	}
 	return records, nil
 }
@@ -97,20 +97,20 @@
 	return nil
 }
 
-func condition(key string, expect platform.Version) url.Values {
+func condition(key string, expect storage.Version) url.Values {
 	return url.Values{ParamKey: {key}, ParamExpect: {strconv.FormatUint(uint64(expect), 10)}}
 }
 
-func parseVersion(a answer) (platform.Version, error) {
+func parseVersion(a answer) (storage.Version, error) {
 	version, err := strconv.ParseUint(a.header.Get(HeaderVersion), 10, 64)
 	if err != nil {
-		return platform.Absent, &AnswerError{Err: err}
+		return storage.Absent, &AnswerError{Err: err}
 	}
-	return platform.Version(version), nil
+	return storage.Version(version), nil
 }
 
-func conflict(key string, expect platform.Version, a answer) error {
+func conflict(key string, expect storage.Version, a answer) error {
 	// The present version is a hint; a missing one stays Absent.
 	present, _ := parseVersion(a)
-	return &platform.ConflictError{Key: key, Expected: expect, Present: present}
+	return &storage.ConflictError{Key: key, Expected: expect, Present: present}
 }
--- a/platform/httpplatform/wire.go
+++ b/storage/httpplatform/wire.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 // Paths of the API.
@@ -44,9 +44,9 @@
 
 // RecordItem is one record of a scan; the value is base64 in JSON.
 type RecordItem struct {
-	Key     string           `json:"key"`
-	Value   []byte           `json:"value"`
-	Version platform.Version `json:"version"`
+	Key     string          `json:"key"`
+	Value   []byte          `json:"value"`
+	Version storage.Version `json:"version"`
 }
 
 // NameList is the answer to a listing of object names.
@@ -56,7 +56,7 @@
 
 // InstanceRows is the answer to a listing of instances.
 type InstanceRows struct {
-	Instances []platform.Instance `json:"instances"`
+	Instances []storage.Instance `json:"instances"`
 }
 
 // StatusError reports an answer with an unexpected status.
--- a/platform/memory/example_test.go
+++ b/storage/memory/example_test.go
@@ -5,8 +5,8 @@
 	"errors"
 	"fmt"
 
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/memory"
 )
 
 // A write whose answer is lost is settled by reading back.
@@ -14,8 +14,8 @@
 	ctx := context.Background()
 	store := memory.New()
 	store.SetFaults(memory.Faults{LoseAnswers: 1})
-	_, err := store.Put(ctx, "key", []byte("batch-1"), platform.Absent)
-	var unknown *platform.UnknownOutcomeError
+	_, err := store.Put(ctx, "key", []byte("batch-1"), storage.Absent)
+	var unknown *storage.UnknownOutcomeError
 	if errors.As(err, &unknown) {
 		record, readErr := store.Get(ctx, "key")
 		fmt.Println(string(record.Value), record.Version, readErr)
--- a/platform/memory/memory.go
+++ b/storage/memory/memory.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 // Fault is the cause of a failed operation: one of the active [Faults].
@@ -56,32 +56,32 @@
 	visible time.Time
 	id      string
 	// instance is nil for a removal.
-	instance *platform.Instance
+	instance *storage.Instance
 }
 
-// Store implements [platform.Platform] in memory. It is safe for concurrent
+// Store implements [storage.Platform] in memory. It is safe for concurrent
 // use.
 type Store struct {
 	mu       sync.Mutex
 	faults   Faults
 	counts   Counts
-	clock    platform.Version
-	records  map[string]platform.Record
-	previous map[string]platform.Record
+	clock    storage.Version
+	records  map[string]storage.Record
+	previous map[string]storage.Record
 	objects  map[string][]byte
-	rows     map[string]platform.Instance
+	rows     map[string]storage.Instance
 	changes  []listChange
 }
 
-var _ platform.Platform = (*Store)(nil)
+var _ storage.Platform = (*Store)(nil)
 
 // New returns an empty store without faults.
 func New() *Store {
 	return &Store{
-		records:  make(map[string]platform.Record),
-		previous: make(map[string]platform.Record),
+		records:  make(map[string]storage.Record),
+		previous: make(map[string]storage.Record),
 		objects:  make(map[string][]byte),
-		rows:     make(map[string]platform.Instance),
+		rows:     make(map[string]storage.Instance),
 	}
 }
 
@@ -119,26 +119,26 @@
 	case <-timer.C:
 		return nil
 	case <-ctx.Done():
-		return &platform.UnavailableError{Op: op, Err: ctx.Err()}
+		return &storage.UnavailableError{Op: op, Err: ctx.Err()}
 	}
 }
 
 func (s *Store) downError(op string) error {
 	if s.faults.Down {
-		return &platform.UnavailableError{Op: op, Err: errDown}
+		return &storage.UnavailableError{Op: op, Err: errDown}
 	}
 	return nil
 }
 
-// Get implements [platform.TableService].
-func (s *Store) Get(ctx context.Context, key string) (platform.Record, error) {
+// Get implements [storage.TableService].
+func (s *Store) Get(ctx context.Context, key string) (storage.Record, error) {
 	if err := s.wait(ctx, "get"); err != nil {
-		return platform.Record{}, err
+		return storage.Record{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.downError("get"); err != nil {
-		return platform.Record{}, err
+		return storage.Record{}, err
 	}
 	s.counts.Reads++
 	record, ok := s.records[key]
@@ -147,14 +147,14 @@
 		record, ok = s.previous[key]
 	}
 	if !ok {
-		return platform.Record{}, &platform.NotFoundError{Key: key}
+		return storage.Record{}, &storage.NotFoundError{Key: key}
 	}
 	record.Value = slices.Clone(record.Value)
 	return record, nil
 }
 
 // write runs apply under the version condition and the write faults.
-func (s *Store) write(ctx context.Context, op, key string, expect platform.Version, apply func()) error {
+func (s *Store) write(ctx context.Context, op, key string, expect storage.Version, apply func()) error {
 	if err := s.wait(ctx, op); err != nil {
 		return err
 	}
@@ -166,11 +166,11 @@
 	s.counts.Writes++
 	if s.faults.DropWrites > 0 {
 		s.faults.DropWrites--
-		return &platform.UnknownOutcomeError{Op: op, Err: errAnswerLost}
+		return &storage.UnknownOutcomeError{Op: op, Err: errAnswerLost}
 	}
 	present := s.records[key].Version
 	if present != expect {
-		return &platform.ConflictError{Key: key, Expected: expect, Present: present}
+		return &storage.ConflictError{Key: key, Expected: expect, Present: present}
 	}
 	if record, ok := s.records[key]; ok {
 		s.previous[key] = record
@@ -178,34 +178,34 @@
 	apply()
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
-		return &platform.UnknownOutcomeError{Op: op, Err: errAnswerLost}
+		return &storage.UnknownOutcomeError{Op: op, Err: errAnswerLost}
 	}
 	return nil
 }
 
-// Put implements [platform.TableService].
-func (s *Store) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
-	var version platform.Version
+// Put implements [storage.TableService].
+func (s *Store) Put(ctx context.Context, key string, value []byte, expect storage.Version) (storage.Version, error) {
+	var version storage.Version
 	err := s.write(ctx, "put", key, expect, func() {
 		s.clock++
 		version = s.clock
-		s.records[key] = platform.Record{Key: key, Value: slices.Clone(value), Version: version}
+		s.records[key] = storage.Record{Key: key, Value: slices.Clone(value), Version: version}
 	})
 	if err != nil {
-		return platform.Absent, err
+		return storage.Absent, err
 	}
 	return version, nil
 }
 
-// Delete implements [platform.TableService].
-func (s *Store) Delete(ctx context.Context, key string, expect platform.Version) error {
+// Delete implements [storage.TableService].
+func (s *Store) Delete(ctx context.Context, key string, expect storage.Version) error {
 	return s.write(ctx, "delete", key, expect, func() {
 		delete(s.records, key)
 	})
 }
 
-// Scan implements [platform.TableService].
-func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Record, error) {
+// Scan implements [storage.TableService].
+func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) ([]storage.Record, error) {
 	if err := s.wait(ctx, "scan"); err != nil {
 		return nil, err
 	}
@@ -215,7 +215,7 @@
 		return nil, err
 	}
 	s.counts.Reads++
-	var found []platform.Record
+	var found []storage.Record
 	for key, record := range s.records {
 		if strings.HasPrefix(key, prefix) && key > after {
 			record.Value = slices.Clone(record.Value)
@@ -229,7 +229,7 @@
 	return found, nil
 }
 
-// PutObject implements [platform.ObjectStore].
+// PutObject implements [storage.ObjectStore].
 func (s *Store) PutObject(ctx context.Context, name string, data []byte) error {
 	if err := s.wait(ctx, "put object"); err != nil {
 		return err
@@ -244,7 +244,7 @@
 	return nil
 }
 
-// GetObject implements [platform.ObjectStore].
+// GetObject implements [storage.ObjectStore].
 func (s *Store) GetObject(ctx context.Context, name string) ([]byte, error) {
 	if err := s.wait(ctx, "get object"); err != nil {
 		return nil, err
@@ -257,12 +257,12 @@
 	s.counts.Reads++
 	data, ok := s.objects[name]
 	if !ok {
-		return nil, &platform.NotFoundError{Key: name}
+		return nil, &storage.NotFoundError{Key: name}
 	}
 	return slices.Clone(data), nil
 }
 
-// ListObjects implements [platform.ObjectStore].
+// ListObjects implements [storage.ObjectStore].
 func (s *Store) ListObjects(ctx context.Context, prefix string) ([]string, error) {
 	if err := s.wait(ctx, "list objects"); err != nil {
 		return nil, err
@@ -283,7 +283,7 @@
 	return names, nil
 }
 
-// DeleteObject implements [platform.ObjectStore].
+// DeleteObject implements [storage.ObjectStore].
 func (s *Store) DeleteObject(ctx context.Context, name string) error {
 	if err := s.wait(ctx, "delete object"); err != nil {
 		return err
@@ -298,15 +298,15 @@
 	return nil
 }
 
-// ListInstances implements [platform.InstanceList].
-func (s *Store) ListInstances(ctx context.Context) ([]platform.Instance, error) {
+// ListInstances implements [storage.InstanceList].
+func (s *Store) ListInstances(ctx context.Context) ([]storage.Instance, error) {
 	if err := s.wait(ctx, "list instances"); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.ListDown {
-		return nil, &platform.UnavailableError{Op: "list instances", Err: errDown}
+		return nil, &storage.UnavailableError{Op: "list instances", Err: errDown}
 	}
 	s.applyVisibleChanges(time.Now())
 	rows := slices.Collect(maps.Values(s.rows))
@@ -333,19 +333,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.ListDown {
-		return &platform.UnavailableError{Op: "change instance", Err: errDown}
+		return &storage.UnavailableError{Op: "change instance", Err: errDown}
 	}
 	change.visible = time.Now().Add(s.faults.ListLag)
 	s.changes = append(s.changes, change)
 	return nil
 }
 
-// SetInstance implements [platform.InstanceList].
-func (s *Store) SetInstance(ctx context.Context, instance platform.Instance) error {
+// SetInstance implements [storage.InstanceList].
+func (s *Store) SetInstance(ctx context.Context, instance storage.Instance) error {
 	return s.changeList(ctx, listChange{id: instance.ID, instance: &instance})
 }
 
-// RemoveInstance implements [platform.InstanceList].
+// RemoveInstance implements [storage.InstanceList].
 func (s *Store) RemoveInstance(ctx context.Context, id string) error {
 	return s.changeList(ctx, listChange{id: id})
 }
--- a/platform/platform.go
+++ b/storage/storage.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import "context"
 
--- a/table/bench_test.go
+++ b/table/bench_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
 
--- a/table/document.go
+++ b/table/document.go
@@ -89,6 +89,12 @@
 	// ChecksMark tells that the backend servers echo X-Request-Id; an
 	// answer with another value is then discarded.
 	ChecksMark bool `json:"checks_mark"`
+	// HealthPath is requested from backend servers that are found by
+	// discovery, to learn their state and load; "" asks none.
+	HealthPath string `json:"health_path,omitempty" format:"health"`
+	// Connections is the most connections that each backend server found by
+	// discovery accepts from the whole fleet; zero means no known limit.
+	Connections int `json:"connections,omitempty" range:"0,100000"`
 	// ObjectivePercent is the share of requests that must be answered
 	// whole within ObjectiveLatencyMS.
 	ObjectivePercent   float64 `json:"objective_percent" range:"1,99.999"`
@@ -112,6 +118,19 @@
 	KeyRequired bool `json:"key_required,omitempty"`
 	// DeadlineMS overrides the service's deadline if not zero.
 	DeadlineMS int64 `json:"deadline_ms,omitempty" range:"0,600000"`
+	// TargetMS is the latency within which an answer has its full worth;
+	// zero means the service's objective.
+	TargetMS int64 `json:"target_ms,omitempty" range:"0,600000"`
+	// Priority ranks the route's requests when not all can be served; 0 is
+	// the most urgent.
+	Priority int `json:"priority,omitempty" range:"0,1000"`
+	// Attempts is the most backend servers that one request is sent to;
+	// zero means the default.
+	Attempts int `json:"attempts,omitempty" range:"0,10"`
+	// Split divides the route's requests among services in proportion to
+	// their weights, as in "orders=90 orders-next=10"; "" sends all of them
+	// to Service.
+	Split string `json:"split,omitempty" format:"split"`
 }
 
 // Server is one row of the servers sheet: a backend server of a service.
--- a/table/example_test.go
+++ b/table/example_test.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
 
--- a/table/history.go
+++ b/table/history.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 // HistoryKept is the number of accepted versions that the store keeps.
@@ -47,7 +47,7 @@
 }
 
 // Version returns the accepted document of that version. It fails with
-// [platform.NotFoundError] if the version is not kept.
+// [storage.NotFoundError] if the version is not kept.
 func (s *Store) Version(ctx context.Context, version uint64) (Document, error) {
 	doc, err := s.Load(ctx)
 	if err != nil {
@@ -60,7 +60,7 @@
 		}
 	}
 	if !found || doc.Version != version {
-		return Document{}, fmt.Errorf("table: %w", &platform.NotFoundError{Key: fmt.Sprintf("version %d", version)})
+		return Document{}, fmt.Errorf("table: %w", &storage.NotFoundError{Key: fmt.Sprintf("version %d", version)})
 	}
 	return doc, nil
 }
@@ -71,7 +71,7 @@
 		return Document{}, false, nil
 	}
 	packed, err := s.objects.GetObject(ctx, objectName(doc.Version-1, doc.PreviousSum))
-	var missing *platform.NotFoundError
+	var missing *storage.NotFoundError
 	if errors.As(err, &missing) {
 		return Document{}, false, nil
 	}
--- a/table/snapshot.go
+++ b/table/snapshot.go
@@ -15,7 +15,11 @@
 	services map[string]*Service
 	servers  map[string][]Server
 	byName   map[string]Server
-	routes   []Route
+	// routes holds the routes by host, "" for those of any host, the most
+	// specific first.
+	routes map[string][]Route
+	// splits holds the parsed Split columns by their text.
+	splits map[string][]Share
 }
 
 // Compile builds the snapshot of a valid document.
@@ -25,7 +29,8 @@
 		services: make(map[string]*Service, len(doc.Services)),
 		servers:  make(map[string][]Server, len(doc.Services)),
 		byName:   make(map[string]Server, len(doc.Servers)),
-		routes:   append([]Route(nil), doc.Routes...),
+		routes:   make(map[string][]Route),
+		splits:   make(map[string][]Share),
 	}
 	for i := range doc.Services {
 		s.services[doc.Services[i].Name] = &doc.Services[i]
@@ -34,10 +39,26 @@
 		s.servers[server.Service] = append(s.servers[server.Service], server)
 		s.byName[server.Name] = server
 	}
-	sort.SliceStable(s.routes, func(i, j int) bool { return moreSpecific(s.routes[i], s.routes[j]) })
+	s.compileRoutes(doc.Routes)
 	return s
 }
 
+func (s *Snapshot) compileRoutes(routes []Route) {
+	for _, route := range routes {
+		host := strings.ToLower(route.Host)
+		s.routes[host] = append(s.routes[host], route)
+		if route.Split == "" {
+			continue
+		}
+		if shares, err := parseSplit(route.Split); err == nil {
+			s.splits[route.Split] = shares
+		}
+	}
+	for _, group := range s.routes {
+		sort.SliceStable(group, func(i, j int) bool { return moreSpecific(group[i], group[j]) })
+	}
+}
+
 func moreSpecific(a, b Route) bool {
 	if len(a.PathPrefix) != len(b.PathPrefix) {
 		return len(a.PathPrefix) > len(b.PathPrefix)
@@ -73,14 +94,20 @@
 
 // Match returns the most specific route of a request.
 func (s *Snapshot) Match(r *http.Request) (Route, bool) {
-	host := hostOnly(r.Host)
-	for _, route := range s.routes {
+	named, okNamed := firstMatch(s.routes[strings.ToLower(hostOnly(r.Host))], r)
+	open, okOpen := firstMatch(s.routes[""], r)
+	if okNamed && (!okOpen || moreSpecific(named, open)) {
+		return named, true
+	}
+	return open, okOpen
+}
+
+// firstMatch returns the first of the routes whose method and path match.
+func firstMatch(routes []Route, r *http.Request) (Route, bool) {
+	for _, route := range routes {
 		if route.Method != "" && route.Method != r.Method {
 			continue
 		}
-		if route.Host != "" && !strings.EqualFold(route.Host, host) {
-			continue
-		}
 		if strings.HasPrefix(r.URL.Path, route.PathPrefix) {
 			return route, true
 		}
--- /dev/null
+++ b/table/split.go
@@ -0,0 +1,65 @@
+package table
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+)
+
+// Share is the part of a route's requests that goes to one service.
+type Share struct {
+	Service string
+	// Weight is the part in proportion to the other shares; at least 1.
+	Weight int
+}
+
+// SplitError reports a split that can't be parsed.
+type SplitError struct{ Text string }
+
+func (e *SplitError) Error() string {
+	return fmt.Sprintf("%q is not a list of SERVICE=WEIGHT with weights of 1 or more", e.Text)
+}
+
+// FormatSplit returns the text of a route's Split column.
+func FormatSplit(shares []Share) string {
+	parts := make([]string, len(shares))
+	for i, share := range shares {
+		parts[i] = share.Service + "=" + strconv.Itoa(share.Weight)
+	}
+	return strings.Join(parts, " ")
+}
+
+// parseSplit reads a Split column. It fails with [SplitError].
+func parseSplit(text string) ([]Share, error) {
+	var shares []Share
+	for part := range strings.FieldsSeq(text) {
+		service, weight, ok := strings.Cut(part, "=")
+		n, err := strconv.Atoi(weight)
+		if !ok || err != nil || n < 1 || service == "" {
+			return nil, &SplitError{Text: text}
+		}
+		shares = append(shares, Share{Service: service, Weight: n})
+	}
+	return shares, nil
+}
+
+// Pick returns the service that the next request of the route goes to, at
+// random in proportion to the weights.
+func (s *Snapshot) Pick(route Route) string {
+	shares := s.splits[route.Split]
+	if route.Split == "" || len(shares) == 0 {
+		return route.Service
+	}
+	total := 0
+	for _, share := range shares {
+		total += share.Weight
+	}
+	n := rand.IntN(total)
+	for _, share := range shares {
+		if n -= share.Weight; n < 0 {
+			return share.Service
+		}
+	}
+	return route.Service
+}
--- a/table/store.go
+++ b/table/store.go
@@ -8,7 +8,7 @@
 	"fmt"
 	"time"
 
-	"github.com/pomelolock/pomelolock/platform"
+	"github.com/pomelolock/pomelolock/storage"
 )
 
 const (
@@ -48,12 +48,12 @@
 // nothing. Each document names the acceptance before it, so the history is the
 // chain that starts at the head.
 type Store struct {
-	tables  platform.TableService
-	objects platform.ObjectStore
+	tables  storage.TableService
+	objects storage.ObjectStore
 }
 
 // NewStore returns a store on the platform's services.
-func NewStore(tables platform.TableService, objects platform.ObjectStore) *Store {
+func NewStore(tables storage.TableService, objects storage.ObjectStore) *Store {
 	return &Store{tables: tables, objects: objects}
 }
 
@@ -66,20 +66,20 @@
 	return fmt.Sprintf("%s%020d/%s", versionPrefix, version, sum)
 }
 
-// readHead returns the head record. The record version is [platform.Absent] and
+// readHead returns the head record. The record version is [storage.Absent] and
 // the table version 0 before the first acceptance.
-func (s *Store) readHead(ctx context.Context) (head, platform.Version, error) {
+func (s *Store) readHead(ctx context.Context) (head, storage.Version, error) {
 	record, err := s.tables.Get(ctx, headKey)
-	var missing *platform.NotFoundError
+	var missing *storage.NotFoundError
 	if errors.As(err, &missing) {
-		return head{}, platform.Absent, nil
+		return head{}, storage.Absent, nil
 	}
 	if err != nil {
-		return head{}, platform.Absent, fmt.Errorf("table: read head: %w", err)
+		return head{}, storage.Absent, fmt.Errorf("table: read head: %w", err)
 	}
 	var h head
 	if err := json.Unmarshal(record.Value, &h); err != nil {
-		return head{}, platform.Absent, &CorruptError{Reason: "head record: " + err.Error()}
+		return head{}, storage.Absent, &CorruptError{Reason: "head record: " + err.Error()}
 	}
 	return h, record.Version, nil
 }
@@ -155,7 +155,7 @@
 	// unknown is set while a write of the head may have taken effect.
 	unknown error
 	// newest is the highest record version that the table service told of.
-	newest platform.Version
+	newest storage.Version
 }
 
 func (a *acceptance) run(ctx context.Context) (Accepted, error) {
@@ -201,7 +201,7 @@
 
 // step decides by one answer of the store. It is not done if the answer is
 // stale or the outcome of the write is unknown.
-func (a *acceptance) step(ctx context.Context, h head, record platform.Version) (Accepted, bool, error) {
+func (a *acceptance) step(ctx context.Context, h head, record storage.Version) (Accepted, bool, error) {
 	if ref, ok := h.contains(a.doc.AcceptanceID); ok {
 		return a.found(ctx, ref)
 	}
@@ -236,7 +236,7 @@
 	return a.conflict(ctx, h)
 }
 
-func (a *acceptance) write(ctx context.Context, h head, record platform.Version) (Accepted, bool, error) {
+func (a *acceptance) write(ctx context.Context, h head, record storage.Version) (Accepted, bool, error) {
 	if err := a.writeObject(ctx, h); err != nil {
 		if a.unknown != nil {
 			return Accepted{}, false, nil
@@ -248,8 +248,8 @@
 		return Accepted{}, true, fmt.Errorf("table: encode head: %w", err)
 	}
 	_, err = a.store.tables.Put(ctx, headKey, value, record)
-	var conflict *platform.ConflictError
-	var unknown *platform.UnknownOutcomeError
+	var conflict *storage.ConflictError
+	var unknown *storage.UnknownOutcomeError
 	switch {
 	case err == nil:
 		a.store.prune(ctx, a.doc.Version)
--- a/table/store_test.go
+++ b/table/store_test.go
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 
 	_ "github.com/pomelolock/pomelolock/internal/fixedseed"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -90,7 +90,7 @@
 
 func (c *cutWrites) spend() error {
 	if c.left == 0 {
-		return &platform.UnavailableError{Op: "write", Err: context.Canceled}
+		return &storage.UnavailableError{Op: "write", Err: context.Canceled}
 	}
 	c.left--
 	return nil
@@ -103,7 +103,7 @@
 	return c.Store.PutObject(ctx, name, data)
 }
 
-func (c *cutWrites) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (c *cutWrites) Put(ctx context.Context, key string, value []byte, expect storage.Version) (storage.Version, error) {
 	if err := c.spend(); err != nil {
 		return 0, err
 	}
@@ -148,7 +148,7 @@
 	g.Expect(history).To(HaveLen(3))
 	g.Expect(history[2].Changes).To(BeNil())
 	_, err = store.Version(t.Context(), 2)
-	var missing *platform.NotFoundError
+	var missing *storage.NotFoundError
 	g.Expect(errors.As(err, &missing)).To(BeTrue(), "%v", err)
 }
 
--- a/table/sync_model_test.go
+++ b/table/sync_model_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
 
--- a/table/sync_test.go
+++ b/table/sync_test.go
@@ -11,8 +11,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pomelolock/pomelolock/peer/peertest"
-	"github.com/pomelolock/pomelolock/platform"
-	"github.com/pomelolock/pomelolock/platform/memory"
+	"github.com/pomelolock/pomelolock/storage"
+	"github.com/pomelolock/pomelolock/storage/memory"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -24,12 +24,12 @@
 	ids  []string
 }
 
-func (v listView) Self() platform.Instance { return platform.Instance{ID: v.self} }
+func (v listView) Self() storage.Instance { return storage.Instance{ID: v.self} }
 
-func (v listView) Entries() []platform.Instance {
-	var entries []platform.Instance
+func (v listView) Entries() []storage.Instance {
+	var entries []storage.Instance
 	for _, id := range v.ids {
-		entries = append(entries, platform.Instance{ID: id})
+		entries = append(entries, storage.Instance{ID: id})
 	}
 	return entries
 }
--- a/table/validate.go
+++ b/table/validate.go
@@ -90,6 +90,7 @@
 		c.cells(SheetRoutes, i+1, route)
 		c.unique(seen, SheetRoutes, i+1, "path_prefix", route.key())
 		c.reference(SheetRoutes, i+1, route.Service, services)
+		c.split(i+1, route, services)
 		if route.Repeatable && route.KeyRequired {
 			c.add(SheetRoutes, i+1, "key_required", "a repeatable route needs no key")
 		}
@@ -106,6 +107,19 @@
 	}
 }
 
+// split checks that each share of a route names a service.
+func (c *checker) split(row int, route Route, services index) {
+	shares, err := parseSplit(route.Split)
+	if err != nil {
+		return // reported with the cell
+	}
+	for _, share := range shares {
+		if _, ok := services[share.Service]; !ok {
+			c.add(SheetRoutes, row, "split", "no service is called %q", share.Service)
+		}
+	}
+}
+
 func (c *checker) reference(sheet Sheet, row int, service string, services index) {
 	if _, ok := services[service]; !ok {
 		c.add(sheet, row, "service", "no service is called %q", service)
@@ -170,6 +184,14 @@
 		if value != "" && !hostPattern.MatchString(value) {
 			return fmt.Errorf("%q is not a host name in lower case without a port", value)
 		}
+	case "health":
+		if value != "" && !cleanPrefix(value) {
+			return fmt.Errorf("%q is not a clean path that starts with /", value)
+		}
+	case "split":
+		if _, err := parseSplit(value); err != nil {
+			return err
+		}
 	case "path":
 		if !cleanPrefix(value) {
 			return fmt.Errorf("%q is not a clean path that starts with /", value)
