--- a/cmd/pomelolockd/main.go
+++ b/cmd/pomelolockd/main.go
@@ -1,6 +1,9 @@
 // Command pomelolockd is the load balancer's daemon. It runs until SIGTERM or
 // SIGINT and then shuts down gracefully.
 //
+// With --settings it serves a fleet of its own; with --platform it serves on the
+// users' platform, whose settings file it finds by the environment.
+//
 // Exit codes: 0 after a graceful shutdown, 1 after a failure, 2 for settings
 // or flags that can't be used.
 package main
@@ -9,6 +12,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -16,6 +20,9 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/pomelolock/pomelolock/internal/daemon"
+	"github.com/pomelolock/pomelolock/internal/entry"
+	"github.com/pomelolock/pomelolock/internal/logline"
+	"github.com/pomelolock/pomelolock/platform"
 	"github.com/pomelolock/pomelolock/settings"
 )
 
@@ -24,11 +31,20 @@
 	exitUsage   = 2
 )
 
+// platformLogLevel is the least level that is logged on the users' platform.
+const platformLogLevel = "info"
+
 type flags struct {
-	Settings string `required:"" type:"path" help:"Settings file, JSON with comments."`
+	Settings string `xor:"settings" required:"" type:"path" help:"Settings file, JSON with comments."`
+	Platform bool   `xor:"settings" required:"" help:"Serve on the users' platform, with the settings file that it names."`
 	Check    bool   `help:"Check the settings and exit."`
 }
 
+// server is an instance that runs until its context ends.
+type server interface {
+	Run(ctx context.Context) error
+}
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -38,6 +54,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	if f.Platform {
+		return runOnPlatform(f.Check)
+	}
 	set, err := settings.Load(f.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -46,18 +65,48 @@
 	if f.Check {
 		return 0
 	}
-	return serve(set)
+	logger, err := logline.New(os.Stderr, set.Log.Level)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	return serve(logger, func() (server, error) { return daemon.New(set, logger) })
 }
 
-func serve(set *settings.Settings) int {
-	logger, err := daemon.NewLogger(os.Stderr, set.Log.Level)
+// runOnPlatform serves with the settings file that the environment names.
+func runOnPlatform(check bool) int {
+	path := os.Getenv(platform.SettingsVariable)
+	set, err := platform.LoadSettings(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	if check {
+		return 0
+	}
+	lines := logline.NewWriter(os.Stdout)
+	defer lines.Close()
+	logger, err := logline.New(lines, platformLogLevel)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	return serve(logger, func() (server, error) {
+		return entry.New(entry.Options{
+			Settings: set,
+			Store:    platform.NewStore(set.Store),
+			Protocol: platform.Headers{},
+			Reload:   func() (*entry.Settings, error) { return platform.LoadSettings(path) },
+			Logger:   logger,
+		})
+	})
+}
+
+// serve runs an instance until SIGTERM or SIGINT.
+func serve(logger *slog.Logger, create func() (server, error)) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	d, err := daemon.New(set, logger)
+	d, err := create()
 	if err != nil {
 		logger.Error("start failed", "error", err)
 		return exitFailure
--- /dev/null
+++ b/feed/follow.go
@@ -0,0 +1,125 @@
+package feed
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pomelolock/pomelolock/directory"
+	"github.com/pomelolock/pomelolock/gossip"
+	"github.com/pomelolock/pomelolock/gossip/gossippb"
+	"github.com/pomelolock/pomelolock/table"
+)
+
+// Freshness implements [gossip.Follower].
+func (f *Feed) Freshness() gossip.Freshness {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return gossip.Freshness{
+		ServersVersion: f.opts.Directory.Version(),
+		TableVersion:   f.tableVersion(),
+		At:             f.fresh,
+	}
+}
+
+func (f *Feed) tableVersion() uint64 {
+	if snapshot := f.opts.Current.Load(); snapshot != nil {
+		return snapshot.Version()
+	}
+	return 0
+}
+
+// Heard implements [gossip.Follower].
+func (f *Feed) Heard(_ string, theirs gossip.Freshness) (behind bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	servers, inForce := f.opts.Directory.Version(), f.tableVersion()
+	if theirs.ServersVersion > servers || theirs.TableVersion > inForce {
+		return true
+	}
+	if theirs.ServersVersion < servers || theirs.TableVersion < inForce {
+		return false
+	}
+	if theirs.At.After(f.heard) {
+		f.heard = theirs.At
+	}
+	if theirs.At.After(f.fresh) {
+		f.fresh = theirs.At
+	}
+	return false
+}
+
+// Received implements [gossip.Follower].
+func (f *Feed) Received(from string, state *gossippb.State) {
+	f.mu.Lock()
+	if hold := time.Now().Add(time.Duration(state.GetHoldMs()) * time.Millisecond); hold.After(f.holdUntil) && state.GetHoldMs() > 0 {
+		f.holdUntil = hold
+	}
+	hold := f.holdUntil
+	f.mu.Unlock()
+	applied := f.opts.Directory.Apply(decodeChanges(state.GetServers()), state.GetBase(), state.GetVersion(), hold)
+	if state.GetBase() == 0 && len(state.GetServers()) > 0 {
+		f.opts.Directory.MarkSynced()
+	}
+	f.logChanges(applied, from)
+	if len(state.GetTable()) == 0 {
+		return
+	}
+	var doc table.Document
+	if err := json.Unmarshal(state.GetTable(), &doc); err != nil {
+		f.opts.Logger.Warn("table not understood", "from", from, "error", err)
+		return
+	}
+	f.putInForce(doc, from)
+}
+
+// State implements [gossip.Follower].
+func (f *Feed) State(serversVersion, tableVersion uint64) *gossippb.State {
+	state := &gossippb.State{Base: serversVersion, Version: f.opts.Directory.Version()}
+	if state.Version > serversVersion {
+		state.Servers = encodeChanges(f.opts.Directory.Since(serversVersion))
+	} else {
+		state.Base = state.Version
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state.HoldMs = holdMS(f.holdUntil)
+	if f.tableVersion() > tableVersion {
+		state.Table = f.table
+	}
+	if len(state.Servers) == 0 && len(state.Table) == 0 {
+		return nil
+	}
+	return state
+}
+
+func holdMS(until time.Time) uint32 { return uint32(max(time.Until(until).Milliseconds(), 0)) }
+
+func encodeChanges(changes []directory.Change) []*gossippb.Server {
+	now := time.Now()
+	encoded := make([]*gossippb.Server, len(changes))
+	for i, c := range changes {
+		encoded[i] = &gossippb.Server{
+			Id: c.ID, Version: c.Version, Gone: c.Gone, Service: c.Service, Address: c.Address,
+			DataCentre: c.DataCentre, Slots: uint32(c.Slots), Draining: c.Draining, BornMs: c.Born,
+			WarmUpMs: uint32(max(c.WarmUntil.Sub(now).Milliseconds(), 0)),
+		}
+	}
+	return encoded
+}
+
+func decodeChanges(encoded []*gossippb.Server) []directory.Change {
+	now := time.Now()
+	changes := make([]directory.Change, len(encoded))
+	for i, s := range encoded {
+		changes[i] = directory.Change{
+			Server: directory.Server{
+				ID: s.GetId(), Service: s.GetService(), Address: s.GetAddress(), DataCentre: s.GetDataCentre(),
+				Slots: int(s.GetSlots()), Draining: s.GetDraining(), Born: s.GetBornMs(),
+				WarmUntil: now.Add(time.Duration(s.GetWarmUpMs()) * time.Millisecond),
+			},
+			Version: s.GetVersion(),
+			Gone:    s.GetGone(),
+		}
+	}
+	return changes
+}
--- /dev/null
+++ b/forward/forwarder.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pomelolock/pomelolock/directory"
+	"github.com/pomelolock/pomelolock/readings"
+	"github.com/pomelolock/pomelolock/retrybudget"
+	"github.com/pomelolock/pomelolock/serverconn"
+	"github.com/pomelolock/pomelolock/table"
+)
+
+// Options are the parts that a [Forwarder] works with. All are required.
+type Options struct {
+	Protocol  Protocol
+	Current   *table.Current
+	Directory *directory.Directory
+	Board     *readings.Board
+	Budget    *retrybudget.Budget
+	Pool      *serverconn.Pool
+	// ConnLimit returns how many connections this instance may open to a
+	// server of the service; 0 means no known limit.
+	ConnLimit func(service *table.Service) int
+	// DataCentre is that of this instance.
+	DataCentre string
+	// Log receives the decisions on requests.
+	Log *slog.Logger
+	// Observer hears of the end of each request.
+	Observer Observer
+}
+
+// Observer counts the ends of requests. It must not block.
+type Observer interface {
+	// Served counts an answer of a server that was passed on whole.
+	Served(service string, took time.Duration)
+	// Refused counts an answer of pomelolock's own.
+	Refused(service, code string, took time.Duration)
+}
+
+// Stats are counts since the start.
+type Stats struct {
+	// Requests counts requests received, Retries and Hedges further attempts.
+	Requests, Retries, Hedges uint64
+	// InFlight is the number of requests being served.
+	InFlight int64
+}
+
+// Forwarder serves callers. It implements [http.Handler].
+type Forwarder struct {
+	opts                      Options
+	requests, retries, hedges atomic.Uint64
+	inFlight                  atomic.Int64
+}
+
+// New returns a forwarder.
+func New(opts Options) *Forwarder { return &Forwarder{opts: opts} }
+
+// Stats returns the counts since the start.
+func (f *Forwarder) Stats() Stats {
+	return Stats{
+		Requests: f.requests.Load(), Retries: f.retries.Load(), Hedges: f.hedges.Load(),
+		InFlight: f.inFlight.Load(),
+	}
+}
+
+// ServeHTTP implements [http.Handler].
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.requests.Add(1)
+	f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
+	x := &exchange{f: f, w: w, in: r, start: time.Now(), caller: f.opts.Protocol.Caller(r.Header)}
+	x.serve()
+}
--- /dev/null
+++ b/gossip/exchange.go
@@ -0,0 +1,331 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pomelolock/pomelolock/gossip/gossippb"
+	"github.com/pomelolock/pomelolock/readings"
+)
+
+const (
+	// interval is the time between datagrams to instances that are alive. A
+	// spell of other load on a server lasts some hundred milliseconds; readings
+	// have to be much fresher.
+	interval = 50 * time.Millisecond
+	// quietInterval is the time between datagrams that tell nothing new.
+	quietInterval = 200 * time.Millisecond
+	// maxDatagram is the size of the receive buffer, in bytes.
+	maxDatagram = 64 << 10
+	// askInterval is the least time between two requests for state to one
+	// instance.
+	askInterval = 150 * time.Millisecond
+)
+
+// Freshness tells how recent a view of the store is.
+type Freshness struct {
+	// ServersVersion is the newest change to backend servers, TableVersion
+	// the table in force.
+	ServersVersion, TableVersion uint64
+	// At is the moment for which the view is known to be current.
+	At time.Time
+}
+
+// Follower takes part in keeping the view of the store alike everywhere. Its
+// methods must not block.
+type Follower interface {
+	// Freshness returns that of the local view.
+	Freshness() Freshness
+	// Heard takes in another instance's freshness and reports whether that
+	// instance has something newer, for which it is then asked.
+	Heard(from string, f Freshness) (behind bool)
+	// Received takes in state that another instance sent.
+	Received(from string, state *gossippb.State)
+	// State returns what is newer than the versions, or nil.
+	State(serversVersion, tableVersion uint64) *gossippb.State
+}
+
+// Options configure an [Exchange]. All are required.
+type Options struct {
+	Conn       net.PacketConn
+	ID         string
+	DataCentre string
+	Board      *readings.Board
+	Logger     *slog.Logger
+}
+
+// Exchange sends and receives datagrams. It is safe for concurrent use.
+type Exchange struct {
+	opts     Options
+	conn     *net.UDPConn
+	started  int64
+	members  members
+	chunks   assembler
+	follower Follower
+	leaving  atomic.Bool
+	transfer atomic.Uint64
+
+	// SentBytes and ReceivedBytes count the bytes of datagrams.
+	SentBytes, ReceivedBytes atomic.Uint64
+}
+
+// ConnError reports a connection that is not a UDP socket.
+type ConnError struct{}
+
+func (*ConnError) Error() string { return "gossip: the connection is no UDP socket" }
+
+// New returns an exchange. It fails with [ConnError].
+func New(opts Options) (*Exchange, error) {
+	conn, ok := opts.Conn.(*net.UDPConn)
+	if !ok {
+		return nil, &ConnError{}
+	}
+	e := &Exchange{opts: opts, conn: conn, started: time.Now().UnixNano()}
+	e.members.byID = make(map[string]*member)
+	return e, nil
+}
+
+// Follow sets the follower. It must be called before Run.
+func (e *Exchange) Follow(f Follower) { e.follower = f }
+
+// Add makes another instance known.
+func (e *Exchange) Add(m Member) {
+	if m.ID != e.opts.ID {
+		e.members.add(m)
+	}
+}
+
+// Alive returns the IDs of the instances that are alive, with this one unless it
+// leaves; dataCentre "" selects all.
+func (e *Exchange) Alive(dataCentre string) []string {
+	ids := e.members.alive(dataCentre, time.Now())
+	if !e.leaving.Load() && (dataCentre == "" || dataCentre == e.opts.DataCentre) {
+		ids = append(ids, e.opts.ID)
+	}
+	return ids
+}
+
+// Known returns the number of instances known, with this one.
+func (e *Exchange) Known() int { return e.members.count() + 1 }
+
+// Leave tells the others that this instance takes part in no duty any more.
+func (e *Exchange) Leave() { e.leaving.Store(true) }
+
+// Run sends and receives until ctx ends.
+func (e *Exchange) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = e.conn.SetReadDeadline(time.Unix(1, 0)) })
+	defer stop()
+	go e.send(ctx)
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := e.conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		if err != nil {
+			e.opts.Logger.Warn("datagram not received", "error", err)
+			continue
+		}
+		e.ReceivedBytes.Add(uint64(n))
+		msg := &gossippb.Datagram{}
+		if err := proto.Unmarshal(buf[:n], msg); err != nil {
+			e.opts.Logger.Warn("datagram not understood", "from", from, "error", err)
+			continue
+		}
+		e.receive(msg, from)
+	}
+}
+
+func (e *Exchange) send(ctx context.Context) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	var last time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			msg := e.news(now)
+			if len(msg.Readings) == 0 && len(msg.Results) == 0 && now.Sub(last) < quietInterval {
+				continue
+			}
+			last = now
+			e.sendAll(msg, now)
+		}
+	}
+}
+
+// Flush tells the others of the local freshness at once.
+func (e *Exchange) Flush() {
+	now := time.Now()
+	e.sendAll(e.news(now), now)
+}
+
+func (e *Exchange) sendAll(msg *gossippb.Datagram, now time.Time) {
+	data, err := proto.Marshal(msg)
+	if err != nil {
+		e.opts.Logger.Error("datagram not encoded", "error", err)
+		return
+	}
+	for _, address := range e.members.due(now) {
+		e.write(data, address)
+	}
+}
+
+// write sends a datagram. An error is no different from a lost datagram, for
+// which the protocol provides.
+func (e *Exchange) write(data []byte, to netip.AddrPort) {
+	n, err := e.conn.WriteToUDPAddrPort(data, to)
+	if err != nil {
+		e.opts.Logger.Debug("datagram not sent", "to", to, "error", err)
+		return
+	}
+	e.SentBytes.Add(uint64(n))
+}
+
+func (e *Exchange) head() *gossippb.Datagram {
+	return &gossippb.Datagram{
+		Instance:   e.opts.ID,
+		Started:    e.started,
+		DataCentre: e.opts.DataCentre,
+		Leaving:    e.leaving.Load(),
+	}
+}
+
+// news returns what this instance has to tell.
+func (e *Exchange) news(now time.Time) *gossippb.Datagram {
+	msg := e.head()
+	f := e.follower.Freshness()
+	msg.Freshness = &gossippb.Freshness{
+		ServersVersion: f.ServersVersion,
+		TableVersion:   f.TableVersion,
+		AgeMs:          milliseconds(now.Sub(f.At)),
+	}
+	observed, results := e.opts.Board.TakeShared()
+	for _, r := range observed {
+		msg.Readings = append(msg.Readings, encodeReading(r, now))
+	}
+	for _, r := range results {
+		msg.Results = append(msg.Results, &gossippb.Results{Server: r.Server, Good: uint32(r.Good), Failed: uint32(r.Failed)})
+	}
+	return msg
+}
+
+// SendState sends state to one instance.
+func (e *Exchange) SendState(to string, state *gossippb.State) {
+	address, ok := e.members.address(to)
+	if !ok {
+		return
+	}
+	for _, data := range e.pack(state) {
+		e.write(data, address)
+	}
+}
+
+// SendStateAll sends state to all instances that are alive.
+func (e *Exchange) SendStateAll(state *gossippb.State) {
+	packed := e.pack(state)
+	for _, id := range e.members.alive("", time.Now()) {
+		address, ok := e.members.address(id)
+		if !ok {
+			continue
+		}
+		for _, data := range packed {
+			e.write(data, address)
+		}
+	}
+}
+
+// pack returns the datagrams that carry the state.
+func (e *Exchange) pack(state *gossippb.State) [][]byte {
+	parts, err := split(state)
+	if err != nil {
+		e.opts.Logger.Error("state not encoded", "error", err)
+		return nil
+	}
+	transfer := e.transfer.Add(1)
+	var packed [][]byte
+	for i, part := range parts {
+		msg := e.head()
+		msg.Chunk = &gossippb.Chunk{Transfer: transfer, Index: uint32(i), Count: uint32(len(parts)), Data: part}
+		data, err := proto.Marshal(msg)
+		if err != nil {
+			e.opts.Logger.Error("datagram not encoded", "error", err)
+			return nil
+		}
+		packed = append(packed, data)
+	}
+	return packed
+}
+
+func (e *Exchange) receive(msg *gossippb.Datagram, from netip.AddrPort) {
+	now := time.Now()
+	id := msg.GetInstance()
+	if id == e.opts.ID || id == "" {
+		return
+	}
+	sender := Member{ID: id, DataCentre: msg.GetDataCentre(), Address: from}
+	if !e.members.hear(sender, msg.GetStarted(), msg.GetLeaving(), now) {
+		return
+	}
+	for _, r := range msg.GetReadings() {
+		e.opts.Board.Receive(decodeReading(r, now))
+	}
+	for _, r := range msg.GetResults() {
+		e.opts.Board.ReceiveResults(readings.Results{Server: r.GetServer(), Good: int(r.GetGood()), Failed: int(r.GetFailed())}, now)
+	}
+	if chunk := msg.GetChunk(); chunk != nil {
+		e.receiveChunk(id, chunk)
+	}
+	if want := msg.GetWant(); want != nil {
+		if state := e.follower.State(want.GetServersVersion(), want.GetTableVersion()); state != nil {
+			e.SendState(id, state)
+		}
+	}
+	if f := msg.GetFreshness(); f != nil {
+		e.receiveFreshness(id, f, now)
+	}
+}
+
+func (e *Exchange) receiveChunk(from string, chunk *gossippb.Chunk) {
+	state, err := e.chunks.add(from, chunk)
+	if err != nil {
+		e.opts.Logger.Warn("state not understood", "from", from, "error", err)
+		return
+	}
+	if state != nil {
+		e.follower.Received(from, state)
+	}
+}
+
+func (e *Exchange) receiveFreshness(from string, f *gossippb.Freshness, now time.Time) {
+	behind := e.follower.Heard(from, Freshness{
+		ServersVersion: f.GetServersVersion(),
+		TableVersion:   f.GetTableVersion(),
+		At:             now.Add(-time.Duration(f.GetAgeMs()) * time.Millisecond),
+	})
+	if !behind || !e.members.mayAsk(from, now, askInterval) {
+		return
+	}
+	own := e.follower.Freshness()
+	msg := e.head()
+	msg.Want = &gossippb.Want{ServersVersion: own.ServersVersion, TableVersion: own.TableVersion}
+	data, err := proto.Marshal(msg)
+	if err != nil {
+		e.opts.Logger.Error("datagram not encoded", "error", err)
+		return
+	}
+	if address, ok := e.members.address(from); ok {
+		e.write(data, address)
+	}
+}
--- /dev/null
+++ b/gossip/members.go
@@ -0,0 +1,136 @@
+package gossip
+
+import (
+	"net/netip"
+	"sort"
+	"sync"
+	"time"
+)
+
+const (
+	// aliveFor is how long an instance counts as alive after its last
+	// datagram: several intervals, since datagrams get lost.
+	aliveFor = 700 * time.Millisecond
+	// silentInterval is the time between datagrams to instances that are not
+	// heard.
+	silentInterval = time.Second
+)
+
+// Member is another instance.
+type Member struct {
+	ID         string
+	DataCentre string
+	Address    netip.AddrPort
+}
+
+type member struct {
+	Member
+	// started is when its process started, in Unix nanoseconds.
+	started int64
+	heard   time.Time
+	sent    time.Time
+	leaving bool
+	// asked is when it was last asked for its state.
+	asked time.Time
+}
+
+// members holds the other instances. It is safe for concurrent use.
+type members struct {
+	mu   sync.Mutex
+	byID map[string]*member
+}
+
+// add records an address found in the store.
+func (m *members) add(found Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if known := m.byID[found.ID]; known != nil {
+		if known.heard.IsZero() {
+			known.Member = found
+		}
+		return
+	}
+	m.byID[found.ID] = &member{Member: found}
+}
+
+// hear records a datagram and reports whether it is from the newest process of
+// its instance.
+func (m *members) hear(from Member, started int64, leaving bool, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.byID[from.ID]
+	if known == nil {
+		known = &member{}
+		m.byID[from.ID] = known
+	}
+	if started < known.started {
+		return false
+	}
+	known.Member = from
+	known.started = started
+	known.heard = now
+	known.leaving = leaving
+	return true
+}
+
+// alive returns the IDs of the instances heard lately that are not leaving,
+// sorted; dataCentre "" selects all.
+func (m *members) alive(dataCentre string, now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var ids []string
+	for id, known := range m.byID {
+		if known.leaving || now.Sub(known.heard) > aliveFor {
+			continue
+		}
+		if dataCentre == "" || known.DataCentre == dataCentre {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// due returns the addresses to send to now.
+func (m *members) due(now time.Time) []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	addresses := make([]netip.AddrPort, 0, len(m.byID))
+	for _, known := range m.byID {
+		if now.Sub(known.heard) > aliveFor && now.Sub(known.sent) < silentInterval {
+			continue
+		}
+		known.sent = now
+		addresses = append(addresses, known.Address)
+	}
+	return addresses
+}
+
+// address returns where the instance receives datagrams.
+func (m *members) address(id string) (netip.AddrPort, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.byID[id]
+	if known == nil {
+		return netip.AddrPort{}, false
+	}
+	return known.Address, true
+}
+
+// mayAsk reports whether the instance may be asked for its state again.
+func (m *members) mayAsk(id string, now time.Time, interval time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.byID[id]
+	if known == nil || now.Sub(known.asked) < interval {
+		return false
+	}
+	known.asked = now
+	return true
+}
+
+func (m *members) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.byID)
+}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/pomelolock/pomelolock/internal/logline"
 	"github.com/pomelolock/pomelolock/settings"
 )
 
@@ -27,7 +28,7 @@
 // TestMetricsAreDocumented compares the registered names with the page.
 func TestMetricsAreDocumented(t *testing.T) {
 	g := gomega.NewWithT(t)
-	logger, err := NewLogger(io.Discard, "error")
+	logger, err := logline.New(io.Discard, "error")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	d, err := New(testSettings(), logger)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -43,7 +44,7 @@
 
 func TestUnusableAddressIsReported(t *testing.T) {
 	g := gomega.NewWithT(t)
-	logger, err := NewLogger(io.Discard, "error")
+	logger, err := logline.New(io.Discard, "error")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	set := testSettings()
 	set.Listen.Operator = "192.0.2.1:1"
@@ -53,6 +54,6 @@
 }
 
 func TestUnknownLogLevelIsReported(t *testing.T) {
-	_, err := NewLogger(io.Discard, "loud")
-	gomega.NewWithT(t).Expect(err).To(gomega.Equal(&LevelError{Level: "loud"}))
+	_, err := logline.New(io.Discard, "loud")
+	gomega.NewWithT(t).Expect(err).To(gomega.Equal(&logline.LevelError{Level: "loud"}))
 }
--- /dev/null
+++ b/internal/entry/daemon.go
@@ -0,0 +1,335 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pomelolock/pomelolock/directory"
+	"github.com/pomelolock/pomelolock/feed"
+	"github.com/pomelolock/pomelolock/forward"
+	"github.com/pomelolock/pomelolock/gossip"
+	"github.com/pomelolock/pomelolock/membership"
+	"github.com/pomelolock/pomelolock/metrics"
+	"github.com/pomelolock/pomelolock/readings"
+	"github.com/pomelolock/pomelolock/retrybudget"
+	"github.com/pomelolock/pomelolock/serverconn"
+	"github.com/pomelolock/pomelolock/table"
+)
+
+const (
+	// assumedInstances is the size of the fleet until the store has told it;
+	// high, so that the shares of the retry budget don't add up beyond it.
+	assumedInstances = 64
+	// joinRetry is the time between two tries to register.
+	joinRetry = 500 * time.Millisecond
+	// joinTimeout bounds a try to register.
+	joinTimeout = 1500 * time.Millisecond
+	// sweepInterval is the time between removals of what is no longer used.
+	sweepInterval = time.Second
+	// readHeaderTimeout bounds the reading of a request's head. It is far above
+	// what the users' tables allow callers.
+	readHeaderTimeout = 10 * time.Second
+	// maxHeaderBytes bounds a request's head, in bytes; far above what the
+	// users' tables allow callers.
+	maxHeaderBytes = 256 << 10
+	// leastConnections is the least share of a server's connections.
+	leastConnections = 2
+	// memoryShare is the part of the memory from which the collector works
+	// harder.
+	memoryShare = 0.7
+)
+
+// Store is what an instance needs of the platform's store.
+type Store interface {
+	feed.Store
+	// Join registers the instance and returns all that are registered.
+	Join(ctx context.Context, self gossip.Member) ([]gossip.Member, error)
+}
+
+// Protocol names the headers of callers and backend servers.
+type Protocol interface {
+	forward.Protocol
+	readings.Checker
+}
+
+// Options are what an instance is made of. All are required.
+type Options struct {
+	Settings *Settings
+	Store    Store
+	Protocol Protocol
+	// Reload reads the settings again.
+	Reload func() (*Settings, error)
+	Logger *slog.Logger
+}
+
+// Daemon is one instance.
+type Daemon struct {
+	opts     Options
+	self     gossip.Member
+	logger   *slog.Logger
+	started  time.Time
+	settings atomic.Pointer[Settings]
+
+	current   *table.Current
+	directory *directory.Directory
+	board     *readings.Board
+	budget    *retrybudget.Budget
+	pool      *serverconn.Pool
+	exchange  *gossip.Exchange
+	feed      *feed.Feed
+	checks    *readings.Checks
+	forwarder *forward.Forwarder
+	observer  *observer
+	metrics   *metrics.Registry
+
+	callers *http.Server
+	idle    *idleConns
+	ready   *http.Server
+	scrapes *http.Server
+
+	callerListener, readyListener, metricsListener net.Listener
+
+	hangup  chan os.Signal
+	leaving atomic.Bool
+}
+
+// ListenError reports an address that can't be listened on.
+type ListenError struct {
+	Address string
+	Err     error
+}
+
+func (e *ListenError) Error() string { return fmt.Sprintf("entry: listen on %s: %v", e.Address, e.Err) }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// New wires an instance and opens its listeners. It fails with [ListenError].
+func New(opts Options) (*Daemon, error) {
+	set := opts.Settings
+	if set.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(set.MemoryMB<<20) * memoryShare))
+	}
+	peer, err := netip.ParseAddrPort(set.Peer)
+	if err != nil {
+		return nil, &SettingError{Name: "peer address", Value: set.Peer, Err: err}
+	}
+	d := &Daemon{
+		opts: opts, logger: opts.Logger, started: time.Now(),
+		self:      gossip.Member{ID: set.ID, DataCentre: set.DataCentre, Address: peer},
+		current:   table.NewCurrent(),
+		directory: directory.New(),
+		board:     readings.NewBoard(),
+		budget:    retrybudget.New(set.Retries, assumedInstances),
+		pool:      serverconn.NewPool(),
+		observer:  newObserver(),
+		idle:      newIdleConns(),
+		hangup:    catchHangup(),
+	}
+	d.settings.Store(set)
+	if err := d.wireExchange(); err != nil {
+		return nil, err
+	}
+	d.wireRequests()
+	if err := d.wireMetrics(); err != nil {
+		return nil, err
+	}
+	return d, d.listen()
+}
+
+func (d *Daemon) wireExchange() error {
+	conn, err := net.ListenPacket("udp", d.opts.Settings.Peer)
+	if err != nil {
+		return &ListenError{Address: d.opts.Settings.Peer, Err: err}
+	}
+	d.exchange, err = gossip.New(gossip.Options{
+		Conn: conn, ID: d.self.ID, DataCentre: d.self.DataCentre, Board: d.board,
+		Logger: d.logger.With("part", "gossip"),
+	})
+	if err != nil {
+		return err
+	}
+	d.feed = feed.New(feed.Options{
+		ID: d.self.ID, Store: d.opts.Store, Directory: d.directory, Current: d.current, Exchange: d.exchange,
+		Logger: d.logger.With("part", "feed"),
+	})
+	d.exchange.Follow(d.feed)
+	return nil
+}
+
+func (d *Daemon) wireRequests() {
+	d.checks = readings.NewChecks(readings.CheckOptions{
+		Board: d.board, Pool: d.pool, Checker: d.opts.Protocol, Targets: d.checkTargets,
+		Replaced: func(server string) {
+			if d.directory.Retire(server) {
+				d.logger.Info("server replaced", "server", server, "reason", "another server has its address")
+			}
+		},
+		Logger: d.logger.With("part", "checks"),
+	})
+	d.forwarder = forward.New(forward.Options{
+		Protocol: d.opts.Protocol, Current: d.current, Directory: d.directory, Board: d.board,
+		Budget: d.budget, Pool: d.pool, ConnLimit: d.connLimit, DataCentre: d.self.DataCentre,
+		Log: d.logger.With("part", "forward"), Observer: d.observer,
+	})
+}
+
+// checkTargets returns the servers that this instance checks. An instance of the
+// server's data centre does it, since bytes between data centres are dear.
+func (d *Daemon) checkTargets() []readings.Target {
+	snapshot := d.current.Load()
+	if snapshot == nil || d.leaving.Load() {
+		return nil
+	}
+	all := d.exchange.Alive("")
+	near := make(map[string][]string)
+	var targets []readings.Target
+	for _, server := range d.directory.All() {
+		service := snapshot.Service(server.Service)
+		if service == nil || service.HealthPath == "" {
+			continue
+		}
+		ids, ok := near[server.DataCentre]
+		if !ok {
+			ids = d.exchange.Alive(server.DataCentre)
+			if len(ids) == 0 {
+				ids = all
+			}
+			near[server.DataCentre] = ids
+		}
+		if membership.Owner(server.ID, ids) == d.self.ID {
+			targets = append(targets, readings.Target{
+				Server: server.ID, Address: server.Address, Path: service.HealthPath, Connections: d.connLimit(service),
+			})
+		}
+	}
+	return targets
+}
+
+// connLimit returns this instance's share of a server's connections.
+func (d *Daemon) connLimit(service *table.Service) int {
+	if service.Connections == 0 {
+		return 0
+	}
+	return max(service.Connections/max(d.exchange.Known(), 1), leastConnections)
+}
+
+// duty is one long-running part of the instance.
+type duty struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+func (d *Daemon) duties() []duty {
+	duties := []duty{
+		{"callers", func(context.Context) error { return serve(d.callers, d.callerListener) }},
+		{"readiness", func(context.Context) error { return serve(d.ready, d.readyListener) }},
+		{"gossip", d.exchange.Run},
+		{"feed", d.feed.Run},
+		{"join", d.join},
+		{"checks", d.checks.Run},
+		{"sweep", d.sweep},
+		{"settings", d.followSettings},
+	}
+	if d.metricsListener != nil {
+		duties = append(duties, duty{"metrics", func(context.Context) error { return serve(d.scrapes, d.metricsListener) }})
+	}
+	return duties
+}
+
+// Run serves until ctx ends and then shuts down gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer endDuties()
+	list := d.duties()
+	failed := make(chan error, len(list))
+	var wg sync.WaitGroup
+	for _, duty := range list {
+		wg.Go(func() {
+			if err := duty.run(duties); err != nil && duties.Err() == nil {
+				failed <- fmt.Errorf("duty %s: %w", duty.name, err)
+			}
+		})
+	}
+	set := d.opts.Settings
+	d.logger.Info("started", "instance", set.ID, "data_centre", set.DataCentre, "caller", set.Caller, "peer", set.Peer)
+	var err error
+	select {
+	case <-ctx.Done():
+		d.stop()
+	case err = <-failed:
+	}
+	endDuties()
+	_ = d.callers.Close()
+	_ = d.ready.Close()
+	_ = d.scrapes.Close()
+	wg.Wait()
+	d.logger.Info("stopped", "in_flight", d.forwarder.Stats().InFlight, "error", err)
+	return err
+}
+
+// join registers the instance and learns of the others.
+func (d *Daemon) join(ctx context.Context) error {
+	for {
+		limited, cancel := context.WithTimeout(ctx, joinTimeout)
+		members, err := d.opts.Store.Join(limited, d.self)
+		cancel()
+		if err == nil {
+			for _, m := range members {
+				d.exchange.Add(m)
+			}
+			d.logger.Info("joined", "instances", len(members))
+			d.setBudget()
+			return nil
+		}
+		d.logger.Warn("not registered", "error", err)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(joinRetry):
+		}
+	}
+}
+
+// setBudget gives the retry budget the size of the fleet as it is known.
+func (d *Daemon) setBudget() {
+	d.budget.SetLimits(d.settings.Load().Retries, d.exchange.Known())
+}
+
+// sweep forgets what is no longer used.
+func (d *Daemon) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			addresses, ids := make(map[string]bool), make(map[string]bool)
+			for _, server := range d.directory.All() {
+				addresses[server.Address], ids[server.ID] = true, true
+			}
+			d.pool.Sweep(now, func(address string) bool { return addresses[address] })
+			d.board.Retain(func(id string) bool { return ids[id] })
+			d.idle.closeOlder(now, d.idleTimeout())
+		}
+	}
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- a/table/document.go
+++ b/table/document.go
@@ -61,6 +61,12 @@
 	ClaimRetentionMS int64 `json:"claim_retention_ms" range:"1000,2592000000"`
 	// ProbesPerSecond bounds the active probes of the whole fleet.
 	ProbesPerSecond int `json:"probes_per_second" range:"0,100000"`
+	// MaxBodyBytes bounds the body of a request to any service; zero leaves it
+	// to the services.
+	MaxBodyBytes int64 `json:"max_body_bytes,omitempty" range:"0,1073741824"`
+	// IdleTimeoutMS is how long a caller's connection may stay idle; zero
+	// leaves it to the settings.
+	IdleTimeoutMS int64 `json:"idle_timeout_ms,omitempty" range:"0,3600000"`
 }
 
 // Service is one row of the services sheet.
