--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -19,6 +19,7 @@
 // attempt is one try of an exchange on one server.
 type attempt struct {
 	x      *exchange
+	placed placed
 	server directory.Server
 }
 
@@ -72,6 +73,7 @@
 // run sends the request and takes in its answer.
 func (a *attempt) run(ctx context.Context) end {
 	x := a.x
+	defer a.placed.done()
 	conn, err := x.f.opts.Pool.Get(ctx, a.server.Address, x.f.opts.ConnLimit(x.service))
 	if err != nil {
 		a.connectFailed(ctx, err)
@@ -82,8 +84,6 @@
 		conn.Close()
 		return end{server: a.server, notRun: true, unsent: true, err: context.DeadlineExceeded}
 	}
-	x.f.opts.Board.Began(a.server.ID, time.Now())
-	defer func() { x.f.opts.Board.Ended(a.server.ID, time.Now()) }()
 	resp, err := conn.RoundTrip(ctx, a.request(left), a.belongs)
 	if err != nil {
 		return a.sendFailed(ctx, conn, err)
@@ -184,6 +184,9 @@
 	}
 	e.ans = ans
 	bad := ans.status >= http.StatusInternalServerError
+	if !bad {
+		a.placed.answered(time.Now())
+	}
 	a.x.f.opts.Board.Result(a.server.ID, bad, time.Now())
 	if bad {
 		e.failed = a.x.route.Repeatable
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pomelolock/pomelolock/directory"
@@ -27,9 +28,6 @@
 	// callers from returning together.
 	minRetry = 150 * time.Millisecond
 	maxRetry = 500 * time.Millisecond
-	// maxExcess is the number of requests beyond the slots of the best server
-	// from which requests are refused.
-	maxExcess = 1
 	// leastTime is the least time left with which a request is sent.
 	leastTime = 5 * time.Millisecond
 	// hedgeAfter is the part of a route's target after which an idempotent
@@ -154,15 +152,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	ends := make(chan end, x.maxAttempts())
 	running := 0
-	launch := func(hedge bool) *outcome.Error {
-		server, failed := x.place(hedge)
+	launch := func() *outcome.Error {
+		placed, failed := x.f.queue(x.service.Name).acquire(ctx, x, running == 0)
 		if failed != nil {
 			return failed
 		}
-		x.tried = append(x.tried, server.ID)
+		x.tried = append(x.tried, placed.server.ID)
 		x.sent++
 		running++
-		a := &attempt{x: x, server: server}
+		a := &attempt{x: x, placed: placed, server: placed.server}
 		go func() { ends <- a.run(ctx) }()
 		return nil
 	}
@@ -174,7 +172,7 @@
 		}
 		return ans, failed
 	}
-	if failed := launch(false); failed != nil {
+	if failed := launch(); failed != nil {
 		return finish(nil, failed)
 	}
 	hedge := x.hedgeTimer()
@@ -189,7 +187,7 @@
 			}
 			x.note(e)
 			last = e
-			if x.mayRetry(e) && launch(false) == nil {
+			if x.mayRetry(e) && launch() == nil {
 				x.f.retries.Add(1)
 				continue
 			}
@@ -197,7 +195,7 @@
 				return finish(x.giveUp(last))
 			}
 		case <-hedge.C:
-			if x.mayHedge() && launch(true) == nil {
+			if x.mayHedge() && launch() == nil {
 				x.f.hedges.Add(1)
 			}
 		case <-ctx.Done():
@@ -265,28 +263,13 @@
 		slog.Duration("left", time.Until(x.deadline)), slog.Any("error", e.err))
 }
 
-// place chooses a server for the next attempt.
-func (x *exchange) place(hedge bool) (directory.Server, *outcome.Error) {
-	now := time.Now()
-	servers, candidates := x.candidates(now)
-	choice := placement.Best(candidates)
-	if choice.Index < 0 {
-		return directory.Server{}, x.refusal(outcome.CodeNoServer, "the service has no usable server")
-	}
-	if choice.Excess > maxExcess || hedge && choice.Excess > 0 {
-		x.log("no room", slog.String("service", x.service.Name), slog.Int("servers", len(servers)),
-			slog.Int("excess", choice.Excess), slog.Duration("age", candidates[choice.Index].Load.Age))
-		return directory.Server{}, x.refusal(outcome.CodeOverload, "all servers are full")
-	}
-	return servers[choice.Index], nil
-}
-
+// candidates returns the servers that the request was not sent to yet.
 func (x *exchange) candidates(now time.Time) ([]directory.Server, []placement.Candidate) {
 	all := x.f.opts.Directory.Servers(x.service.Name)
 	servers := make([]directory.Server, 0, len(all))
 	candidates := make([]placement.Candidate, 0, len(all))
 	for _, server := range all {
-		if x.wasTried(server.ID) {
+		if slices.Contains(x.tried, server.ID) {
 			continue
 		}
 		servers = append(servers, server)
@@ -300,17 +283,13 @@
 	return servers, candidates
 }
 
-func (x *exchange) wasTried(id string) bool {
-	for _, tried := range x.tried {
-		if tried == id {
-			return true
-		}
-	}
-	return false
-}
-
 // refusal is the answer to a request that no server takes now.
 func (x *exchange) refusal(code outcome.Code, detail string) *outcome.Error {
+	if x.mayHaveRun {
+		return &outcome.Error{
+			Outcome: outcome.Unknown, Status: http.StatusBadGateway, Code: code, Detail: detail,
+		}
+	}
 	return &outcome.Error{
 		Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable, Code: code,
 		Detail: detail, RetryAfter: retryAfter(),
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -1,11 +1,14 @@
 package forward
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pomelolock/pomelolock/admission"
 	"github.com/pomelolock/pomelolock/directory"
 	"github.com/pomelolock/pomelolock/readings"
 	"github.com/pomelolock/pomelolock/retrybudget"
@@ -21,6 +24,7 @@
 	Board     *readings.Board
 	Budget    *retrybudget.Budget
 	Pool      *serverconn.Pool
+	Backlogs  *admission.Backlogs
 	// ConnLimit returns how many connections this instance may open to a
 	// server of the service; 0 means no known limit.
 	ConnLimit func(service *table.Service) int
@@ -53,10 +57,49 @@
 	opts                      Options
 	requests, retries, hedges atomic.Uint64
 	inFlight                  atomic.Int64
+
+	mu     sync.Mutex
+	queues map[string]*queue
 }
 
 // New returns a forwarder.
-func New(opts Options) *Forwarder { return &Forwarder{opts: opts} }
+func New(opts Options) *Forwarder {
+	return &Forwarder{opts: opts, queues: make(map[string]*queue)}
+}
+
+// queue returns the waiting requests of a service.
+func (f *Forwarder) queue(service string) *queue {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	q := f.queues[service]
+	if q == nil {
+		q = newQueue(f, service)
+		f.queues[service] = q
+	}
+	return q
+}
+
+// Run sends waiting requests as room appears, until ctx ends.
+func (f *Forwarder) Run(ctx context.Context) error {
+	ticker := time.NewTicker(dispatchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			f.mu.Lock()
+			queues := make([]*queue, 0, len(f.queues))
+			for _, q := range f.queues {
+				queues = append(queues, q)
+			}
+			f.mu.Unlock()
+			for _, q := range queues {
+				q.tick(now)
+			}
+		}
+	}
+}
 
 // Stats returns the counts since the start.
 func (f *Forwarder) Stats() Stats {
--- /dev/null
+++ b/forward/queue.go
@@ -0,0 +1,261 @@
+package forward
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pomelolock/pomelolock/admission"
+	"github.com/pomelolock/pomelolock/directory"
+	"github.com/pomelolock/pomelolock/outcome"
+	"github.com/pomelolock/pomelolock/placement"
+)
+
+const (
+	// dispatchInterval is the time between two looks for room: half of the
+	// interval at which readings come.
+	dispatchInterval = 25 * time.Millisecond
+	// initialWork is the expected time of a request before any was measured.
+	initialWork = 100 * time.Millisecond
+	// workMemory is the weight of a new measurement of that time.
+	workMemory = 0.05
+	// rateMemory is the weight of the last interval in the rate of sending; the
+	// rate follows within half a second.
+	rateMemory = 0.05
+	// leastQueue is the number of requests that may wait whatever the rate is.
+	leastQueue = 2
+	// leastLateShare is the part of the rate at which late requests are sent at
+	// least, as long as none have been measured.
+	leastLateShare = 0.2
+)
+
+// queue holds the requests for one service that wait at this instance.
+type queue struct {
+	f       *Forwarder
+	service string
+
+	mu      sync.Mutex
+	waiters []*waiter
+	// work is the time of a request on an idle machine without other load.
+	work time.Duration
+	// rate and lateRate are the requests sent a second from the queue, and
+	// those among them that missed their target.
+	rate, lateRate float64
+	sent, sentLate int
+}
+
+// waiter is an attempt that waits for room.
+type waiter struct {
+	admission.Waiting
+	x *exchange
+	// granted receives one result.
+	granted chan grant
+}
+
+type grant struct {
+	placed placed
+	failed *outcome.Error
+}
+
+// placed is room taken at a server for one attempt.
+type placed struct {
+	q      *queue
+	server directory.Server
+	// time is the expected time in multiples of the queue's work.
+	time  float64
+	began time.Time
+}
+
+func newQueue(f *Forwarder, service string) *queue {
+	return &queue{f: f, service: service, work: initialWork}
+}
+
+// done gives the room back.
+func (p placed) done() {
+	now := time.Now()
+	p.q.f.opts.Board.Ended(p.server.ID, now)
+	p.q.roomFreed(now)
+}
+
+// answered measures the work of a request that was answered.
+func (p placed) answered(now time.Time) {
+	p.q.mu.Lock()
+	defer p.q.mu.Unlock()
+	took := float64(now.Sub(p.began)) / max(p.time, 1)
+	p.q.work += time.Duration(workMemory * (took - float64(p.q.work)))
+}
+
+// acquire takes room for an attempt, waiting for it if wait is set. It fails if the request can't be served in time.
+func (q *queue) acquire(ctx context.Context, x *exchange, wait bool) (placed, *outcome.Error) {
+	now := time.Now()
+	w := &waiter{
+		Waiting: admission.Waiting{Priority: x.route.Priority, Target: x.start.Add(x.target()), Deadline: x.deadline},
+		x:       x,
+		granted: make(chan grant, 1),
+	}
+	q.mu.Lock()
+	others := q.f.opts.Backlogs.Others(q.service, now)
+	if len(q.waiters) == 0 {
+		if p, ok := q.placeLocked(w, others, now); ok {
+			q.countLocked(w, now)
+			q.mu.Unlock()
+			return p, nil
+		}
+	}
+	if !wait {
+		q.mu.Unlock()
+		return placed{}, x.refusal(outcome.CodeOverload, "no room for a further attempt")
+	}
+	if failed := q.enqueueLocked(w, now); failed != nil {
+		q.mu.Unlock()
+		return placed{}, failed
+	}
+	q.mu.Unlock()
+	select {
+	case g := <-w.granted:
+		return g.placed, g.failed
+	case <-ctx.Done():
+		q.leave(w)
+		return placed{}, x.late()
+	}
+}
+
+// leave takes a waiter out that no longer waits.
+func (q *queue) leave(w *waiter) {
+	q.mu.Lock()
+	q.waiters = slices.DeleteFunc(q.waiters, func(other *waiter) bool { return other == w })
+	q.f.opts.Backlogs.Set(q.service, len(q.waiters))
+	q.mu.Unlock()
+	select {
+	case g := <-w.granted:
+		if g.failed == nil {
+			g.placed.done()
+		}
+	default:
+	}
+}
+
+// placeLocked takes room for one request if its share of what is free allows.
+func (q *queue) placeLocked(w *waiter, others int, now time.Time) (placed, bool) {
+	servers, candidates := w.x.candidates(now)
+	assessed := placement.Assess(candidates)
+	if admission.Share(placement.Room(assessed), 1, others) == 0 {
+		return placed{}, false
+	}
+	return q.takeLocked(w, servers, assessed, now)
+}
+
+// takeLocked takes room at the best server for the request.
+func (q *queue) takeLocked(w *waiter, servers []directory.Server, assessed []placement.Assessment, now time.Time) (placed, bool) {
+	within := math.Inf(1)
+	if !w.Late(now, q.work) {
+		within = float64(w.Target.Sub(now)) / float64(q.work)
+	}
+	i := placement.Best(assessed, within, placement.AnySound(assessed))
+	if i < 0 {
+		return placed{}, false
+	}
+	q.f.opts.Board.Began(servers[i].ID, now)
+	return placed{q: q, server: servers[i], time: assessed[i].Time, began: now}, true
+}
+
+// enqueueLocked lets a request wait, or refuses it if it can't be served in time.
+func (q *queue) enqueueLocked(w *waiter, now time.Time) *outcome.Error {
+	if len(q.f.opts.Directory.Servers(q.service)) == 0 {
+		return w.x.refusal(outcome.CodeNoServer, "the service has no usable server")
+	}
+	late := w.Late(now, q.work)
+	ahead, rate := 0, q.rate
+	if late {
+		rate = max(q.lateRate, leastLateShare*q.rate)
+	}
+	for _, other := range q.waiters {
+		if admission.Before(other.Waiting, w.Waiting, now, q.work) <= 0 && (!late || other.Late(now, q.work)) {
+			ahead++
+		}
+	}
+	wait := admission.Wait(max(ahead-leastQueue, 0), rate)
+	if w.Hopeless(now, q.work) || wait > w.Deadline.Sub(now)-q.work {
+		w.x.log("refused at once", slog.String("service", q.service), slog.Int("ahead", ahead),
+			slog.Float64("rate", rate), slog.Bool("late", late), slog.Duration("work", q.work))
+		return w.x.refusal(outcome.CodeOverload, "the request can't be served in time")
+	}
+	q.waiters = append(q.waiters, w)
+	q.f.opts.Backlogs.Set(q.service, len(q.waiters))
+	return nil
+}
+
+// tick sends what there is room for, refuses what can't be served any more and
+// measures the rate.
+func (q *queue) tick(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.refuseLocked(now)
+	q.dispatchLocked(now, false)
+	q.rate += rateMemory * (float64(q.sent)/dispatchInterval.Seconds() - q.rate)
+	q.lateRate += rateMemory * (float64(q.sentLate)/dispatchInterval.Seconds() - q.lateRate)
+	q.sent, q.sentLate = 0, 0
+}
+
+// roomFreed uses room that only this instance knows of yet.
+func (q *queue) roomFreed(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.dispatchLocked(now, true)
+}
+
+// dispatchLocked sends waiting requests in their order. Room that was just freed
+// by this instance is its own; other room is shared.
+func (q *queue) dispatchLocked(now time.Time, freed bool) {
+	if len(q.waiters) == 0 {
+		return
+	}
+	admission.Sort(q.waiters, func(w *waiter) admission.Waiting { return w.Waiting }, now, q.work)
+	may := 1
+	if !freed {
+		_, candidates := q.waiters[0].x.candidates(now)
+		room := placement.Room(placement.Assess(candidates))
+		may = admission.Share(room, len(q.waiters), q.f.opts.Backlogs.Others(q.service, now))
+	}
+	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
+		if may == 0 {
+			return false
+		}
+		servers, candidates := w.x.candidates(now)
+		p, ok := q.takeLocked(w, servers, placement.Assess(candidates), now)
+		if !ok {
+			return false
+		}
+		may--
+		q.countLocked(w, now)
+		w.granted <- grant{placed: p}
+		return true
+	})
+	q.f.opts.Backlogs.Set(q.service, len(q.waiters))
+}
+
+// countLocked counts a request that is sent.
+func (q *queue) countLocked(w *waiter, now time.Time) {
+	q.sent++
+	if w.Late(now, q.work) {
+		q.sentLate++
+	}
+}
+
+// refuseLocked refuses waiting requests that would miss their deadline.
+func (q *queue) refuseLocked(now time.Time) {
+	before := len(q.waiters)
+	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
+		if !w.Hopeless(now, q.work) {
+			return false
+		}
+		w.granted <- grant{failed: w.x.refusal(outcome.CodeOverload, "no room in time")}
+		return true
+	})
+	if len(q.waiters) != before {
+		q.f.opts.Backlogs.Set(q.service, len(q.waiters))
+	}
+}
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/pomelolock/pomelolock/admission"
 	"github.com/pomelolock/pomelolock/gossip/gossippb"
 	"github.com/pomelolock/pomelolock/readings"
 )
@@ -58,6 +59,7 @@
 	ID         string
 	DataCentre string
 	Board      *readings.Board
+	Backlogs   *admission.Backlogs
 	Logger     *slog.Logger
 }
 
@@ -156,7 +158,7 @@
 			return
 		case now := <-ticker.C:
 			msg := e.news(now)
-			if len(msg.Readings) == 0 && len(msg.Results) == 0 && now.Sub(last) < quietInterval {
+			if len(msg.Readings) == 0 && len(msg.Results) == 0 && len(msg.Backlogs) == 0 && now.Sub(last) < quietInterval {
 				continue
 			}
 			last = now
@@ -218,6 +220,9 @@
 	for _, r := range results {
 		msg.Results = append(msg.Results, &gossippb.Results{Server: r.Server, Good: uint32(r.Good), Failed: uint32(r.Failed)})
 	}
+	for _, b := range e.opts.Backlogs.Own() {
+		msg.Backlogs = append(msg.Backlogs, &gossippb.Backlog{Service: b.Service, Waiting: uint32(b.Waiting)})
+	}
 	return msg
 }
 
@@ -293,6 +298,7 @@
 		}
 	}
 	if f := msg.GetFreshness(); f != nil {
+		e.receiveBacklogs(id, msg.GetBacklogs(), now)
 		e.receiveFreshness(id, f, now)
 	}
 }
@@ -308,6 +314,14 @@
 	}
 }
 
+func (e *Exchange) receiveBacklogs(from string, encoded []*gossippb.Backlog, now time.Time) {
+	backlogs := make([]admission.Backlog, len(encoded))
+	for i, b := range encoded {
+		backlogs[i] = admission.Backlog{Service: b.GetService(), Waiting: int(b.GetWaiting())}
+	}
+	e.opts.Backlogs.Receive(from, backlogs, now)
+}
+
 func (e *Exchange) receiveFreshness(from string, f *gossippb.Freshness, now time.Time) {
 	behind := e.follower.Heard(from, Freshness{
 		ServersVersion: f.GetServersVersion(),
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pomelolock/pomelolock/admission"
 	"github.com/pomelolock/pomelolock/directory"
 	"github.com/pomelolock/pomelolock/feed"
 	"github.com/pomelolock/pomelolock/forward"
@@ -83,6 +84,7 @@
 	current   *table.Current
 	directory *directory.Directory
 	board     *readings.Board
+	backlogs  *admission.Backlogs
 	budget    *retrybudget.Budget
 	pool      *serverconn.Pool
 	exchange  *gossip.Exchange
@@ -130,6 +132,7 @@
 		current:   table.NewCurrent(),
 		directory: directory.New(),
 		board:     readings.NewBoard(),
+		backlogs:  admission.NewBacklogs(),
 		budget:    retrybudget.New(set.Retries, assumedInstances),
 		pool:      serverconn.NewPool(),
 		observer:  newObserver(),
@@ -154,7 +157,7 @@
 	}
 	d.exchange, err = gossip.New(gossip.Options{
 		Conn: conn, ID: d.self.ID, DataCentre: d.self.DataCentre, Board: d.board,
-		Logger: d.logger.With("part", "gossip"),
+		Backlogs: d.backlogs, Logger: d.logger.With("part", "gossip"),
 	})
 	if err != nil {
 		return err
@@ -179,7 +182,7 @@
 	})
 	d.forwarder = forward.New(forward.Options{
 		Protocol: d.opts.Protocol, Current: d.current, Directory: d.directory, Board: d.board,
-		Budget: d.budget, Pool: d.pool, ConnLimit: d.connLimit, DataCentre: d.self.DataCentre,
+		Budget: d.budget, Pool: d.pool, Backlogs: d.backlogs, ConnLimit: d.connLimit, DataCentre: d.self.DataCentre,
 		Log: d.logger.With("part", "forward"), Observer: d.observer,
 	})
 }
@@ -238,6 +241,7 @@
 		{"feed", d.feed.Run},
 		{"join", d.join},
 		{"checks", d.checks.Run},
+		{"forward", d.forwarder.Run},
 		{"sweep", d.sweep},
 		{"settings", d.followSettings},
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -12,6 +12,9 @@
 	// slownessMemory is the time after which a report of slowness says little:
 	// spells of other load end within some hundred milliseconds.
 	slownessMemory = 300 * time.Millisecond
+	// slownessLasts is the part of a request's time for which a spell that is
+	// seen now goes on.
+	slownessLasts = 0.75
 	// usualTime is the expected time of work where nothing is known, in
 	// multiples of its time on a machine without other load.
 	usualTime = 1.6
@@ -30,6 +33,9 @@
 	// spread is by how much estimates are varied, so that instances with the
 	// same readings don't all choose the same server.
 	spread = 0.2
+	// unsoundRate is the share of failed attempts from which a server is not
+	// sound.
+	unsoundRate = 0.5
 	// unknownSlots is assumed for servers that report no load.
 	unknownSlots = 4
 )
@@ -45,33 +51,86 @@
 	Cold bool
 }
 
-// Choice is the outcome of a decision.
-type Choice struct {
-	// Index is the chosen candidate, or -1 if there is none.
-	Index int
-	// Time is the expected time of the request there, in multiples of its
-	// time on an idle machine without other load.
+// Assessment is what a candidate offers to one more request.
+type Assessment struct {
+	// Time is the expected time there, in multiples of the time of the same
+	// work on an idle machine without other load.
 	Time float64
-	// Excess is the number of requests there beyond its slots if the request
-	// was sent; 0 or less means that it runs at once.
-	Excess int
+	// Weight is the time with all that speaks for and against the server; the
+	// least is best.
+	Weight float64
+	// Room is the number of requests that it takes without slowing down.
+	Room int
+	// Sound is false if most attempts there failed of late.
+	Sound bool
 }
 
-// Best chooses the candidate with the least expected time.
-func Best(candidates []Candidate) Choice {
-	best := Choice{Index: -1, Time: math.Inf(1)}
-	least := math.Inf(1)
+// Assess looks at all candidates.
+func Assess(candidates []Candidate) []Assessment {
+	assessed := make([]Assessment, len(candidates))
 	for i, c := range candidates {
-		expected := c.expected()
-		varied := expected * (1 + spread*rand.Float64())
-		if varied < least {
-			least = varied
-			best = Choice{Index: i, Time: expected, Excess: c.occupied() + 1 - c.slots()}
+		time := c.slowness() * c.loadTime()
+		if c.Cold {
+			time *= coldTime
+		}
+		assessed[i] = Assessment{
+			Time: time, Weight: time * c.against(), Room: c.room(), Sound: c.Load.FailureRate < unsoundRate,
+		}
+	}
+	return assessed
+}
+
+// Room returns how many requests the sound servers take without slowing down. If
+// none is sound, all count.
+func Room(assessed []Assessment) int {
+	sound, all := 0, 0
+	anySound := false
+	for _, a := range assessed {
+		all += a.Room
+		if a.Sound {
+			anySound = true
+			sound += a.Room
+		}
+	}
+	if anySound {
+		return sound
+	}
+	return all
+}
+
+// Best returns the index of the best server that has room and is expected to
+// need no more than the given time, or -1. Unsound servers are chosen only if
+// anySound is false.
+func Best(assessed []Assessment, within float64, anySound bool) int {
+	best, least := -1, math.Inf(1)
+	for i, a := range assessed {
+		if a.Room <= 0 || a.Time > within || anySound && !a.Sound {
+			continue
+		}
+		if varied := a.Weight * (1 + spread*rand.Float64()); varied < least {
+			best, least = i, varied
 		}
 	}
 	return best
 }
 
+// AnySound reports whether one of the servers is sound.
+func AnySound(assessed []Assessment) bool {
+	for _, a := range assessed {
+		if a.Sound {
+			return true
+		}
+	}
+	return false
+}
+
+// room returns the number of requests below the point from which the server
+// slows down.
+func (c Candidate) room() int {
+	full := max(int(nearlyFull*float64(c.slots())), 1)
+	return max(full-c.occupied(), 0)
+}
+
 func (c Candidate) slots() int {
 	switch {
 	case c.Load.Known && c.Load.Slots > 0:
@@ -90,24 +149,20 @@
 	return max(c.Load.Running+c.Load.Waiting+c.Load.Unseen, c.Load.Own, 0)
 }
 
-// expected returns the expected time of one more request, with the weights of
-// what else speaks against the server.
-func (c Candidate) expected() float64 {
-	t := c.slowness() * c.loadTime()
-	if c.Cold {
-		t *= coldTime
-	}
+// against returns the factor of what else speaks against the server.
+func (c Candidate) against() float64 {
+	factor := 1.0
 	if c.Remote {
-		t *= remoteTime
+		factor *= remoteTime
 	}
 	switch c.Load.Health {
 	case readings.HealthBad:
-		t *= unhealthyTime
+		factor *= unhealthyTime
 	case readings.HealthUnreachable:
-		t *= unreachableTime
+		factor *= unreachableTime
 	}
 	sound := 1 - c.Load.FailureRate
-	return t / max(sound*sound*sound, 0.01)
+	return factor / max(sound*sound*sound, 0.01)
 }
 
 // slowness returns the expected slowness; a report loses its meaning with age.
@@ -116,7 +171,7 @@
 		return usualTime
 	}
 	reported := float64(c.Load.Slowness) / readings.UsualSlowness
-	keep := math.Exp(-float64(c.Load.Age) / float64(slownessMemory))
+	keep := slownessLasts * math.Exp(-float64(c.Load.Age)/float64(slownessMemory))
 	return usualTime + (reported-usualTime)*keep
 }
 
