--- a/admission/backlog.go
+++ b/admission/backlog.go
@@ -12,32 +12,32 @@
 // Backlog is the number of requests for a service that wait at one instance.
 type Backlog struct {
 	Service string
-	Waiting int
+	Counts
 }
 
 type told struct {
-	waiting int
-	at      time.Time
+	Counts
+	at time.Time
 }
 
 // Backlogs holds the waiting requests of all instances. It is safe for
 // concurrent use.
 type Backlogs struct {
 	mu     sync.Mutex
-	own    map[string]int
+	own    map[string]Counts
 	others map[string]map[string]told
 }
 
 // NewBacklogs returns empty backlogs.
 func NewBacklogs() *Backlogs {
-	return &Backlogs{own: make(map[string]int), others: make(map[string]map[string]told)}
+	return &Backlogs{own: make(map[string]Counts), others: make(map[string]map[string]told)}
 }
 
 // Set records how many requests for the service wait at this instance.
-func (b *Backlogs) Set(service string, waiting int) {
+func (b *Backlogs) Set(service string, waiting Counts) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if waiting == 0 {
+	if waiting == (Counts{}) {
 		delete(b.own, service)
 		return
 	}
@@ -50,7 +50,7 @@
 	defer b.mu.Unlock()
 	var own []Backlog
 	for service, waiting := range b.own {
-		own = append(own, Backlog{Service: service, Waiting: waiting})
+		own = append(own, Backlog{Service: service, Counts: waiting})
 	}
 	return own
 }
@@ -65,19 +65,20 @@
 	}
 	services := make(map[string]told, len(backlogs))
 	for _, backlog := range backlogs {
-		services[backlog.Service] = told{waiting: backlog.Waiting, at: now}
+		services[backlog.Service] = told{Counts: backlog.Counts, at: now}
 	}
 	b.others[from] = services
 }
 
 // Others returns how many requests for the service wait at other instances.
-func (b *Backlogs) Others(service string, now time.Time) int {
+func (b *Backlogs) Others(service string, now time.Time) Counts {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	total := 0
+	var total Counts
 	for _, services := range b.others {
 		if t, ok := services[service]; ok && now.Sub(t.at) <= backlogLife {
-			total += t.waiting
+			total.InTime += t.InTime
+			total.Late += t.Late
 		}
 	}
 	return total
--- a/admission/doc.go
+++ b/admission/doc.go
@@ -4,9 +4,9 @@
 // The load that it answers: more requests than the servers of a service can run
 // at full speed, for some seconds or minutes. A request that is sent to a full
 // server slows down those that run there and can't be recalled, so requests wait
-// at the instances instead, where the order can still change: the more urgent
-// first, then those that can still be answered within their target, then those
-// whose time runs out first. Requests that can't be served within their time are
+// at the instances instead, where the order can still change: those first that
+// can still be answered within their target, among them the more urgent, then
+// those whose time ends first. Requests that can't be served within their time are
 // refused at once.
 //
 // All instances see the same free room. Each takes a part of it in proportion to
--- a/admission/order.go
+++ b/admission/order.go
@@ -28,18 +28,21 @@
 	return now.Add(expected).After(w.Deadline)
 }
 
-// Before orders waiting requests: it is negative if a goes before b.
+// Before orders waiting requests: it is negative if a goes before b. Those that
+// can still meet their target go first, then the more urgent, then those whose
+// time ends first.
 func Before(a, b Waiting, now time.Time, expected time.Duration) int {
-	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
-		return c
-	}
 	lateA, lateB := a.Late(now, expected), b.Late(now, expected)
 	switch {
 	case lateA && !lateB:
 		return 1
 	case lateB && !lateA:
 		return -1
-	case lateA:
+	}
+	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+		return c
+	}
+	if lateA {
 		return a.Deadline.Compare(b.Deadline)
 	}
 	return a.Target.Compare(b.Target)
@@ -50,6 +53,17 @@
 	slices.SortStableFunc(waiting, func(a, b W) int { return Before(of(a), of(b), now, expected) })
 }
 
+// Counts are waiting requests: those that can still meet their target and those
+// that can't.
+type Counts struct{ InTime, Late int }
+
+// Shares returns how many of its own waiting requests an instance may send now of
+// either kind. Requests that are late get the room that those in time leave.
+func Shares(room int, own, others Counts) Counts {
+	left := room - own.InTime - others.InTime
+	return Counts{InTime: Share(room, own.InTime, others.InTime), Late: Share(left, own.Late, others.Late)}
+}
+
 // Share returns how many of its own waiting requests an instance may send now,
 // when room is free for that many requests and others wait at other instances.
 // Fractions are rounded at random, so that the shares add up to the room on
--- /dev/null
+++ b/callerconn/response.go
@@ -0,0 +1,213 @@
+package callerconn
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// response is the answer to one request. It implements [http.ResponseWriter] and
+// the deadlines of [http.ResponseController].
+type response struct {
+	conn *conn
+	req  *http.Request
+	body *requestBody
+	// turn is closed when the answers before are written, done when this one
+	// is.
+	turn <-chan struct{}
+	done chan struct{}
+
+	header  http.Header
+	status  int
+	chunked io.WriteCloser
+	// left is the part of the announced length not written yet, or -1.
+	left   int64
+	noBody bool
+	close  bool
+	err    error
+}
+
+// requestBody tells when a request's body was read to its end.
+type requestBody struct {
+	io.ReadCloser
+	resp *response
+	once sync.Once
+	read chan struct{}
+	// asked is set if the caller waits to be told to send the body.
+	asked bool
+}
+
+// Read implements [io.Reader].
+func (b *requestBody) Read(p []byte) (int, error) {
+	if b.asked {
+		b.asked = false
+		<-b.resp.turn
+		if _, err := io.WriteString(b.resp.conn.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return 0, err
+		}
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.once.Do(func() { close(b.read) })
+	}
+	return n, err
+}
+
+func newResponse(c *conn, req *http.Request, turn <-chan struct{}) *response {
+	resp := &response{conn: c, turn: turn, done: make(chan struct{}), header: make(http.Header), left: -1}
+	resp.req = req.WithContext(c.ctx)
+	resp.req.RemoteAddr = c.raw.RemoteAddr().String()
+	if req.Body != nil && req.Body != http.NoBody && req.ContentLength != 0 {
+		resp.body = &requestBody{
+			ReadCloser: req.Body, resp: resp, read: make(chan struct{}),
+			asked: req.Header.Get("Expect") == "100-continue",
+		}
+		resp.req.Body = resp.body
+	}
+	return resp
+}
+
+// Header implements [http.ResponseWriter].
+func (r *response) Header() http.Header { return r.header }
+
+// SetReadDeadline sets the deadline for reading the request's body.
+func (r *response) SetReadDeadline(t time.Time) error {
+	if r.body == nil {
+		return nil
+	}
+	return r.conn.raw.SetReadDeadline(t)
+}
+
+// SetWriteDeadline sets the deadline for writing once it is the answer's turn.
+func (r *response) SetWriteDeadline(t time.Time) error { return r.conn.raw.SetWriteDeadline(t) }
+
+// WriteHeader implements [http.ResponseWriter]. It waits for the answers before.
+func (r *response) WriteHeader(status int) {
+	if r.status != 0 {
+		return
+	}
+	r.status = status
+	<-r.turn
+	asked := r.req.Close || r.header.Get("Connection") == "close" || r.unreadBody()
+	r.close = r.conn.closesAfter(r, asked)
+	r.frame()
+	w := r.conn.writer
+	_, r.err = fmt.Fprintf(w, "HTTP/1.1 %03d %s\r\n", status, http.StatusText(status))
+	if r.err == nil {
+		r.err = r.header.Write(w)
+	}
+	if r.err == nil {
+		_, r.err = io.WriteString(w, "\r\n")
+	}
+}
+
+// unreadBody reports whether bytes of the request's body are still to come.
+func (r *response) unreadBody() bool {
+	if r.body == nil {
+		return false
+	}
+	select {
+	case <-r.body.read:
+		return false
+	default:
+		return true
+	}
+}
+
+// frame decides how the end of the body is told.
+func (r *response) frame() {
+	r.header.Del("Connection")
+	r.header.Del("Transfer-Encoding")
+	r.noBody = r.req.Method == http.MethodHead || r.status == http.StatusNoContent || r.status == http.StatusNotModified
+	if _, ok := r.header["Date"]; !ok {
+		r.header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
+	}
+	if length, err := strconv.ParseInt(r.header.Get("Content-Length"), 10, 64); err == nil {
+		r.left = length
+	}
+	if r.left < 0 && !r.noBody {
+		r.header.Del("Content-Length")
+		if r.req.ProtoAtLeast(1, 1) {
+			r.header.Set("Transfer-Encoding", "chunked")
+			r.chunked = httputil.NewChunkedWriter(r.conn.writer)
+		} else {
+			r.close = true
+		}
+	}
+	if r.close {
+		r.header.Set("Connection", "close")
+	} else if !r.req.ProtoAtLeast(1, 1) {
+		r.header.Set("Connection", "keep-alive")
+	}
+}
+
+// Write implements [http.ResponseWriter].
+func (r *response) Write(p []byte) (int, error) {
+	if r.status == 0 {
+		r.WriteHeader(http.StatusOK)
+	}
+	if r.err != nil {
+		return 0, r.err
+	}
+	if r.noBody {
+		return len(p), nil
+	}
+	var n int
+	switch {
+	case r.chunked != nil:
+		n, r.err = r.chunked.Write(p)
+	case r.left >= 0 && int64(len(p)) > r.left:
+		return 0, http.ErrContentLength
+	default:
+		n, r.err = r.conn.writer.Write(p)
+		if r.left >= 0 {
+			r.left -= int64(n)
+		}
+	}
+	return n, r.err
+}
+
+// finish completes the answer. An answer that was aborted or is incomplete closes
+// the connection, so that it does not look complete.
+func (r *response) finish(aborted bool) {
+	defer close(r.done)
+	if !aborted && r.status == 0 {
+		r.header.Set("Content-Length", "0")
+		r.WriteHeader(http.StatusOK)
+	}
+	if !aborted && r.err == nil && r.chunked != nil {
+		r.err = r.chunked.Close()
+		if r.err == nil {
+			_, r.err = io.WriteString(r.conn.writer, "\r\n")
+		}
+	}
+	if aborted && r.status == 0 {
+		<-r.turn
+	}
+	whole := !aborted && r.err == nil && (r.left <= 0 || r.noBody)
+	if whole {
+		r.err = r.conn.writer.Flush()
+	}
+	_ = r.conn.raw.SetWriteDeadline(time.Time{})
+	if !whole || r.err != nil || r.close {
+		r.conn.stop(whole && r.err == nil)
+	}
+}
+
+// stop ends the connection after an answer; nothing behind it is answered.
+func (c *conn) stop(whole bool) {
+	c.mu.Lock()
+	c.closing = true
+	c.mu.Unlock()
+	if whole {
+		// The reader closes the connection once all is written.
+		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+		return
+	}
+	c.raw.Close()
+	c.cancel()
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -43,6 +43,8 @@
 	in     *http.Request
 	start  time.Time
 	caller Caller
+	// began is when the caller first sent the request, as far as is known.
+	began time.Time
 
 	snapshot *table.Snapshot
 	route    table.Route
@@ -103,6 +105,10 @@
 	x.route = route
 	x.f.opts.Budget.Earn(x.service.Name)
 	x.deadline = x.start.Add(x.wait())
+	x.began = x.start
+	if x.caller.Wait > 0 {
+		x.began = x.start.Add(-x.f.waits.elapsed(route.Host+route.PathPrefix, x.caller.Wait))
+	}
 	return x.readBody()
 }
 
@@ -218,7 +224,7 @@
 	if !x.route.Repeatable || target <= 0 || x.body.streamed() {
 		target = time.Hour
 	}
-	return time.NewTimer(time.Until(x.start) + time.Duration(float64(target)*hedgeAfter))
+	return time.NewTimer(time.Until(x.began) + time.Duration(float64(target)*hedgeAfter))
 }
 
 // target is the latency within which the answer has its full worth.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -60,11 +60,12 @@
 
 	mu     sync.Mutex
 	queues map[string]*queue
+	waits  *waits
 }
 
 // New returns a forwarder.
 func New(opts Options) *Forwarder {
-	return &Forwarder{opts: opts, queues: make(map[string]*queue)}
+	return &Forwarder{opts: opts, queues: make(map[string]*queue), waits: newWaits()}
 }
 
 // queue returns the waiting requests of a service.
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -92,14 +92,13 @@
 func (q *queue) acquire(ctx context.Context, x *exchange, wait bool) (placed, *outcome.Error) {
 	now := time.Now()
 	w := &waiter{
-		Waiting: admission.Waiting{Priority: x.route.Priority, Target: x.start.Add(x.target()), Deadline: x.deadline},
+		Waiting: admission.Waiting{Priority: x.route.Priority, Target: x.began.Add(x.target()), Deadline: x.deadline},
 		x:       x,
 		granted: make(chan grant, 1),
 	}
 	q.mu.Lock()
-	others := q.f.opts.Backlogs.Others(q.service, now)
 	if len(q.waiters) == 0 {
-		if p, ok := q.placeLocked(w, others, now); ok {
+		if p, ok := q.placeLocked(w, now); ok {
 			q.countLocked(w, now)
 			q.mu.Unlock()
 			return p, nil
@@ -127,7 +126,7 @@
 func (q *queue) leave(w *waiter) {
 	q.mu.Lock()
 	q.waiters = slices.DeleteFunc(q.waiters, func(other *waiter) bool { return other == w })
-	q.f.opts.Backlogs.Set(q.service, len(q.waiters))
+	q.tellLocked(time.Now())
 	q.mu.Unlock()
 	select {
 	case g := <-w.granted:
@@ -139,15 +138,35 @@
 }
 
 // placeLocked takes room for one request if its share of what is free allows.
-func (q *queue) placeLocked(w *waiter, others int, now time.Time) (placed, bool) {
+func (q *queue) placeLocked(w *waiter, now time.Time) (placed, bool) {
 	servers, candidates := w.x.candidates(now)
 	assessed := placement.Assess(candidates)
-	if admission.Share(placement.Room(assessed), 1, others) == 0 {
+	own := counts([]*waiter{w}, now, q.work)
+	if admission.Shares(placement.Room(assessed), own, q.f.opts.Backlogs.Others(q.service, now)) != own {
 		return placed{}, false
 	}
 	return q.takeLocked(w, servers, assessed, now)
 }
 
+// counts returns the number of waiters that can meet their target and of those
+// that can't.
+func counts(waiters []*waiter, now time.Time, expected time.Duration) admission.Counts {
+	var c admission.Counts
+	for _, w := range waiters {
+		if w.Late(now, expected) {
+			c.Late++
+		} else {
+			c.InTime++
+		}
+	}
+	return c
+}
+
+// tellLocked tells the other instances how many requests wait.
+func (q *queue) tellLocked(now time.Time) {
+	q.f.opts.Backlogs.Set(q.service, counts(q.waiters, now, q.work))
+}
+
 // takeLocked takes room at the best server for the request.
 func (q *queue) takeLocked(w *waiter, servers []directory.Server, assessed []placement.Assessment, now time.Time) (placed, bool) {
 	within := math.Inf(1)
@@ -184,7 +203,7 @@
 		return w.x.refusal(outcome.CodeOverload, "the request can't be served in time")
 	}
 	q.waiters = append(q.waiters, w)
-	q.f.opts.Backlogs.Set(q.service, len(q.waiters))
+	q.tellLocked(now)
 	return nil
 }
 
@@ -214,14 +233,18 @@
 		return
 	}
 	admission.Sort(q.waiters, func(w *waiter) admission.Waiting { return w.Waiting }, now, q.work)
-	may := 1
-	if !freed {
-		_, candidates := q.waiters[0].x.candidates(now)
-		room := placement.Room(placement.Assess(candidates))
-		may = admission.Share(room, len(q.waiters), q.f.opts.Backlogs.Others(q.service, now))
+	_, candidates := q.waiters[0].x.candidates(now)
+	room := placement.Room(placement.Assess(candidates))
+	may := admission.Shares(room, counts(q.waiters, now, q.work), q.f.opts.Backlogs.Others(q.service, now))
+	if freed {
+		may = admission.Counts{InTime: 1, Late: 1}
 	}
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
-		if may == 0 {
+		allowed := &may.InTime
+		if w.Late(now, q.work) {
+			allowed = &may.Late
+		}
+		if *allowed <= 0 {
 			return false
 		}
 		servers, candidates := w.x.candidates(now)
@@ -229,12 +252,15 @@
 		if !ok {
 			return false
 		}
-		may--
+		*allowed--
+		if freed {
+			may = admission.Counts{}
+		}
 		q.countLocked(w, now)
 		w.granted <- grant{placed: p}
 		return true
 	})
-	q.f.opts.Backlogs.Set(q.service, len(q.waiters))
+	q.tellLocked(now)
 }
 
 // countLocked counts a request that is sent.
@@ -256,6 +282,6 @@
 		return true
 	})
 	if len(q.waiters) != before {
-		q.f.opts.Backlogs.Set(q.service, len(q.waiters))
+		q.tellLocked(now)
 	}
 }
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -221,7 +221,7 @@
 		msg.Results = append(msg.Results, &gossippb.Results{Server: r.Server, Good: uint32(r.Good), Failed: uint32(r.Failed)})
 	}
 	for _, b := range e.opts.Backlogs.Own() {
-		msg.Backlogs = append(msg.Backlogs, &gossippb.Backlog{Service: b.Service, Waiting: uint32(b.Waiting)})
+		msg.Backlogs = append(msg.Backlogs, &gossippb.Backlog{Service: b.Service, InTime: uint32(b.InTime), Late: uint32(b.Late)})
 	}
 	return msg
 }
@@ -317,7 +317,9 @@
 func (e *Exchange) receiveBacklogs(from string, encoded []*gossippb.Backlog, now time.Time) {
 	backlogs := make([]admission.Backlog, len(encoded))
 	for i, b := range encoded {
-		backlogs[i] = admission.Backlog{Service: b.GetService(), Waiting: int(b.GetWaiting())}
+		backlogs[i] = admission.Backlog{
+			Service: b.GetService(), Counts: admission.Counts{InTime: int(b.GetInTime()), Late: int(b.GetLate())},
+		}
 	}
 	e.opts.Backlogs.Receive(from, backlogs, now)
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/admission"
+	"github.com/pomelolock/pomelolock/callerconn"
 	"github.com/pomelolock/pomelolock/directory"
 	"github.com/pomelolock/pomelolock/feed"
 	"github.com/pomelolock/pomelolock/forward"
@@ -37,12 +38,9 @@
 	joinTimeout = 1500 * time.Millisecond
 	// sweepInterval is the time between removals of what is no longer used.
 	sweepInterval = time.Second
-	// readHeaderTimeout bounds the reading of a request's head. It is far above
-	// what the users' tables allow callers.
+	// readHeaderTimeout bounds the reading of a head by the servers that don't
+	// face callers.
 	readHeaderTimeout = 10 * time.Second
-	// maxHeaderBytes bounds a request's head, in bytes; far above what the
-	// users' tables allow callers.
-	maxHeaderBytes = 256 << 10
 	// leastConnections is the least share of a server's connections.
 	leastConnections = 2
 	// memoryShare is the part of the memory from which the collector works
@@ -94,8 +92,7 @@
 	observer  *observer
 	metrics   *metrics.Registry
 
-	callers *http.Server
-	idle    *idleConns
+	callers *callerconn.Server
 	ready   *http.Server
 	scrapes *http.Server
 
@@ -136,7 +133,6 @@
 		budget:    retrybudget.New(set.Retries, assumedInstances),
 		pool:      serverconn.NewPool(),
 		observer:  newObserver(),
-		idle:      newIdleConns(),
 		hangup:    catchHangup(),
 	}
 	d.settings.Store(set)
@@ -235,7 +231,7 @@
 
 func (d *Daemon) duties() []duty {
 	duties := []duty{
-		{"callers", func(context.Context) error { return serve(d.callers, d.callerListener) }},
+		{"callers", func(context.Context) error { return d.callers.Serve(d.callerListener) }},
 		{"readiness", func(context.Context) error { return serve(d.ready, d.readyListener) }},
 		{"gossip", d.exchange.Run},
 		{"feed", d.feed.Run},
@@ -274,7 +270,7 @@
 	case err = <-failed:
 	}
 	endDuties()
-	_ = d.callers.Close()
+	d.callers.Close()
 	_ = d.ready.Close()
 	_ = d.scrapes.Close()
 	wg.Wait()
@@ -325,7 +321,6 @@
 			}
 			d.pool.Sweep(now, func(address string) bool { return addresses[address] })
 			d.board.Retain(func(id string) bool { return ids[id] })
-			d.idle.closeOlder(now, d.idleTimeout())
 		}
 	}
 }
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -28,6 +28,7 @@
 	}
 	d.logger.Info("stopping", "in_flight", d.forwarder.Stats().InFlight, "grace", grace)
 	d.leaving.Store(true)
+	d.callers.Leave()
 	d.exchange.Leave()
 	d.exchange.Flush()
 	time.Sleep(min(balancerLag, grace/2))
