--- a/forward/queue.go
+++ b/forward/queue.go
@@ -22,6 +22,10 @@
 	initialWork = 100 * time.Millisecond
 	// workMemory is the weight of a new measurement of that time.
 	workMemory = 0.05
+	// workQuantile is the quantile of the measured times that is taken for the
+	// time on an idle machine without other load; more than half of the
+	// requests run on such machines.
+	workQuantile = 0.4
 	// rateMemory is the weight of the last interval in the rate of sending; the
 	// rate follows within half a second.
 	rateMemory = 0.05
@@ -84,8 +88,14 @@
 func (p placed) answered(now time.Time) {
 	p.q.mu.Lock()
 	defer p.q.mu.Unlock()
-	took := float64(now.Sub(p.began)) / max(p.time, 1)
-	p.q.work += time.Duration(workMemory * (took - float64(p.q.work)))
+	// The step of a quantile estimate goes up by the quantile and down by the
+	// rest, so that it settles where that part of the values lies below.
+	step := workMemory * float64(p.q.work)
+	if now.Sub(p.began) > p.q.work {
+		p.q.work += time.Duration(step * workQuantile)
+	} else {
+		p.q.work -= time.Duration(step * (1 - workQuantile))
+	}
 }
 
 // acquire takes room for an attempt, waiting for it if wait is set. It fails if the request can't be served in time.
@@ -142,7 +152,7 @@
 	servers, candidates := w.x.candidates(now)
 	assessed := placement.Assess(candidates)
 	own := counts([]*waiter{w}, now, q.work)
-	if admission.Shares(placement.Room(assessed), own, q.f.opts.Backlogs.Others(q.service, now)) != own {
+	if admission.Shares(placement.Room(assessed, q.within(w, now)), own, q.f.opts.Backlogs.Others(q.service, now)) != own {
 		return placed{}, false
 	}
 	return q.takeLocked(w, servers, assessed, now)
@@ -167,13 +177,18 @@
 	q.f.opts.Backlogs.Set(q.service, counts(q.waiters, now, q.work))
 }
 
+// within returns the time that a server may need for the request, in multiples
+// of the work: what is left until its target, or any time if it is late.
+func (q *queue) within(w *waiter, now time.Time) float64 {
+	if w.Late(now, q.work) {
+		return math.Inf(1)
+	}
+	return float64(w.Target.Sub(now)) / float64(q.work)
+}
+
 // takeLocked takes room at the best server for the request.
 func (q *queue) takeLocked(w *waiter, servers []directory.Server, assessed []placement.Assessment, now time.Time) (placed, bool) {
-	within := math.Inf(1)
-	if !w.Late(now, q.work) {
-		within = float64(w.Target.Sub(now)) / float64(q.work)
-	}
-	i := placement.Best(assessed, within, placement.AnySound(assessed))
+	i := placement.Best(assessed, q.within(w, now))
 	if i < 0 {
 		return placed{}, false
 	}
@@ -233,11 +248,9 @@
 		return
 	}
 	admission.Sort(q.waiters, func(w *waiter) admission.Waiting { return w.Waiting }, now, q.work)
-	_, candidates := q.waiters[0].x.candidates(now)
-	room := placement.Room(placement.Assess(candidates))
-	may := admission.Shares(room, counts(q.waiters, now, q.work), q.f.opts.Backlogs.Others(q.service, now))
-	if freed {
-		may = admission.Counts{InTime: 1, Late: 1}
+	may := admission.Counts{InTime: 1, Late: 1}
+	if !freed {
+		may = q.sharesLocked(now)
 	}
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
 		allowed := &may.InTime
@@ -263,6 +276,17 @@
 	q.tellLocked(now)
 }
 
+// sharesLocked returns how many waiting requests this instance may send now. The
+// first of those in time tells which servers are fast enough for them.
+func (q *queue) sharesLocked(now time.Time) admission.Counts {
+	_, candidates := q.waiters[0].x.candidates(now)
+	assessed := placement.Assess(candidates)
+	own, others := counts(q.waiters, now, q.work), q.f.opts.Backlogs.Others(q.service, now)
+	inTime := admission.Shares(placement.Room(assessed, q.within(q.waiters[0], now)), own, others)
+	late := admission.Shares(placement.Room(assessed, math.Inf(1)), own, others)
+	return admission.Counts{InTime: inTime.InTime, Late: late.Late}
+}
+
 // countLocked counts a request that is sent.
 func (q *queue) countLocked(w *waiter, now time.Time) {
 	q.sent++
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -80,31 +80,28 @@
 	return assessed
 }
 
-// Room returns how many requests the sound servers take without slowing down. If
-// none is sound, all count.
-func Room(assessed []Assessment) int {
-	sound, all := 0, 0
-	anySound := false
+// Room returns how many requests the servers take without slowing down that are
+// expected to need no more than the given time. Unsound servers count only if
+// none is sound.
+func Room(assessed []Assessment, within float64) int {
+	room := 0
+	anySound := AnySound(assessed)
 	for _, a := range assessed {
-		all += a.Room
-		if a.Sound {
-			anySound = true
-			sound += a.Room
+		if a.eligible(within, anySound) {
+			room += a.Room
 		}
 	}
-	if anySound {
-		return sound
-	}
-	return all
+	return room
 }
 
 // Best returns the index of the best server that has room and is expected to
 // need no more than the given time, or -1. Unsound servers are chosen only if
-// anySound is false.
-func Best(assessed []Assessment, within float64, anySound bool) int {
+// none is sound.
+func Best(assessed []Assessment, within float64) int {
 	best, least := -1, math.Inf(1)
+	anySound := AnySound(assessed)
 	for i, a := range assessed {
-		if a.Room <= 0 || a.Time > within || anySound && !a.Sound {
+		if a.Room <= 0 || !a.eligible(within, anySound) {
 			continue
 		}
 		if varied := a.Weight * (1 + spread*rand.Float64()); varied < least {
@@ -114,6 +111,10 @@
 	return best
 }
 
+func (a Assessment) eligible(within float64, anySound bool) bool {
+	return a.Time <= within && (a.Sound || !anySound)
+}
+
 // AnySound reports whether one of the servers is sound.
 func AnySound(assessed []Assessment) bool {
 	for _, a := range assessed {
