--- a/forward/queue.go
+++ b/forward/queue.go
@@ -81,7 +81,7 @@
 func (p placed) done() {
 	now := time.Now()
 	p.q.f.opts.Board.Ended(p.server.ID, now)
-	p.q.roomFreed(now)
+	p.q.roomFreed(p.server.ID, now)
 }
 
 // answered measures the work of a request that was answered.
@@ -188,7 +188,7 @@
 
 // takeLocked takes room at the best server for the request.
 func (q *queue) takeLocked(w *waiter, servers []directory.Server, assessed []placement.Assessment, now time.Time) (placed, bool) {
-	i := placement.Best(assessed, q.within(w, now))
+	i := placement.Choose(assessed, q.within(w, now))
 	if i < 0 {
 		return placed{}, false
 	}
@@ -228,30 +228,50 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.refuseLocked(now)
-	q.dispatchLocked(now, false)
+	q.dispatchLocked(now)
 	q.rate += rateMemory * (float64(q.sent)/dispatchInterval.Seconds() - q.rate)
 	q.lateRate += rateMemory * (float64(q.sentLate)/dispatchInterval.Seconds() - q.lateRate)
 	q.sent, q.sentLate = 0, 0
 }
 
-// roomFreed uses room that only this instance knows of yet.
-func (q *queue) roomFreed(now time.Time) {
+// roomFreed gives the room that an attempt of this instance has left to the next
+// waiting request. Other instances don't know of it yet.
+func (q *queue) roomFreed(server string, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.dispatchLocked(now, true)
-}
-
-// dispatchLocked sends waiting requests in their order. Room that was just freed
-// by this instance is its own; other room is shared.
-func (q *queue) dispatchLocked(now time.Time, freed bool) {
 	if len(q.waiters) == 0 {
 		return
 	}
+	q.sortLocked(now)
+	for i, w := range q.waiters {
+		servers, candidates := w.x.candidates(now)
+		at := slices.IndexFunc(servers, func(s directory.Server) bool { return s.ID == server })
+		if at < 0 {
+			continue
+		}
+		assessed := placement.Assess(candidates[at : at+1])
+		if p, ok := q.takeLocked(w, servers[at:at+1], assessed, now); ok {
+			q.countLocked(w, now)
+			w.granted <- grant{placed: p}
+			q.waiters = slices.Delete(q.waiters, i, i+1)
+			q.tellLocked(now)
+			return
+		}
+	}
+}
+
+func (q *queue) sortLocked(now time.Time) {
 	admission.Sort(q.waiters, func(w *waiter) admission.Waiting { return w.Waiting }, now, q.work)
-	may := admission.Counts{InTime: 1, Late: 1}
-	if !freed {
-		may = q.sharesLocked(now)
+}
+
+// dispatchLocked sends waiting requests in their order, as many as are this
+// instance's share of the room.
+func (q *queue) dispatchLocked(now time.Time) {
+	if len(q.waiters) == 0 {
+		return
 	}
+	q.sortLocked(now)
+	may := q.sharesLocked(now)
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
 		allowed := &may.InTime
 		if w.Late(now, q.work) {
@@ -266,9 +286,6 @@
 			return false
 		}
 		*allowed--
-		if freed {
-			may = admission.Counts{}
-		}
 		q.countLocked(w, now)
 		w.granted <- grant{placed: p}
 		return true
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -21,6 +21,8 @@
 	// spell of other load on a server lasts some hundred milliseconds; readings
 	// have to be much fresher.
 	interval = 50 * time.Millisecond
+	// leastInterval is the least time between datagrams to one instance.
+	leastInterval = 35 * time.Millisecond
 	// quietInterval is the time between datagrams that tell nothing new.
 	quietInterval = 200 * time.Millisecond
 	// maxDatagram is the size of the receive buffer, in bytes.
@@ -73,6 +75,7 @@
 	follower Follower
 	leaving  atomic.Bool
 	transfer atomic.Uint64
+	nudges   chan struct{}
 
 	// SentBytes and ReceivedBytes count the bytes of datagrams.
 	SentBytes, ReceivedBytes atomic.Uint64
@@ -89,7 +92,7 @@
 	if !ok {
 		return nil, &ConnError{}
 	}
-	e := &Exchange{opts: opts, conn: conn, started: time.Now().UnixNano()}
+	e := &Exchange{opts: opts, conn: conn, started: time.Now().UnixNano(), nudges: make(chan struct{}, 1)}
 	e.members.byID = make(map[string]*member)
 	return e, nil
 }
@@ -153,17 +156,31 @@
 	defer ticker.Stop()
 	var last time.Time
 	for {
+		var now time.Time
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			msg := e.news(now)
-			if len(msg.Readings) == 0 && len(msg.Results) == 0 && len(msg.Backlogs) == 0 && now.Sub(last) < quietInterval {
-				continue
-			}
-			last = now
-			e.sendAll(msg, now)
+		case <-e.nudges:
+			now = time.Now()
+		case now = <-ticker.C:
 		}
+		if now.Sub(last) < leastInterval {
+			continue
+		}
+		msg := e.news(now)
+		if len(msg.Readings) == 0 && len(msg.Results) == 0 && len(msg.Backlogs) == 0 && now.Sub(last) < quietInterval {
+			continue
+		}
+		last = now
+		e.sendAll(msg, now)
+	}
+}
+
+// Nudge sends what there is to tell soon.
+func (e *Exchange) Nudge() {
+	select {
+	case e.nudges <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -169,6 +169,7 @@
 func (d *Daemon) wireRequests() {
 	d.checks = readings.NewChecks(readings.CheckOptions{
 		Board: d.board, Pool: d.pool, Checker: d.opts.Protocol, Targets: d.checkTargets,
+		Checked: d.exchange.Nudge,
 		Replaced: func(server string) {
 			if d.directory.Retire(server) {
 				d.logger.Info("server replaced", "server", server, "reason", "another server has its address")
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -30,9 +30,9 @@
 	unhealthyTime = 3.0
 	// unreachableTime weighs a status check that got no answer.
 	unreachableTime = 6.0
-	// spread is by how much estimates are varied, so that instances with the
-	// same readings don't all choose the same server.
-	spread = 0.2
+	// steepness is the power of the weight with which the choice of a server
+	// gets rarer: one that is 2.5 times slower is chosen once in 250 times.
+	steepness = 6
 	// unsoundRate is the share of failed attempts from which a server is not
 	// sound.
 	unsoundRate = 0.5
@@ -94,21 +94,30 @@
 	return room
 }
 
-// Best returns the index of the best server that has room and is expected to
-// need no more than the given time, or -1. Unsound servers are chosen only if
-// none is sound.
-func Best(assessed []Assessment, within float64) int {
-	best, least := -1, math.Inf(1)
+// Choose returns the index of a server that has room and is expected to need no
+// more than the given time, or -1. Unsound servers are chosen only if none is
+// sound. The choice is random in proportion to the room, and falls steeply with
+// the weight: instances that see the same readings thus fill the servers evenly.
+func Choose(assessed []Assessment, within float64) int {
 	anySound := AnySound(assessed)
+	least := math.Inf(1)
+	for _, a := range assessed {
+		if a.Room > 0 && a.eligible(within, anySound) {
+			least = min(least, a.Weight)
+		}
+	}
+	chosen, total := -1, 0.0
 	for i, a := range assessed {
 		if a.Room <= 0 || !a.eligible(within, anySound) {
 			continue
 		}
-		if varied := a.Weight * (1 + spread*rand.Float64()); varied < least {
-			best, least = i, varied
+		part := float64(a.Room) * math.Pow(least/a.Weight, steepness)
+		total += part
+		if rand.Float64()*total < part {
+			chosen = i
 		}
 	}
-	return best
+	return chosen
 }
 
 func (a Assessment) eligible(within float64, anySound bool) bool {
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -16,6 +16,8 @@
 	// checkInterval is the time between two status checks of one server. A
 	// spell of other load lasts some hundred milliseconds.
 	checkInterval = 50 * time.Millisecond
+	// answerTime is when most answers to a round of checks have arrived.
+	answerTime = 5 * time.Millisecond
 	// checkTimeout bounds a status check.
 	checkTimeout = 400 * time.Millisecond
 	// failedInterval is the time between status checks of a server that does
@@ -48,6 +50,8 @@
 	Checker Checker
 	// Targets returns the servers that this instance checks now.
 	Targets func() []Target
+	// Checked is called when the answers to a round of checks should be there.
+	Checked func()
 	// Replaced hears of a server whose address another one has.
 	Replaced func(server string)
 	Logger   *slog.Logger
@@ -80,11 +84,16 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			begun := false
 			for _, target := range c.opts.Targets() {
 				if c.begin(target.Server, now) {
+					begun = true
 					wg.Go(func() { c.check(ctx, target) })
 				}
 			}
+			if begun {
+				time.AfterFunc(answerTime, c.opts.Checked)
+			}
 		}
 	}
 }
