--- a/admission/order.go
+++ b/admission/order.go
@@ -58,11 +58,10 @@
 type Counts struct{ InTime, Late int }
 
 // Shares returns how many of its own waiting requests an instance may send now of
-// either kind. Of the room, fast is at servers that can still meet a target.
-// Requests that are late get what those in time leave or can't use.
-func Shares(room, fast int, own, others Counts) Counts {
-	taken := min(own.InTime+others.InTime, fast)
-	return Counts{InTime: Share(fast, own.InTime, others.InTime), Late: Share(room-taken, own.Late, others.Late)}
+// either kind. Requests that are late get the room that those in time leave.
+func Shares(room int, own, others Counts) Counts {
+	left := room - own.InTime - others.InTime
+	return Counts{InTime: Share(room, own.InTime, others.InTime), Late: Share(left, own.Late, others.Late)}
 }
 
 // Share returns how many of its own waiting requests an instance may send now,
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -152,7 +152,7 @@
 	servers, candidates := w.x.candidates(now)
 	assessed := placement.Assess(candidates)
 	own := counts([]*waiter{w}, now, q.work)
-	if q.shares(w, assessed, own, now) != own {
+	if admission.Shares(placement.Room(assessed, q.within(w, now)), own, q.f.opts.Backlogs.Others(q.service, now)) != own {
 		return placed{}, false
 	}
 	return q.takeLocked(w, servers, assessed, now)
@@ -271,8 +271,7 @@
 		return
 	}
 	q.sortLocked(now)
-	_, candidates := q.waiters[0].x.candidates(now)
-	may := q.shares(q.waiters[0], placement.Assess(candidates), counts(q.waiters, now, q.work), now)
+	may := q.sharesLocked(now)
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
 		allowed := &may.InTime
 		if w.Late(now, q.work) {
@@ -294,12 +293,15 @@
 	q.tellLocked(now)
 }
 
-// shares returns how many of the waiting requests this instance may send now. The
-// request that goes first tells which servers are fast enough.
-func (q *queue) shares(first *waiter, assessed []placement.Assessment, own admission.Counts, now time.Time) admission.Counts {
-	room := placement.Room(assessed, math.Inf(1))
-	fast := placement.Room(assessed, q.within(first, now))
-	return admission.Shares(room, fast, own, q.f.opts.Backlogs.Others(q.service, now))
+// sharesLocked returns how many waiting requests this instance may send now. The
+// first of those in time tells which servers are fast enough for them.
+func (q *queue) sharesLocked(now time.Time) admission.Counts {
+	_, candidates := q.waiters[0].x.candidates(now)
+	assessed := placement.Assess(candidates)
+	own, others := counts(q.waiters, now, q.work), q.f.opts.Backlogs.Others(q.service, now)
+	inTime := admission.Shares(placement.Room(assessed, q.within(q.waiters[0], now)), own, others)
+	late := admission.Shares(placement.Room(assessed, math.Inf(1)), own, others)
+	return admission.Counts{InTime: inTime.InTime, Late: late.Late}
 }
 
 // countLocked counts a request that is sent.
