--- a/forward/queue.go
+++ b/forward/queue.go
@@ -31,6 +31,9 @@
 	rateMemory = 0.05
 	// leastQueue is the number of requests that may wait whatever the rate is.
 	leastQueue = 2
+	// waitShare is the part of the time left that the estimated wait may take;
+	// the rest allows for errors of the estimate.
+	waitShare = 0.5
 	// leastLateShare is the part of the rate at which late requests are sent at
 	// least, as long as none have been measured.
 	leastLateShare = 0.2
@@ -178,12 +181,13 @@
 }
 
 // within returns the time that a server may need for the request, in multiples
-// of the work: what is left until its target, or any time if it is late.
+// of the work: what is left until its target or, if it is late, its deadline.
 func (q *queue) within(w *waiter, now time.Time) float64 {
+	until := w.Target
 	if w.Late(now, q.work) {
-		return math.Inf(1)
+		until = w.Deadline
 	}
-	return float64(w.Target.Sub(now)) / float64(q.work)
+	return float64(until.Sub(now)) / float64(q.work)
 }
 
 // takeLocked takes room at the best server for the request.
@@ -212,7 +216,7 @@
 		}
 	}
 	wait := admission.Wait(max(ahead-leastQueue, 0), rate)
-	if w.Hopeless(now, q.work) || wait > w.Deadline.Sub(now)-q.work {
+	if w.Hopeless(now, q.work) || wait > time.Duration(waitShare*float64(w.Deadline.Sub(now)-q.work)) {
 		w.x.log("refused at once", slog.String("service", q.service), slog.Int("ahead", ahead),
 			slog.Float64("rate", rate), slog.Bool("late", late), slog.Duration("work", q.work))
 		return w.x.refusal(outcome.CodeOverload, "the request can't be served in time")
