--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,9 @@
 	interval = 50 * time.Millisecond
 	// leastInterval is the least time between datagrams to one instance.
 	leastInterval = 35 * time.Millisecond
+	// farInterval is the least time between datagrams to an instance in another
+	// data centre while no request waits.
+	farInterval = 85 * time.Millisecond
 	// quietInterval is the time between datagrams that tell nothing new.
 	quietInterval = 200 * time.Millisecond
 	// maxDatagram is the size of the receive buffer, in bytes.
@@ -77,6 +81,11 @@
 	transfer atomic.Uint64
 	nudges   chan struct{}
 
+	// sending guards what waits to be told, to the instances of the same data
+	// centre and to those of others.
+	sending           sync.Mutex
+	nearNews, farNews *news
+
 	// SentBytes and ReceivedBytes count the bytes of datagrams.
 	SentBytes, ReceivedBytes atomic.Uint64
 }
@@ -92,7 +101,7 @@
 	if !ok {
 		return nil, &ConnError{}
 	}
-	e := &Exchange{opts: opts, conn: conn, started: time.Now().UnixNano(), nudges: make(chan struct{}, 1)}
+	e := &Exchange{opts: opts, conn: conn, started: time.Now().UnixNano(), nudges: make(chan struct{}, 1), nearNews: newNews(), farNews: newNews()}
 	e.members.byID = make(map[string]*member)
 	return e, nil
 }
@@ -154,25 +163,15 @@
 func (e *Exchange) send(ctx context.Context) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	var last time.Time
 	for {
-		var now time.Time
 		select {
 		case <-ctx.Done():
 			return
 		case <-e.nudges:
-			now = time.Now()
-		case now = <-ticker.C:
-		}
-		if now.Sub(last) < leastInterval {
-			continue
-		}
-		msg := e.news(now)
-		if len(msg.Readings) == 0 && len(msg.Results) == 0 && len(msg.Backlogs) == 0 && now.Sub(last) < quietInterval {
-			continue
+			e.tell(time.Now(), false)
+		case now := <-ticker.C:
+			e.tell(now, false)
 		}
-		last = now
-		e.sendAll(msg, now)
 	}
 }
 
@@ -185,18 +184,53 @@
 }
 
 // Flush tells the others of the local freshness at once.
-func (e *Exchange) Flush() {
-	now := time.Now()
-	e.sendAll(e.news(now), now)
+func (e *Exchange) Flush() { e.tell(time.Now(), true) }
+
+// tell sends datagrams to the instances for which it is time. Those in other data
+// centres get fewer as long as no request waits, since bytes between data centres
+// are dear.
+func (e *Exchange) tell(now time.Time, flush bool) {
+	e.sending.Lock()
+	defer e.sending.Unlock()
+	observed, results := e.opts.Board.TakeShared()
+	backlogs := e.opts.Backlogs.Own()
+	farInterval := farInterval
+	if len(backlogs) > 0 {
+		farInterval = leastInterval
+	}
+	for _, group := range []struct {
+		news  *news
+		near  bool
+		least time.Duration
+	}{{e.nearNews, true, leastInterval}, {e.farNews, false, farInterval}} {
+		group.news.add(observed, results)
+		since := now.Sub(group.news.sent)
+		quiet := group.news.empty() && len(backlogs) == 0 && since < quietInterval
+		if !flush && (since < group.least || quiet) {
+			continue
+		}
+		e.sendNews(group.news, group.near, backlogs, now)
+	}
 }
 
-func (e *Exchange) sendAll(msg *gossippb.Datagram, now time.Time) {
+func (e *Exchange) sendNews(n *news, near bool, backlogs []admission.Backlog, now time.Time) {
+	msg := e.head()
+	f := e.follower.Freshness()
+	msg.Freshness = &gossippb.Freshness{
+		ServersVersion: f.ServersVersion,
+		TableVersion:   f.TableVersion,
+		AgeMs:          milliseconds(now.Sub(f.At)),
+	}
+	n.take(msg, now)
+	for _, b := range backlogs {
+		msg.Backlogs = append(msg.Backlogs, &gossippb.Backlog{Service: b.Service, InTime: uint32(b.InTime), Late: uint32(b.Late)})
+	}
 	data, err := proto.Marshal(msg)
 	if err != nil {
 		e.opts.Logger.Error("datagram not encoded", "error", err)
 		return
 	}
-	for _, address := range e.members.due(now) {
+	for _, address := range e.members.due(e.opts.DataCentre, near, now) {
 		e.write(data, address)
 	}
 }
@@ -221,28 +255,6 @@
 	}
 }
 
-// news returns what this instance has to tell.
-func (e *Exchange) news(now time.Time) *gossippb.Datagram {
-	msg := e.head()
-	f := e.follower.Freshness()
-	msg.Freshness = &gossippb.Freshness{
-		ServersVersion: f.ServersVersion,
-		TableVersion:   f.TableVersion,
-		AgeMs:          milliseconds(now.Sub(f.At)),
-	}
-	observed, results := e.opts.Board.TakeShared()
-	for _, r := range observed {
-		msg.Readings = append(msg.Readings, encodeReading(r, now))
-	}
-	for _, r := range results {
-		msg.Results = append(msg.Results, &gossippb.Results{Server: r.Server, Good: uint32(r.Good), Failed: uint32(r.Failed)})
-	}
-	for _, b := range e.opts.Backlogs.Own() {
-		msg.Backlogs = append(msg.Backlogs, &gossippb.Backlog{Service: b.Service, InTime: uint32(b.InTime), Late: uint32(b.Late)})
-	}
-	return msg
-}
-
 // SendState sends state to one instance.
 func (e *Exchange) SendState(to string, state *gossippb.State) {
 	address, ok := e.members.address(to)
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -91,12 +91,16 @@
 	return ids
 }
 
-// due returns the addresses to send to now.
-func (m *members) due(now time.Time) []netip.AddrPort {
+// due returns the addresses to send to now: those in the data centre, or those
+// in all others.
+func (m *members) due(dataCentre string, near bool, now time.Time) []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	addresses := make([]netip.AddrPort, 0, len(m.byID))
 	for _, known := range m.byID {
+		if (known.DataCentre == dataCentre) != near {
+			continue
+		}
 		if now.Sub(known.heard) > aliveFor && now.Sub(known.sent) < silentInterval {
 			continue
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -24,8 +24,10 @@
 	nearlyFullTime = 1.7
 	// coldTime is how much longer work takes on a server that just started.
 	coldTime = 2.0
-	// remoteTime weighs the way to another data centre and its price.
-	remoteTime = 1.15
+	// remoteTime weighs the way to another data centre and its price. It is far
+	// below the slowness of a machine in a spell of other load, so that a request
+	// rather goes further than to such a machine.
+	remoteTime = 1.4
 	// unhealthyTime weighs a status check that failed. Checks may be wrong.
 	unhealthyTime = 3.0
 	// unreachableTime weighs a status check that got no answer.
