--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -24,9 +25,8 @@
 	interval = 50 * time.Millisecond
 	// leastInterval is the least time between datagrams to one instance.
 	leastInterval = 35 * time.Millisecond
-	// farInterval is the least time between datagrams to an instance in another
-	// data centre while no request waits.
-	farInterval = 85 * time.Millisecond
+	// farInterval is the least time between datagrams to another data centre.
+	farInterval = 35 * time.Millisecond
 	// quietInterval is the time between datagrams that tell nothing new.
 	quietInterval = 200 * time.Millisecond
 	// maxDatagram is the size of the receive buffer, in bytes.
@@ -61,7 +61,9 @@
 
 // Options configure an [Exchange]. All are required.
 type Options struct {
-	Conn       net.PacketConn
+	Conn net.PacketConn
+	// Address is where others reach this instance.
+	Address    netip.AddrPort
 	ID         string
 	DataCentre string
 	Board      *readings.Board
@@ -74,6 +76,7 @@
 	opts     Options
 	conn     *net.UDPConn
 	started  int64
+	address  []byte
 	members  members
 	chunks   assembler
 	follower Follower
@@ -85,6 +88,8 @@
 	// centre and to those of others.
 	sending           sync.Mutex
 	nearNews, farNews *news
+	// turn selects the instances that pass datagrams on.
+	turn int
 
 	// SentBytes and ReceivedBytes count the bytes of datagrams.
 	SentBytes, ReceivedBytes atomic.Uint64
@@ -103,6 +108,10 @@
 	}
 	e := &Exchange{opts: opts, conn: conn, started: time.Now().UnixNano(), nudges: make(chan struct{}, 1), nearNews: newNews(), farNews: newNews()}
 	e.members.byID = make(map[string]*member)
+	var err error
+	if e.address, err = opts.Address.MarshalBinary(); err != nil {
+		return nil, fmt.Errorf("gossip: encode address: %w", err)
+	}
 	return e, nil
 }
 
@@ -186,34 +195,30 @@
 // Flush tells the others of the local freshness at once.
 func (e *Exchange) Flush() { e.tell(time.Now(), true) }
 
-// tell sends datagrams to the instances for which it is time. Those in other data
-// centres get fewer as long as no request waits, since bytes between data centres
-// are dear.
+// tell sends datagrams for which it is time. Bytes between data centres are dear:
+// each other data centre gets one datagram, which one of its instances in turn
+// passes on to the rest.
 func (e *Exchange) tell(now time.Time, flush bool) {
 	e.sending.Lock()
 	defer e.sending.Unlock()
 	observed, results := e.opts.Board.TakeShared()
 	backlogs := e.opts.Backlogs.Own()
-	farInterval := farInterval
-	if len(backlogs) > 0 {
-		farInterval = leastInterval
-	}
-	for _, group := range []struct {
-		news  *news
-		near  bool
-		least time.Duration
-	}{{e.nearNews, true, leastInterval}, {e.farNews, false, farInterval}} {
-		group.news.add(observed, results)
-		since := now.Sub(group.news.sent)
-		quiet := group.news.empty() && len(backlogs) == 0 && since < quietInterval
-		if !flush && (since < group.least || quiet) {
-			continue
-		}
-		e.sendNews(group.news, group.near, backlogs, now)
+	e.nearNews.add(observed, results)
+	e.farNews.add(observed, results)
+	if flush || e.nearNews.due(now, leastInterval, len(backlogs) > 0) {
+		msg := e.news(e.nearNews, backlogs, now)
+		e.sendTo(msg, append(e.members.near(e.opts.DataCentre, now), e.members.silent(now)...))
+	}
+	if flush || e.farNews.due(now, farInterval, len(backlogs) > 0) {
+		msg := e.news(e.farNews, backlogs, now)
+		msg.PassOn = true
+		e.turn++
+		e.sendTo(msg, e.members.relays(e.opts.DataCentre, e.turn, now))
 	}
 }
 
-func (e *Exchange) sendNews(n *news, near bool, backlogs []admission.Backlog, now time.Time) {
+// news returns a datagram with what is to be told.
+func (e *Exchange) news(n *news, backlogs []admission.Backlog, now time.Time) *gossippb.Datagram {
 	msg := e.head()
 	f := e.follower.Freshness()
 	msg.Freshness = &gossippb.Freshness{
@@ -225,12 +230,16 @@
 	for _, b := range backlogs {
 		msg.Backlogs = append(msg.Backlogs, &gossippb.Backlog{Service: b.Service, InTime: uint32(b.InTime), Late: uint32(b.Late)})
 	}
+	return msg
+}
+
+func (e *Exchange) sendTo(msg *gossippb.Datagram, addresses []netip.AddrPort) {
 	data, err := proto.Marshal(msg)
 	if err != nil {
 		e.opts.Logger.Error("datagram not encoded", "error", err)
 		return
 	}
-	for _, address := range e.members.due(e.opts.DataCentre, near, now) {
+	for _, address := range addresses {
 		e.write(data, address)
 	}
 }
@@ -252,6 +261,7 @@
 		Started:    e.started,
 		DataCentre: e.opts.DataCentre,
 		Leaving:    e.leaving.Load(),
+		Address:    e.address,
 	}
 }
 
@@ -309,6 +319,14 @@
 		return
 	}
 	sender := Member{ID: id, DataCentre: msg.GetDataCentre(), Address: from}
+	if err := sender.Address.UnmarshalBinary(msg.GetAddress()); err != nil {
+		e.opts.Logger.Warn("datagram not understood", "from", from, "error", err)
+		return
+	}
+	if msg.GetPassOn() {
+		msg.PassOn = false
+		e.sendTo(msg, e.members.near(e.opts.DataCentre, now))
+	}
 	if !e.members.hear(sender, msg.GetStarted(), msg.GetLeaving(), now) {
 		return
 	}
@@ -365,12 +383,7 @@
 	own := e.follower.Freshness()
 	msg := e.head()
 	msg.Want = &gossippb.Want{ServersVersion: own.ServersVersion, TableVersion: own.TableVersion}
-	data, err := proto.Marshal(msg)
-	if err != nil {
-		e.opts.Logger.Error("datagram not encoded", "error", err)
-		return
-	}
 	if address, ok := e.members.address(from); ok {
-		e.write(data, address)
+		e.sendTo(msg, []netip.AddrPort{address})
 	}
 }
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -91,21 +91,49 @@
 	return ids
 }
 
-// due returns the addresses to send to now: those in the data centre, or those
-// in all others.
-func (m *members) due(dataCentre string, near bool, now time.Time) []netip.AddrPort {
+// near returns the addresses of the instances of a data centre that are alive.
+func (m *members) near(dataCentre string, now time.Time) []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	addresses := make([]netip.AddrPort, 0, len(m.byID))
+	var addresses []netip.AddrPort
 	for _, known := range m.byID {
-		if (known.DataCentre == dataCentre) != near {
-			continue
+		if known.DataCentre == dataCentre && now.Sub(known.heard) <= aliveFor {
+			addresses = append(addresses, known.Address)
 		}
-		if now.Sub(known.heard) > aliveFor && now.Sub(known.sent) < silentInterval {
-			continue
+	}
+	return addresses
+}
+
+// relays returns the address of one instance in each other data centre, the next
+// in turn of those that are alive and not leaving.
+func (m *members) relays(dataCentre string, turn int, now time.Time) []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	byCentre := make(map[string][]string)
+	for id, known := range m.byID {
+		if known.DataCentre != dataCentre && !known.leaving && now.Sub(known.heard) <= aliveFor {
+			byCentre[known.DataCentre] = append(byCentre[known.DataCentre], id)
+		}
+	}
+	var addresses []netip.AddrPort
+	for _, ids := range byCentre {
+		sort.Strings(ids)
+		addresses = append(addresses, m.byID[ids[turn%len(ids)]].Address)
+	}
+	return addresses
+}
+
+// silent returns the addresses of the instances that are not heard and to which
+// nothing was sent lately.
+func (m *members) silent(now time.Time) []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var addresses []netip.AddrPort
+	for _, known := range m.byID {
+		if now.Sub(known.heard) > aliveFor && now.Sub(known.sent) >= silentInterval {
+			known.sent = now
+			addresses = append(addresses, known.Address)
 		}
-		known.sent = now
-		addresses = append(addresses, known.Address)
 	}
 	return addresses
 }
--- a/gossip/news.go
+++ b/gossip/news.go
@@ -30,6 +30,13 @@
 	}
 }
 
+// due reports whether it is time for a datagram; talk tells that there is more to
+// tell than news.
+func (n *news) due(now time.Time, least time.Duration, talk bool) bool {
+	since := now.Sub(n.sent)
+	return since >= least && (talk || !n.empty() || since >= quietInterval)
+}
+
 func (n *news) empty() bool { return len(n.readings) == 0 && len(n.results) == 0 }
 
 // take fills a datagram and forgets what is in it.
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -152,7 +152,7 @@
 		return &ListenError{Address: d.opts.Settings.Peer, Err: err}
 	}
 	d.exchange, err = gossip.New(gossip.Options{
-		Conn: conn, ID: d.self.ID, DataCentre: d.self.DataCentre, Board: d.board,
+		Conn: conn, Address: d.self.Address, ID: d.self.ID, DataCentre: d.self.DataCentre, Board: d.board,
 		Backlogs: d.backlogs, Logger: d.logger.With("part", "gossip"),
 	})
 	if err != nil {
