--- a/forward/queue.go
+++ b/forward/queue.go
@@ -26,9 +26,6 @@
 	// time on an idle machine without other load; more than half of the
 	// requests run on such machines.
 	workQuantile = 0.4
-	// mostWork is the time within which most requests end, in multiples of the
-	// expected time.
-	mostWork = 1.35
 	// rateMemory is the weight of the last interval in the rate of sending; the
 	// rate follows within half a second.
 	rateMemory = 0.05
@@ -79,10 +76,6 @@
 	began time.Time
 }
 
-// usually returns the time within which most requests end on a machine without
-// other load.
-func (q *queue) usually() time.Duration { return time.Duration(mostWork * float64(q.work)) }
-
 func newQueue(f *Forwarder, service string) *queue {
 	return &queue{f: f, service: service, work: initialWork}
 }
@@ -161,7 +154,7 @@
 func (q *queue) placeLocked(w *waiter, now time.Time) (placed, bool) {
 	servers, candidates := w.x.candidates(now)
 	assessed := placement.Assess(candidates)
-	own := counts([]*waiter{w}, now, q.usually())
+	own := counts([]*waiter{w}, now, q.work)
 	if admission.Shares(placement.Room(assessed, q.within(w, now)), own, q.f.opts.Backlogs.Others(q.service, now)) != own {
 		return placed{}, false
 	}
@@ -184,14 +177,14 @@
 
 // tellLocked tells the other instances how many requests wait.
 func (q *queue) tellLocked(now time.Time) {
-	q.f.opts.Backlogs.Set(q.service, counts(q.waiters, now, q.usually()))
+	q.f.opts.Backlogs.Set(q.service, counts(q.waiters, now, q.work))
 }
 
 // within returns the time that a server may need for the request, in multiples
 // of the work: what is left until its target or, if it is late, its deadline.
 func (q *queue) within(w *waiter, now time.Time) float64 {
 	until := w.Target
-	if w.Late(now, q.usually()) {
+	if w.Late(now, q.work) {
 		until = w.Deadline
 	}
 	return float64(until.Sub(now)) / float64(q.work)
@@ -212,13 +205,13 @@
 	if len(q.f.opts.Directory.Servers(q.service)) == 0 {
 		return w.x.refusal(outcome.CodeNoServer, "the service has no usable server")
 	}
-	late := w.Late(now, q.usually())
+	late := w.Late(now, q.work)
 	ahead, rate := 0, q.rate
 	if late {
 		rate = max(q.lateRate, leastLateShare*q.rate)
 	}
 	for _, other := range q.waiters {
-		if admission.Before(other.Waiting, w.Waiting, now, q.usually()) <= 0 && (!late || other.Late(now, q.usually())) {
+		if admission.Before(other.Waiting, w.Waiting, now, q.work) <= 0 && (!late || other.Late(now, q.work)) {
 			ahead++
 		}
 	}
@@ -272,7 +265,7 @@
 }
 
 func (q *queue) sortLocked(now time.Time) {
-	admission.Sort(q.waiters, func(w *waiter) admission.Waiting { return w.Waiting }, now, q.usually())
+	admission.Sort(q.waiters, func(w *waiter) admission.Waiting { return w.Waiting }, now, q.work)
 }
 
 // dispatchLocked sends waiting requests in their order, as many as are this
@@ -285,7 +278,7 @@
 	may := q.sharesLocked(now)
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
 		allowed := &may.InTime
-		if w.Late(now, q.usually()) {
+		if w.Late(now, q.work) {
 			allowed = &may.Late
 		}
 		if *allowed <= 0 {
@@ -309,7 +302,7 @@
 func (q *queue) sharesLocked(now time.Time) admission.Counts {
 	_, candidates := q.waiters[0].x.candidates(now)
 	assessed := placement.Assess(candidates)
-	own, others := counts(q.waiters, now, q.usually()), q.f.opts.Backlogs.Others(q.service, now)
+	own, others := counts(q.waiters, now, q.work), q.f.opts.Backlogs.Others(q.service, now)
 	inTime := admission.Shares(placement.Room(assessed, q.within(q.waiters[0], now)), own, others)
 	late := admission.Shares(placement.Room(assessed, math.Inf(1)), own, others)
 	return admission.Counts{InTime: inTime.InTime, Late: late.Late}
@@ -318,7 +311,7 @@
 // countLocked counts a request that is sent.
 func (q *queue) countLocked(w *waiter, now time.Time) {
 	q.sent++
-	if w.Late(now, q.usually()) {
+	if w.Late(now, q.work) {
 		q.sentLate++
 	}
 }
