--- a/feed/feed.go
+++ b/feed/feed.go
@@ -38,6 +38,9 @@
 	outageAfter = time.Second
 	// pollInterval is how often the duty looks whether it has to read.
 	pollInterval = 50 * time.Millisecond
+	// maxChangeLines is the number of changes at once from which they are logged
+	// in one line.
+	maxChangeLines = 8
 	// feedKey selects the reader among the instances.
 	feedKey = "feed"
 )
@@ -237,6 +240,10 @@
 }
 
 func (f *Feed) logChanges(changes []directory.Change, source string) {
+	if len(changes) > maxChangeLines {
+		f.opts.Logger.Info("servers changed", "changes", len(changes), "version", f.opts.Directory.Version(), "source", source)
+		return
+	}
 	for _, c := range changes {
 		switch {
 		case c.Gone:
