--- a/admission/order.go
+++ b/admission/order.go
@@ -45,7 +45,7 @@
 	if lateA {
 		return a.Deadline.Compare(b.Deadline)
 	}
-	return b.Target.Compare(a.Target)
+	return a.Target.Compare(b.Target)
 }
 
 // Sort puts the requests into the order in which they are sent.
