--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -140,6 +140,7 @@
 // connection ends.
 func (c *conn) awaitRequest() bool {
 	idleSince := time.Now()
+	c.limit.left = maxHeaderBytes
 	for {
 		limit := time.Duration(float64(c.server.opts.IdleTimeout()) * idleSlack)
 		_ = c.raw.SetReadDeadline(idleSince.Add(limit))
@@ -166,7 +167,6 @@
 
 func (c *conn) readRequest() (*http.Request, error) {
 	_ = c.raw.SetReadDeadline(time.Now().Add(headerTimeout))
-	c.limit.left = maxHeaderBytes
 	req, err := http.ReadRequest(c.reader)
 	c.limit.left = unlimited
 	_ = c.raw.SetReadDeadline(time.Time{})
--- /dev/null
+++ b/callerconn/server_test.go
@@ -0,0 +1,212 @@
+package callerconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// start serves the handler and returns a connection to it.
+func start(t *testing.T, handler http.HandlerFunc) (*Server, net.Conn, *bufio.Reader) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(Options{
+		Handler: handler, IdleTimeout: func() time.Duration { return 200 * time.Millisecond },
+		Logger: slog.New(slog.DiscardHandler),
+	})
+	go func() { _ = s.Serve(listener) }()
+	t.Cleanup(s.Close)
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	return s, conn, bufio.NewReader(conn)
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
+
+func send(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func read(t *testing.T, reader *bufio.Reader) (*http.Response, string, error) {
+	t.Helper()
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// TestPipelinedRequestsRunAtOnceAndAreAnsweredInOrder holds the first request up
+// until the second one runs.
+func TestPipelinedRequestsRunAtOnceAndAreAnsweredInOrder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	second := make(chan struct{})
+	_, conn, reader := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			<-second
+		} else {
+			close(second)
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	send(t, conn, get("/1")+get("/2"))
+	for _, want := range []string{"/1", "/2"} {
+		_, body, err := read(t, reader)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal(want))
+	}
+}
+
+func TestCallerThatLeavesEndsItsRequests(t *testing.T) {
+	ended := make(chan struct{})
+	_, conn, _ := start(t, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(ended)
+		panic(http.ErrAbortHandler)
+	})
+	send(t, conn, get("/"))
+	time.Sleep(20 * time.Millisecond)
+	conn.Close()
+	gomega.NewWithT(t).Eventually(ended).Should(gomega.BeClosed())
+}
+
+func TestBodyIsReadBeforeTheNextRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, conn, reader := start(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = io.WriteString(w, r.URL.Path+string(body))
+	})
+	send(t, conn, "PUT /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"+
+		"PUT /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"+get("/c"))
+	for _, want := range []string{"/abody", "/babc", "/c"} {
+		_, body, err := read(t, reader)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal(want))
+	}
+}
+
+func TestBodyLeftUnreadClosesTheConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, conn, reader := start(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusRequestEntityTooLarge) })
+	send(t, conn, "PUT /a HTTP/1.1\r\nHost: x\r\nContent-Length: 400\r\n\r\nbody")
+	resp, _, err := read(t, reader)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusRequestEntityTooLarge))
+	g.Expect(resp.Close).To(gomega.BeTrue())
+}
+
+func TestCallerThatWaitsIsToldToSendItsBody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, conn, reader := start(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	})
+	send(t, conn, "PUT /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+	resp, _, err := read(t, reader)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusContinue))
+	send(t, conn, "body")
+	_, body, err := read(t, reader)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal("body"))
+}
+
+func TestAbortedAnswerDoesNotLookComplete(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, length := range []string{"", "10"} {
+		_, conn, reader := start(t, func(w http.ResponseWriter, _ *http.Request) {
+			if length != "" {
+				w.Header().Set("Content-Length", length)
+			}
+			_, _ = io.WriteString(w, "part")
+			panic(http.ErrAbortHandler)
+		})
+		send(t, conn, get("/"))
+		_, _, err := read(t, reader)
+		g.Expect(err).To(gomega.HaveOccurred())
+	}
+}
+
+func TestAnswerWithoutLengthIsChunked(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, conn, reader := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "text") })
+	send(t, conn, get("/"))
+	resp, body, err := read(t, reader)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal("text"))
+	g.Expect(resp.TransferEncoding).To(gomega.Equal([]string{"chunked"}))
+}
+
+func TestMalformedHeadIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for text, status := range map[string]int{
+		"nonsense\r\n\r\n": http.StatusBadRequest,
+		"GET / HTTP/1.1\r\nHost: x\r\nLong: " + strings.Repeat("x", maxHeaderBytes) + "\r\n\r\n": http.StatusRequestHeaderFieldsTooLarge,
+	} {
+		_, conn, reader := start(t, func(http.ResponseWriter, *http.Request) {})
+		go func() { _, _ = io.WriteString(conn, text) }()
+		resp, _, err := read(t, reader)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(resp.StatusCode).To(gomega.Equal(status))
+	}
+}
+
+func TestIdleConnectionIsClosed(t *testing.T) {
+	_, _, reader := start(t, func(http.ResponseWriter, *http.Request) {})
+	_, err := reader.ReadByte()
+	gomega.NewWithT(t).Expect(err).To(gomega.Equal(io.EOF))
+}
+
+// TestStopAnswersWhatWasRead stops with requests in flight: each is answered, and
+// the last answer closes the connection.
+func TestStopAnswersWhatWasRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	release := make(chan struct{})
+	s, conn, reader := start(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	send(t, conn, get("/1")+get("/2"))
+	time.Sleep(30 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(t.Context()) }()
+	time.Sleep(30 * time.Millisecond)
+	close(release)
+	first, _, err := read(t, reader)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(first.Close).To(gomega.BeFalse())
+	second, body, err := read(t, reader)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal("/2"))
+	g.Expect(second.Close).To(gomega.BeTrue())
+	g.Eventually(stopped).Should(gomega.Receive(gomega.BeNil()))
+}
+
+func TestShutdownEndsWithItsContext(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, conn, _ := start(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	send(t, conn, get("/"))
+	time.Sleep(30 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	g.Expect(s.Shutdown(ctx)).To(gomega.MatchError(context.DeadlineExceeded))
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -48,6 +48,9 @@
 
 type entry struct {
 	Change
+	// seen is the version of the last change, also of one that told nothing
+	// new.
+	seen uint64
 	// lapsedUntil is set while a removed entry is still used.
 	lapsedUntil time.Time
 }
@@ -165,13 +168,14 @@
 	now := time.Now()
 	for _, change := range changes {
 		old := d.entries[change.ID]
-		if old != nil && change.Version <= old.Version {
+		if old != nil && change.Version <= old.seen {
 			continue
 		}
 		if old != nil && old.same(change) {
+			old.seen = change.Version
 			continue
 		}
-		next := &entry{Change: change}
+		next := &entry{Change: change, seen: change.Version}
 		if change.Gone && old != nil && !old.Gone && now.Before(holdUntil) {
 			next.Server = old.Server
 			next.lapsedUntil = holdUntil
--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,123 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func change(id string, version uint64) Change {
+	return Change{Server: Server{ID: id, Service: "orders", Address: "10.0.0.1:80", Slots: 6}, Version: version}
+}
+
+func gone(id string, version uint64) Change {
+	return Change{Server: Server{ID: id}, Version: version, Gone: true}
+}
+
+func ids(servers []Server) []string {
+	var out []string
+	for _, s := range servers {
+		out = append(out, s.ID)
+	}
+	return out
+}
+
+func TestDrainingAndGoneServersTakeNoWork(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := New()
+	draining := change("b", 2)
+	draining.Draining = true
+	d.Apply([]Change{change("a", 1), draining, change("c", 3)}, 0, 3, time.Time{})
+	g.Expect(ids(d.Servers("orders"))).To(gomega.Equal([]string{"a", "c"}))
+	d.Apply([]Change{gone("c", 4)}, 3, 4, time.Time{})
+	g.Expect(ids(d.Servers("orders"))).To(gomega.Equal([]string{"a"}))
+	g.Expect(d.Version()).To(gomega.Equal(uint64(4)))
+}
+
+func TestOlderChangeDoesNotBringAServerBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := New()
+	d.Apply([]Change{change("a", 1), gone("a", 5)}, 0, 5, time.Time{})
+	g.Expect(d.Apply([]Change{change("a", 3)}, 0, 5, time.Time{})).To(gomega.BeEmpty())
+	g.Expect(d.Servers("orders")).To(gomega.BeEmpty())
+}
+
+func TestMissedChangesKeepTheVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := New()
+	d.Apply([]Change{change("a", 1)}, 0, 1, time.Time{})
+	d.Apply([]Change{change("c", 9)}, 7, 9, time.Time{})
+	g.Expect(d.Version()).To(gomega.Equal(uint64(1)), "changes between 1 and 7 are missing")
+	g.Expect(ids(d.Servers("orders"))).To(gomega.Equal([]string{"a", "c"}))
+}
+
+func TestHeartbeatTellsNothingNew(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := New()
+	d.Apply([]Change{change("a", 1)}, 0, 1, time.Time{})
+	g.Expect(d.Apply([]Change{change("a", 2)}, 1, 1, time.Time{})).To(gomega.BeEmpty())
+	g.Expect(d.Version()).To(gomega.Equal(uint64(1)))
+}
+
+func TestLapsedEntryStaysInUseUntilTheHoldEnds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := New()
+	d.Apply([]Change{change("a", 1), change("b", 2)}, 0, 2, time.Time{})
+	hold := time.Now().Add(time.Minute)
+	d.Apply([]Change{gone("a", 3), gone("b", 4)}, 2, 4, hold)
+	g.Expect(ids(d.Servers("orders"))).To(gomega.Equal([]string{"a", "b"}))
+	d.Apply([]Change{change("a", 5)}, 4, 5, hold)
+	g.Expect(d.Expire(hold)).To(gomega.Equal([]string{"b"}))
+	g.Expect(ids(d.Servers("orders"))).To(gomega.Equal([]string{"a"}))
+}
+
+func TestReplaceRemovesWhatTheStoreLacks(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := New()
+	d.Apply([]Change{change("a", 1), change("b", 2), change("new", 20)}, 0, 20, time.Time{})
+	d.Replace([]Change{change("b", 2)}, 10, time.Time{})
+	g.Expect(ids(d.Servers("orders"))).To(gomega.Equal([]string{"b", "new"}), "an entry newer than the view stays")
+	g.Expect(d.Synced()).To(gomega.BeTrue())
+}
+
+func TestRestartUnderTheSameIDIsNew(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := New()
+	first := change("a", 1)
+	first.Born = 100
+	d.Apply([]Change{first}, 0, 1, time.Time{})
+	g.Expect(d.Retire("a")).To(gomega.BeTrue())
+	g.Expect(d.Servers("orders")).To(gomega.BeEmpty())
+	second := change("a", 2)
+	second.Born = 200
+	g.Expect(d.Apply([]Change{second}, 1, 2, time.Time{})).To(gomega.HaveLen(1))
+	g.Expect(ids(d.Servers("orders"))).To(gomega.Equal([]string{"a"}))
+}
+
+// TestOrderOfArrivalDoesNotMatter applies the same changes in two orders.
+func TestOrderOfArrivalDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "changes")
+		var changes []Change
+		for version := 1; version <= n; version++ {
+			id := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "server"))
+			c := change(id, uint64(version))
+			if rapid.Bool().Draw(t, "gone") {
+				c = gone(id, uint64(version))
+			}
+			c.Draining = !c.Gone && rapid.Bool().Draw(t, "draining")
+			changes = append(changes, c)
+		}
+		inOrder, shuffled := New(), New()
+		inOrder.Apply(changes, 0, uint64(n), time.Time{})
+		for _, c := range rapid.Permutation(changes).Draw(t, "order") {
+			shuffled.Apply([]Change{c}, 0, 0, time.Time{})
+		}
+		if a, b := fmt.Sprint(ids(inOrder.Servers("orders"))), fmt.Sprint(ids(shuffled.Servers("orders"))); a != b {
+			t.Fatalf("in order %s, shuffled %s", a, b)
+		}
+	})
+}
--- /dev/null
+++ b/gossip/exchange_test.go
@@ -0,0 +1,197 @@
+package gossip
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/pomelolock/pomelolock/admission"
+	"github.com/pomelolock/pomelolock/gossip/gossippb"
+	"github.com/pomelolock/pomelolock/readings"
+)
+
+// follower is a view with a version and the state that goes with it.
+type follower struct {
+	mu       sync.Mutex
+	version  uint64
+	received []*gossippb.State
+}
+
+func (f *follower) Freshness() Freshness {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Freshness{ServersVersion: f.version, At: time.Now()}
+}
+
+func (f *follower) Heard(_ string, theirs Freshness) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return theirs.ServersVersion > f.version
+}
+
+func (f *follower) Received(_ string, state *gossippb.State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.received = append(f.received, state)
+	f.version = max(f.version, state.GetVersion())
+}
+
+func (f *follower) State(version, _ uint64) *gossippb.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version >= f.version {
+		return nil
+	}
+	state := &gossippb.State{Base: version, Version: f.version}
+	for i := range 400 {
+		state.Servers = append(state.Servers, &gossippb.Server{Id: fmt.Sprintf("server-%d-%d", i, time.Now().UnixNano()), Version: f.version})
+	}
+	return state
+}
+
+type node struct {
+	exchange *Exchange
+	follower *follower
+	board    *readings.Board
+	backlogs *admission.Backlogs
+	member   Member
+}
+
+// fleet starts instances on loopback that know the first one's address.
+func fleet(t *testing.T, centres ...string) []*node {
+	t.Helper()
+	var nodes []*node
+	for i, centre := range centres {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		n := &node{
+			follower: &follower{}, board: readings.NewBoard(), backlogs: admission.NewBacklogs(),
+			member: Member{ID: fmt.Sprint("entry-", i), DataCentre: centre, Address: netip.MustParseAddrPort(conn.LocalAddr().String())},
+		}
+		n.exchange, err = New(Options{
+			Conn: conn, Address: n.member.Address, ID: n.member.ID, DataCentre: centre,
+			Board: n.board, Backlogs: n.backlogs, Logger: slog.New(slog.DiscardHandler),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.exchange.Follow(n.follower)
+		nodes = append(nodes, n)
+	}
+	var wg sync.WaitGroup
+	t.Cleanup(wg.Wait)
+	for _, n := range nodes {
+		for _, other := range nodes {
+			n.exchange.Add(other.member)
+		}
+		wg.Go(func() { _ = n.exchange.Run(t.Context()) })
+	}
+	return nodes
+}
+
+func TestReadingsReachAllDataCentres(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := fleet(t, "a", "a", "b", "b", "b")
+	for _, n := range nodes {
+		g.Eventually(func() int { return len(n.exchange.Alive("")) }).WithTimeout(5 * time.Second).Should(gomega.Equal(len(nodes)))
+	}
+	nodes[0].board.Observe(readings.Reading{
+		Server: "s", Measured: true, At: time.Now(), Report: readings.Report{Running: 2, Slots: 6, Slowness: 400},
+	})
+	nodes[0].board.Result("s", true, time.Now())
+	nodes[0].backlogs.Set("orders", admission.Counts{InTime: 4})
+	for _, n := range nodes[1:] {
+		g.Eventually(func() int { return n.board.Load("s", time.Now()).Slowness }).WithTimeout(5 * time.Second).Should(gomega.Equal(400))
+		g.Eventually(func() float64 { return n.board.Load("s", time.Now()).FailureRate }).WithTimeout(5 * time.Second).Should(gomega.BeNumerically(">", 0))
+		g.Eventually(func() int { return n.backlogs.Others("orders", time.Now()).InTime }).WithTimeout(5 * time.Second).Should(gomega.Equal(4))
+	}
+}
+
+func TestInstanceThatIsBehindAsksForState(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := fleet(t, "a", "b")
+	nodes[0].follower.mu.Lock()
+	nodes[0].follower.version = 9
+	nodes[0].follower.mu.Unlock()
+	g.Eventually(func() uint64 { return nodes[1].follower.Freshness().ServersVersion }).WithTimeout(5 * time.Second).Should(gomega.Equal(uint64(9)))
+	g.Expect(nodes[1].follower.received[0].GetServers()).To(gomega.HaveLen(400), "in several chunks")
+}
+
+func TestLeavingInstanceTakesPartInNoDuty(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := fleet(t, "a", "a")
+	g.Eventually(func() []string { return nodes[0].exchange.Alive("") }).WithTimeout(5 * time.Second).Should(gomega.HaveLen(2))
+	nodes[1].exchange.Leave()
+	g.Eventually(func() []string { return nodes[0].exchange.Alive("") }).WithTimeout(5 * time.Second).Should(gomega.Equal([]string{"entry-0"}))
+	g.Expect(nodes[1].exchange.Alive("")).To(gomega.Equal([]string{"entry-0"}))
+}
+
+func TestDatagramOfAnEarlierProcessIsIgnored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := members{byID: make(map[string]*member)}
+	now := time.Now()
+	g.Expect(m.hear(Member{ID: "a"}, 2, false, now)).To(gomega.BeTrue())
+	g.Expect(m.hear(Member{ID: "a"}, 1, false, now)).To(gomega.BeFalse())
+}
+
+func TestRelaysTakeTurns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := members{byID: make(map[string]*member)}
+	now := time.Now()
+	for i := range 3 {
+		address := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1))
+		m.hear(Member{ID: fmt.Sprint(i), DataCentre: "b", Address: address}, 1, false, now)
+	}
+	seen := make(map[netip.AddrPort]bool)
+	for turn := range 3 {
+		relays := m.relays("a", turn, now)
+		g.Expect(relays).To(gomega.HaveLen(1))
+		seen[relays[0]] = true
+	}
+	g.Expect(seen).To(gomega.HaveLen(3))
+	g.Expect(m.relays("a", 0, now.Add(aliveFor*2))).To(gomega.BeEmpty())
+}
+
+// TestChunksInAnyOrder assembles a state whose chunks are permuted and doubled.
+func TestChunksInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := &gossippb.State{Table: rapid.SliceOfN(rapid.Byte(), 1, 9000).Draw(t, "table")}
+		parts, err := split(state)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var order []int
+		for i := range parts {
+			order = append(order, i)
+		}
+		var a assembler
+		var got *gossippb.State
+		for _, i := range rapid.Permutation(order).Draw(t, "order") {
+			chunk := &gossippb.Chunk{Transfer: 1, Index: uint32(i), Count: uint32(len(parts)), Data: parts[i]}
+			if got, err = a.add("x", chunk); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if string(got.GetTable()) != string(state.GetTable()) {
+			t.Fatal("state differs")
+		}
+	})
+}
+
+func TestImpossibleChunkIsRefused(t *testing.T) {
+	var a assembler
+	for _, chunk := range []*gossippb.Chunk{{}, {Index: 2, Count: 2}, {Count: maxChunks + 1}} {
+		_, err := a.add("x", chunk)
+		gomega.NewWithT(t).Expect(err).To(gomega.BeAssignableToTypeOf(&ChunkError{}))
+	}
+}
--- /dev/null
+++ b/readings/board_test.go
@@ -0,0 +1,82 @@
+package readings
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+func reading(at time.Time, running int) Reading {
+	return Reading{Server: "s", Measured: true, At: at, Report: Report{Running: running, Slots: 6, Slowness: 100}}
+}
+
+func TestNewestReadingHolds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	b := NewBoard()
+	b.Observe(reading(now, 3))
+	b.Receive(reading(now.Add(-time.Second), 5))
+	g.Expect(b.Load("s", now).Running).To(gomega.Equal(3))
+}
+
+func TestRequestsSinceTheReportAreUnseen(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	b := NewBoard()
+	b.Began("s", now)
+	b.Observe(reading(now.Add(10*time.Millisecond), 1))
+	b.Began("s", now.Add(20*time.Millisecond))
+	b.Began("s", now.Add(21*time.Millisecond))
+	b.Ended("s", now.Add(30*time.Millisecond))
+	load := b.Load("s", now.Add(40*time.Millisecond))
+	g.Expect(load.Unseen).To(gomega.Equal(1))
+	g.Expect(load.Own).To(gomega.Equal(2))
+}
+
+func TestResultsOfAllInstancesMakeTheFailureRate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	b := NewBoard()
+	b.Result("s", true, now)
+	b.ReceiveResults(Results{Server: "s", Failed: 9}, now)
+	g.Expect(b.Load("s", now).FailureRate).To(gomega.BeNumerically(">", 0.7))
+	g.Expect(b.Load("s", now.Add(20*time.Second)).FailureRate).To(gomega.BeNumerically("<", 0.01))
+}
+
+func TestSharedOnceAndOnlyOwn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	b := NewBoard()
+	b.Observe(reading(now, 1))
+	b.Result("s", false, now)
+	b.Receive(Reading{Server: "other", Measured: true, At: now})
+	observed, results := b.TakeShared()
+	g.Expect(observed).To(gomega.HaveLen(1))
+	g.Expect(results).To(gomega.Equal([]Results{{Server: "s", Good: 1}}))
+	observed, results = b.TakeShared()
+	g.Expect(observed).To(gomega.BeEmpty())
+	g.Expect(results).To(gomega.BeEmpty())
+}
+
+func TestFailedCheckKeepsTheLastReport(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	b := NewBoard()
+	b.Observe(reading(now, 4))
+	b.Observe(Reading{Server: "s", Health: HealthUnreachable, At: now.Add(time.Millisecond)})
+	load := b.Load("s", now.Add(2*time.Millisecond))
+	g.Expect(load.Running).To(gomega.Equal(4))
+	g.Expect(load.Health).To(gomega.Equal(HealthUnreachable))
+}
+
+func TestRetainKeepsServersInUse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	b := NewBoard()
+	b.Began("busy", now)
+	b.Observe(reading(now, 1))
+	b.Retain(func(string) bool { return false })
+	g.Expect(b.Load("busy", now).Own).To(gomega.Equal(1))
+	g.Expect(b.Load("s", now).Known).To(gomega.BeFalse())
+}
--- /dev/null
+++ b/serverconn/pool_test.go
@@ -0,0 +1,229 @@
+package serverconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// backend accepts connections and hands each to serve.
+func backend(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// answers reads one request after the other and writes the next text for each.
+func answers(texts ...string) func(net.Conn) {
+	return func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for _, text := range texts {
+			req, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(conn, text)
+		}
+		_, _ = io.Copy(io.Discard, reader)
+	}
+}
+
+func okAnswer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func request(method, body string) *http.Request {
+	req := &http.Request{
+		Method: method, URL: &url.URL{Scheme: "http", Host: "x", Path: "/"}, Host: "x",
+		Header: http.Header{}, ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody,
+	}
+	if body != "" {
+		req.Body, req.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+	}
+	return req
+}
+
+func withID(id string) func(*http.Response) bool {
+	return func(resp *http.Response) bool { return resp.Header.Get("Request-Id") == id }
+}
+
+// do makes one round trip and returns the answer's body.
+func do(t *testing.T, pool *Pool, address, id string) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	conn, err := pool.Get(ctx, address, 0)
+	if err != nil {
+		return "", err
+	}
+	resp, err := conn.RoundTrip(ctx, request(http.MethodGet, ""), withID(id))
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address := backend(t, answers(okAnswer("1", "one"), okAnswer("2", "two")))
+	pool := NewPool()
+	for id, want := range map[string]string{"1": "one"} {
+		g.Expect(do(t, pool, address, id)).To(gomega.Equal(want))
+	}
+	g.Expect(do(t, pool, address, "2")).To(gomega.Equal("two"))
+	g.Expect(pool.Opened.Load()).To(gomega.Equal(uint64(1)))
+	g.Expect(pool.Reused.Load()).To(gomega.Equal(uint64(1)))
+}
+
+func TestAnswerToAnotherRequestIsSkipped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address := backend(t, answers(okAnswer("old", "foreign")+okAnswer("1", "own")))
+	g.Expect(do(t, NewPool(), address, "1")).To(gomega.Equal("own"))
+}
+
+func TestConnectionWithBytesLeftOverIsNotKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address := backend(t, answers(okAnswer("1", "one")+okAnswer("1", "again")))
+	pool := NewPool()
+	g.Expect(do(t, pool, address, "1")).To(gomega.Equal("one"))
+	g.Expect(do(t, pool, address, "1")).To(gomega.Equal("one"))
+	g.Expect(pool.Opened.Load()).To(gomega.Equal(uint64(2)))
+}
+
+func TestConnectionClosedByTheServerIsNotUsedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address := backend(t, func(conn net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, okAnswer("1", "one"))
+		conn.Close()
+	})
+	pool := NewPool()
+	for range 2 {
+		g.Expect(do(t, pool, address, "1")).To(gomega.Equal("one"))
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.Expect(pool.Opened.Load()).To(gomega.Equal(uint64(2)))
+}
+
+func TestResetAfterSendingIsNotSentAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	arrived := make(chan struct{}, 8)
+	address := backend(t, func(conn net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		arrived <- struct{}{}
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	})
+	_, err := do(t, NewPool(), address, "1")
+	var failed *SendError
+	g.Expect(errors.As(err, &failed)).To(gomega.BeTrue())
+	g.Expect(failed.Unsent).To(gomega.BeFalse())
+	time.Sleep(50 * time.Millisecond)
+	g.Expect(arrived).To(gomega.HaveLen(1))
+}
+
+func TestRefusedConnectionIsADialError(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	address := listener.Addr().String()
+	listener.Close()
+	_, err = do(t, NewPool(), address, "1")
+	var dial *DialError
+	g.Expect(errors.As(err, &dial)).To(gomega.BeTrue())
+}
+
+func TestLimitOfConnections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address := backend(t, answers())
+	pool := NewPool()
+	first, err := pool.Get(t.Context(), address, 1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = pool.Get(t.Context(), address, 1)
+	g.Expect(err).To(gomega.BeAssignableToTypeOf(&FullError{}))
+	first.Close()
+	_, err = pool.Get(t.Context(), address, 1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+// TestEarlyAnswerToALongBody answers before the body was read: the rest of the
+// body must not be followed by another request.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const size = 8 << 20
+	address := backend(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		_, _ = http.ReadRequest(reader)
+		_, _ = io.WriteString(conn, okAnswer("1", "no"))
+		time.Sleep(300 * time.Millisecond)
+		conn.Close()
+	})
+	pool := NewPool()
+	conn, err := pool.Get(t.Context(), address, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	resp, err := conn.RoundTrip(t.Context(), request(http.MethodPost, strings.Repeat("x", size)), withID("1"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	Discard(resp)
+	_, open := pool.takeIdle(address, 1)
+	g.Expect(open).To(gomega.BeTrue(), "the connection was closed, not kept")
+}
+
+func TestEndOfTheContextClosesTheConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	closed := make(chan struct{})
+	address := backend(t, func(conn net.Conn) {
+		_, _ = io.Copy(io.Discard, conn)
+		close(closed)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	conn, err := NewPool().Get(ctx, address, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = conn.RoundTrip(ctx, request(http.MethodGet, ""), withID("1"))
+	g.Expect(err).To(gomega.MatchError(context.DeadlineExceeded))
+	g.Eventually(closed).Should(gomega.BeClosed())
+}
+
+func TestIdleTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(idleTime("")).To(gomega.Equal(defaultIdle))
+	g.Expect(idleTime("timeout=10, max=5")).To(gomega.Equal(10*time.Second - idleMargin))
+	g.Expect(idleTime("timeout=x")).To(gomega.Equal(defaultIdle))
+}
+
+func TestSweepClosesWhatIsNotKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address := backend(t, answers(okAnswer("1", "one")))
+	pool := NewPool()
+	g.Expect(do(t, pool, address, "1")).To(gomega.Equal("one"))
+	pool.Sweep(time.Now(), func(string) bool { return false })
+	c, _ := pool.takeIdle(address, 1)
+	g.Expect(c).To(gomega.BeNil())
+}
