--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,365 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/pomelolock/pomelolock/admission"
+	"github.com/pomelolock/pomelolock/directory"
+	"github.com/pomelolock/pomelolock/gossip"
+	"github.com/pomelolock/pomelolock/readings"
+	"github.com/pomelolock/pomelolock/table"
+)
+
+// store is the platform's store: entries, one table, and a version.
+type store struct {
+	mu      sync.Mutex
+	version uint64
+	entries map[string]directory.Change
+	table   *table.Document
+	tableAt uint64
+	// historyFrom is the oldest version whose changes are known.
+	historyFrom uint64
+	changed     chan struct{}
+}
+
+var errAway = errors.New("the store is away")
+
+func newStore() *store {
+	return &store{entries: make(map[string]directory.Change), changed: make(chan struct{})}
+}
+
+func (s *store) put(c directory.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	c.Version = s.version
+	s.entries[c.ID] = c
+}
+
+func (s *store) accept(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.table, s.tableAt = &table.Document{Version: version}, s.version
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// access is the store as one instance reaches it.
+type access struct {
+	*store
+	mu    sync.Mutex
+	away  bool
+	calls int
+}
+
+func (a *access) setAway(away bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.away = away
+}
+
+func (a *access) enter() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls++
+	if a.away {
+		return errAway
+	}
+	return nil
+}
+
+func (a *access) called() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.calls
+}
+
+func (a *access) Servers(context.Context) ([]directory.Change, uint64, error) {
+	if err := a.enter(); err != nil {
+		return nil, 0, err
+	}
+	a.store.mu.Lock()
+	defer a.store.mu.Unlock()
+	var all []directory.Change
+	for _, c := range a.entries {
+		if !c.Gone {
+			all = append(all, c)
+		}
+	}
+	return all, a.version, nil
+}
+
+func (a *access) ServerChanges(_ context.Context, after uint64) ([]directory.Change, uint64, error) {
+	if err := a.enter(); err != nil {
+		return nil, 0, err
+	}
+	a.store.mu.Lock()
+	defer a.store.mu.Unlock()
+	if after < a.historyFrom {
+		return nil, 0, &HistoryError{Version: after}
+	}
+	var changes []directory.Change
+	for _, c := range a.entries {
+		if c.Version > after {
+			changes = append(changes, c)
+		}
+	}
+	return changes, a.version, nil
+}
+
+func (a *access) Table(context.Context) (*table.Document, uint64, error) {
+	if err := a.enter(); err != nil {
+		return nil, 0, err
+	}
+	a.store.mu.Lock()
+	defer a.store.mu.Unlock()
+	return a.table, a.version, nil
+}
+
+func (a *access) TableChange(ctx context.Context, after uint64, wait time.Duration) (*table.Document, uint64, error) {
+	if err := a.enter(); err != nil {
+		return nil, 0, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		a.store.mu.Lock()
+		doc, at, version, changed := a.table, a.tableAt, a.version, a.changed
+		a.store.mu.Unlock()
+		if at > after {
+			return doc, version, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, version, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+type instance struct {
+	id        string
+	access    *access
+	directory *directory.Directory
+	current   *table.Current
+	exchange  *gossip.Exchange
+	stop      context.CancelFunc
+	done      chan struct{}
+}
+
+func (i *instance) servers() []string {
+	var ids []string
+	for _, s := range i.directory.Servers("orders") {
+		ids = append(ids, s.ID)
+	}
+	return ids
+}
+
+func (i *instance) tableVersion() uint64 {
+	if s := i.current.Load(); s != nil {
+		return s.Version()
+	}
+	return 0
+}
+
+// fleet starts instances that share the store and know each other.
+func fleet(t *testing.T, s *store, count int) []*instance {
+	t.Helper()
+	var instances []*instance
+	var members []gossip.Member
+	for n := range count {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		i := &instance{
+			id: fmt.Sprint("entry-", n), access: &access{store: s}, directory: directory.New(),
+			current: table.NewCurrent(), done: make(chan struct{}),
+		}
+		address := netip.MustParseAddrPort(conn.LocalAddr().String())
+		i.exchange, err = gossip.New(gossip.Options{
+			Conn: conn, Address: address, ID: i.id, DataCentre: "a", Board: readings.NewBoard(),
+			Backlogs: admission.NewBacklogs(), Logger: slog.New(slog.DiscardHandler),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		members = append(members, gossip.Member{ID: i.id, DataCentre: "a", Address: address})
+		instances = append(instances, i)
+		t.Cleanup(func() { conn.Close() })
+	}
+	for _, i := range instances {
+		for _, m := range members {
+			i.exchange.Add(m)
+		}
+		i.start(t)
+	}
+	return instances
+}
+
+func (i *instance) start(t *testing.T) {
+	f := New(Options{
+		ID: i.id, Store: i.access, Directory: i.directory, Current: i.current, Exchange: i.exchange,
+		Logger: slog.New(slog.DiscardHandler),
+	})
+	i.exchange.Follow(f)
+	ctx, cancel := context.WithCancel(t.Context())
+	i.stop = cancel
+	go func() {
+		defer close(i.done)
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = i.exchange.Run(ctx) })
+		wg.Go(func() { _ = f.Run(ctx) })
+		wg.Wait()
+	}()
+	t.Cleanup(func() { cancel(); <-i.done })
+}
+
+func server(id string) directory.Change {
+	return directory.Change{Server: directory.Server{ID: id, Service: "orders", Address: "10.0.0.1:80", Slots: 6}}
+}
+
+func removed(id string) directory.Change {
+	return directory.Change{Server: directory.Server{ID: id}, Gone: true}
+}
+
+// within is the time in which a change has to be known everywhere.
+const within = 2 * time.Second
+
+// reader returns the instance that reads the store in calm times.
+func reader(t *testing.T, instances []*instance) *instance {
+	t.Helper()
+	before := make([]int, len(instances))
+	for n, i := range instances {
+		before[n] = i.access.called()
+	}
+	time.Sleep(1200 * time.Millisecond)
+	var most *instance
+	calls := 1
+	for n, i := range instances {
+		if made := i.access.called() - before[n]; made > calls {
+			most, calls = i, made
+		}
+	}
+	if most == nil {
+		t.Fatal("nobody reads the store")
+	}
+	return most
+}
+
+func TestOneInstanceReadsForAll(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newStore()
+	s.put(server("a"))
+	s.accept(3)
+	instances := fleet(t, s, 4)
+	for _, i := range instances {
+		g.Eventually(i.tableVersion).WithTimeout(within).Should(gomega.Equal(uint64(3)))
+		g.Eventually(i.servers).WithTimeout(within).Should(gomega.Equal([]string{"a"}))
+	}
+	one := reader(t, instances)
+	before := make(map[*instance]int)
+	for _, i := range instances {
+		before[i] = i.access.called()
+	}
+	s.put(server("b"))
+	s.accept(4)
+	for _, i := range instances {
+		g.Eventually(i.servers).WithTimeout(within).Should(gomega.Equal([]string{"a", "b"}))
+		g.Eventually(i.tableVersion).WithTimeout(within).Should(gomega.Equal(uint64(4)))
+		if i != one {
+			g.Expect(i.access.called()-before[i]).To(gomega.BeNumerically("<=", 1), "only one instance reads")
+		}
+	}
+}
+
+func TestChangesAreKnownWhenTheReaderIsTurnedAway(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newStore()
+	s.put(server("a"))
+	s.accept(3)
+	instances := fleet(t, s, 4)
+	one := reader(t, instances)
+	one.access.setAway(true)
+	s.put(removed("a"))
+	s.accept(5)
+	for _, i := range instances {
+		g.Eventually(i.servers).WithTimeout(within).Should(gomega.BeEmpty())
+		g.Eventually(i.tableVersion).WithTimeout(within).Should(gomega.Equal(uint64(5)))
+	}
+}
+
+func TestChangesAreKnownWhenTheReaderDies(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newStore()
+	s.put(server("a"))
+	s.accept(3)
+	instances := fleet(t, s, 4)
+	one := reader(t, instances)
+	one.stop()
+	s.put(removed("a"))
+	s.accept(5)
+	for _, i := range instances {
+		if i == one {
+			continue
+		}
+		g.Eventually(i.servers).WithTimeout(within).Should(gomega.BeEmpty())
+		g.Eventually(i.tableVersion).WithTimeout(within).Should(gomega.Equal(uint64(5)))
+	}
+}
+
+func TestLostHistoryIsReadWhole(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newStore()
+	s.put(server("a"))
+	s.accept(3)
+	instances := fleet(t, s, 1)
+	g.Eventually(instances[0].servers).WithTimeout(within).Should(gomega.Equal([]string{"a"}))
+	s.put(removed("a"))
+	s.put(server("b"))
+	s.mu.Lock()
+	s.historyFrom = s.version + 1
+	s.mu.Unlock()
+	g.Eventually(instances[0].servers).WithTimeout(within).Should(gomega.Equal([]string{"b"}))
+}
+
+func TestLiveServersAreKeptOverAnOutage(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newStore()
+	s.put(server("a"))
+	s.put(server("b"))
+	s.accept(3)
+	one := fleet(t, s, 1)[0]
+	g.Eventually(one.servers).WithTimeout(within).Should(gomega.HaveLen(2))
+	one.access.setAway(true)
+	time.Sleep(outageAfter + 2*readInterval)
+	s.put(removed("a"))
+	s.put(removed("b"))
+	one.access.setAway(false)
+	g.Consistently(one.servers).WithTimeout(time.Second).Should(gomega.HaveLen(2))
+	s.put(server("a"))
+	g.Eventually(one.servers).WithTimeout(within).Should(gomega.Equal([]string{"a"}))
+}
+
+func TestTableNeverGoesBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newStore()
+	s.accept(7)
+	one := fleet(t, s, 1)[0]
+	g.Eventually(one.tableVersion).WithTimeout(within).Should(gomega.Equal(uint64(7)))
+	s.accept(5)
+	g.Consistently(one.tableVersion).WithTimeout(500 * time.Millisecond).Should(gomega.Equal(uint64(7)))
+}
