--- a/admission/backlog.go
+++ b/admission/backlog.go
@@ -7,7 +7,7 @@
 
 // backlogLife is how long what another instance told of its waiting requests is
 // believed; several times the interval at which it tells.
-const backlogLife = 250 * time.Millisecond
+const backlogLife = 800 * time.Millisecond
 
 // Backlog is the number of requests for a service that wait at one instance.
 type Backlog struct {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -20,8 +20,8 @@
 	// server that leaves has to be out of use everywhere within two seconds.
 	readInterval = 500 * time.Millisecond
 	// staleAfter is how old the view may get before the next instance reads
-	// the store: above a read interval and the way of a datagram.
-	staleAfter = 850 * time.Millisecond
+	// the store, beside the time between datagrams: above a read interval.
+	staleAfter = 800 * time.Millisecond
 	// stagger is the further wait of each next instance.
 	stagger = 120 * time.Millisecond
 	// maxStagger bounds the instances that wait one after the other.
@@ -36,6 +36,11 @@
 	// outageAfter is how long reads have to fail to count as an outage, in
 	// which live servers may lose their entries.
 	outageAfter = time.Second
+	// meetTime is the time in which instances that start together find each
+	// other.
+	meetTime = 1500 * time.Millisecond
+	// firstRead is how much longer those wait that are not the first to read.
+	firstRead = time.Second
 	// pollInterval is how often the duty looks whether it has to read.
 	pollInterval = 50 * time.Millisecond
 	// maxChangeLines is the number of changes at once from which they are logged
@@ -71,12 +76,17 @@
 	Directory *directory.Directory
 	Current   *table.Current
 	Exchange  *gossip.Exchange
-	Logger    *slog.Logger
+	// FirstStart tells that the whole fleet starts, before any traffic: the
+	// instances then find each other before one of them reads the store.
+	FirstStart bool
+	Logger     *slog.Logger
 }
 
 // Feed is the duty that follows the store. It implements [gossip.Follower].
 type Feed struct {
 	opts Options
+	// readFrom is when this instance may begin to read the store.
+	readFrom time.Time
 
 	mu sync.Mutex
 	// fresh is the moment for which the local view is current, heard the same
@@ -91,7 +101,13 @@
 }
 
 // New returns a feed.
-func New(opts Options) *Feed { return &Feed{opts: opts} }
+func New(opts Options) *Feed {
+	f := &Feed{opts: opts}
+	if opts.FirstStart {
+		f.readFrom = time.Now().Add(meetTime)
+	}
+	return f
+}
 
 // Run follows the store until ctx ends.
 func (f *Feed) Run(ctx context.Context) error {
@@ -114,23 +130,24 @@
 
 // rank returns the place of this instance in the order of readers.
 func (f *Feed) rank() int {
-	for i, id := range membership.Ranked(feedKey, f.opts.Exchange.Alive("")) {
-		if id == f.opts.ID {
-			return i
-		}
-	}
-	return maxStagger
+	return membership.Rank(feedKey, f.opts.ID, f.opts.Exchange.Alive(""))
 }
 
 // reads reports whether this instance has to read the store now.
 func (f *Feed) reads(now time.Time) bool {
+	if now.Before(f.readFrom) {
+		return false
+	}
 	rank := f.rank()
 	if rank == 0 {
 		return true
 	}
+	if f.opts.FirstStart && now.Before(f.readFrom.Add(firstRead)) {
+		return false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	wait := staleAfter + time.Duration(min(rank, maxStagger))*stagger
+	wait := staleAfter + f.opts.Exchange.Pace() + time.Duration(min(rank, maxStagger))*stagger
 	return now.Sub(f.heard) > wait
 }
 
@@ -262,7 +279,12 @@
 func (f *Feed) followTable(ctx context.Context) {
 	var version uint64
 	for ctx.Err() == nil {
-		if f.opts.Current.Load() != nil && !f.reads(time.Now()) {
+		now := time.Now()
+		if now.Before(f.readFrom) || f.opts.Current.Load() != nil && !f.reads(now) {
+			sleep(ctx, pollInterval)
+			continue
+		}
+		if f.opts.FirstStart && f.rank() > 0 && now.Before(f.readFrom.Add(firstRead)) {
 			sleep(ctx, pollInterval)
 			continue
 		}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -284,6 +284,8 @@
 			Slots:  server.Slots,
 			Remote: server.DataCentre != x.f.opts.DataCentre,
 			Cold:   now.Before(server.WarmUntil),
+
+			Unconnected: !x.f.opts.Pool.Idle(server.Address),
 		})
 	}
 	return servers, candidates
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -23,10 +23,14 @@
 	// spell of other load on a server lasts some hundred milliseconds; readings
 	// have to be much fresher.
 	interval = 50 * time.Millisecond
-	// leastInterval is the least time between datagrams to one instance.
-	leastInterval = 35 * time.Millisecond
-	// farInterval is the least time between datagrams to another data centre.
-	farInterval = 35 * time.Millisecond
+	// leastInterval is the least part of the pace between two datagrams.
+	leastInterval = 0.7
+	// instancesAtPace is the size of the fleet up to which datagrams are sent at
+	// each interval. Larger fleets send less often, so that an instance receives
+	// about as many.
+	instancesAtPace = 20
+	// maxPace bounds the time between datagrams.
+	maxPace = 400 * time.Millisecond
 	// quietInterval is the time between datagrams that tell nothing new.
 	quietInterval = 200 * time.Millisecond
 	// maxDatagram is the size of the receive buffer, in bytes.
@@ -138,6 +142,12 @@
 // Known returns the number of instances known, with this one.
 func (e *Exchange) Known() int { return e.members.count() + 1 }
 
+// Pace returns the time between two datagrams to an instance.
+func (e *Exchange) Pace() time.Duration {
+	alive := e.members.countAlive(time.Now()) + 1
+	return min(max(interval*time.Duration(alive)/instancesAtPace, interval), maxPace)
+}
+
 // Leave tells the others that this instance takes part in no duty any more.
 func (e *Exchange) Leave() { e.leaving.Store(true) }
 
@@ -205,11 +215,12 @@
 	backlogs := e.opts.Backlogs.Own()
 	e.nearNews.add(observed, results)
 	e.farNews.add(observed, results)
-	if flush || e.nearNews.due(now, leastInterval, len(backlogs) > 0) {
+	least := time.Duration(leastInterval * float64(e.Pace()))
+	if flush || e.nearNews.due(now, least, len(backlogs) > 0) {
 		msg := e.news(e.nearNews, backlogs, now)
 		e.sendTo(msg, append(e.members.near(e.opts.DataCentre, now), e.members.silent(now)...))
 	}
-	if flush || e.farNews.due(now, farInterval, len(backlogs) > 0) {
+	if flush || e.farNews.due(now, least, len(backlogs) > 0) {
 		msg := e.news(e.farNews, backlogs, now)
 		msg.PassOn = true
 		e.turn++
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -9,8 +9,12 @@
 
 const (
 	// aliveFor is how long an instance counts as alive after its last
-	// datagram: several intervals, since datagrams get lost.
-	aliveFor = 700 * time.Millisecond
+	// datagram: several intervals, since datagrams get lost. In large fleets,
+	// where datagrams are fewer, it is longer.
+	aliveFor     = 700 * time.Millisecond
+	aliveForMany = 1200 * time.Millisecond
+	// manyInstances is the size from which a fleet is large.
+	manyInstances = 40
 	// silentInterval is the time between datagrams to instances that are not
 	// heard.
 	silentInterval = time.Second
@@ -80,7 +84,7 @@
 	defer m.mu.Unlock()
 	var ids []string
 	for id, known := range m.byID {
-		if known.leaving || now.Sub(known.heard) > aliveFor {
+		if known.leaving || now.Sub(known.heard) > m.aliveLocked() {
 			continue
 		}
 		if dataCentre == "" || known.DataCentre == dataCentre {
@@ -97,7 +101,7 @@
 	defer m.mu.Unlock()
 	var addresses []netip.AddrPort
 	for _, known := range m.byID {
-		if known.DataCentre == dataCentre && now.Sub(known.heard) <= aliveFor {
+		if known.DataCentre == dataCentre && now.Sub(known.heard) <= m.aliveLocked() {
 			addresses = append(addresses, known.Address)
 		}
 	}
@@ -111,7 +115,7 @@
 	defer m.mu.Unlock()
 	byCentre := make(map[string][]string)
 	for id, known := range m.byID {
-		if known.DataCentre != dataCentre && !known.leaving && now.Sub(known.heard) <= aliveFor {
+		if known.DataCentre != dataCentre && !known.leaving && now.Sub(known.heard) <= m.aliveLocked() {
 			byCentre[known.DataCentre] = append(byCentre[known.DataCentre], id)
 		}
 	}
@@ -130,7 +134,7 @@
 	defer m.mu.Unlock()
 	var addresses []netip.AddrPort
 	for _, known := range m.byID {
-		if now.Sub(known.heard) > aliveFor && now.Sub(known.sent) >= silentInterval {
+		if now.Sub(known.heard) > m.aliveLocked() && now.Sub(known.sent) >= silentInterval {
 			known.sent = now
 			addresses = append(addresses, known.Address)
 		}
@@ -138,6 +142,26 @@
 	return addresses
 }
 
+// aliveLocked returns how long an instance counts as alive.
+func (m *members) aliveLocked() time.Duration {
+	if len(m.byID) >= manyInstances {
+		return aliveForMany
+	}
+	return aliveFor
+}
+
+func (m *members) countAlive(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	alive := 0
+	for _, known := range m.byID {
+		if now.Sub(known.heard) <= m.aliveLocked() {
+			alive++
+		}
+	}
+	return alive
+}
+
 // address returns where the instance receives datagrams.
 func (m *members) address(id string) (netip.AddrPort, bool) {
 	m.mu.Lock()
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -36,6 +36,8 @@
 	joinRetry = 500 * time.Millisecond
 	// joinTimeout bounds a try to register.
 	joinTimeout = 1500 * time.Millisecond
+	// targetsFor is how long the choice of servers to check holds.
+	targetsFor = 150 * time.Millisecond
 	// sweepInterval is the time between removals of what is no longer used.
 	sweepInterval = time.Second
 	// readHeaderTimeout bounds the reading of a head by the servers that don't
@@ -98,6 +100,11 @@
 
 	callerListener, readyListener, metricsListener net.Listener
 
+	// targets are the servers to check as of targetsAt; only the checks use
+	// them.
+	targets   []readings.Target
+	targetsAt time.Time
+
 	hangup  chan os.Signal
 	leaving atomic.Bool
 }
@@ -160,7 +167,7 @@
 	}
 	d.feed = feed.New(feed.Options{
 		ID: d.self.ID, Store: d.opts.Store, Directory: d.directory, Current: d.current, Exchange: d.exchange,
-		Logger: d.logger.With("part", "feed"),
+		FirstStart: d.opts.Settings.FirstStart, Logger: d.logger.With("part", "feed"),
 	})
 	d.exchange.Follow(d.feed)
 	return nil
@@ -169,7 +176,7 @@
 func (d *Daemon) wireRequests() {
 	d.checks = readings.NewChecks(readings.CheckOptions{
 		Board: d.board, Pool: d.pool, Checker: d.opts.Protocol, Targets: d.checkTargets,
-		Checked: d.exchange.Nudge,
+		Checked: d.exchange.Nudge, Interval: func() time.Duration { return d.exchange.Pace() / 2 },
 		Replaced: func(server string) {
 			if d.directory.Retire(server) {
 				d.logger.Info("server replaced", "server", server, "reason", "another server has its address")
@@ -184,9 +191,18 @@
 	})
 }
 
-// checkTargets returns the servers that this instance checks. An instance of the
-// server's data centre does it, since bytes between data centres are dear.
+// checkTargets returns the servers that this instance checks.
 func (d *Daemon) checkTargets() []readings.Target {
+	now := time.Now()
+	if now.Sub(d.targetsAt) > targetsFor {
+		d.targets, d.targetsAt = d.ownTargets(), now
+	}
+	return d.targets
+}
+
+// ownTargets finds the servers that this instance checks. An instance of the
+// server's data centre does it, since bytes between data centres are dear.
+func (d *Daemon) ownTargets() []readings.Target {
 	snapshot := d.current.Load()
 	if snapshot == nil || d.leaving.Load() {
 		return nil
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -26,6 +26,8 @@
 	Retries retrybudget.Limits
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
+	// FirstStart tells that the whole fleet starts for the first time.
+	FirstStart bool
 	// MemoryMB is the memory that the process may use, in MB; 0 is unknown.
 	MemoryMB int64
 }
--- a/membership/rendezvous.go
+++ b/membership/rendezvous.go
@@ -32,6 +32,19 @@
 	return ranked
 }
 
+// Rank returns the place of id among ids in descending rendezvous weight for key,
+// from 0. An id that is not among them ranks as if it were.
+func Rank(key, id string, ids []string) int {
+	own := rendezvousWeight(key, id)
+	rank := 0
+	for _, other := range ids {
+		if weight := rendezvousWeight(key, other); weight > own || weight == own && other < id {
+			rank++
+		}
+	}
+	return rank
+}
+
 func rendezvousWeight(key, id string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(key))
--- a/membership/rendezvous_test.go
+++ b/membership/rendezvous_test.go
@@ -26,3 +26,12 @@
 		}
 	})
 }
+
+func TestRankIsThePlaceAmongRanked(t *testing.T) {
+	ids := []string{"a", "b", "c", "d", "e"}
+	for place, id := range membership.Ranked("key", ids) {
+		if got := membership.Rank("key", id, ids); got != place {
+			t.Fatalf("rank of %s is %d, want %d", id, got, place)
+		}
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -28,6 +28,10 @@
 	// below the slowness of a machine in a spell of other load, so that a request
 	// rather goes further than to such a machine.
 	remoteTime = 1.4
+	// connectTime weighs the opening of a connection. In a large fleet, where an
+	// instance has few requests for many servers, it also makes each instance
+	// keep to some of them.
+	connectTime = 1.25
 	// unhealthyTime weighs a status check that failed. Checks may be wrong.
 	unhealthyTime = 3.0
 	// unreachableTime weighs a status check that got no answer.
@@ -49,6 +53,8 @@
 	Slots int
 	// Remote tells that the server is in another data centre.
 	Remote bool
+	// Unconnected tells that a connection would have to be opened.
+	Unconnected bool
 	// Cold tells that the server has just started.
 	Cold bool
 }
@@ -167,6 +173,9 @@
 	if c.Remote {
 		factor *= remoteTime
 	}
+	if c.Unconnected {
+		factor *= connectTime
+	}
 	switch c.Load.Health {
 	case readings.HealthBad:
 		factor *= unhealthyTime
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// checkInterval is the time between two status checks of one server. A
-	// spell of other load lasts some hundred milliseconds.
+	// checkInterval is the least time between two status checks of one server.
+	// A spell of other load lasts some hundred milliseconds.
 	checkInterval = 50 * time.Millisecond
 	// answerTime is when most answers to a round of checks have arrived.
 	answerTime = 5 * time.Millisecond
@@ -50,6 +50,8 @@
 	Checker Checker
 	// Targets returns the servers that this instance checks now.
 	Targets func() []Target
+	// Interval returns the time between two checks of one server.
+	Interval func() time.Duration
 	// Checked is called when the answers to a round of checks should be there.
 	Checked func()
 	// Replaced hears of a server whose address another one has.
@@ -100,7 +102,8 @@
 
 // begin reports whether a check of the server is due.
 func (c *Checks) begin(server string, now time.Time) bool {
-	if now.Sub(c.opts.Board.LastReport(server)) < checkInterval/2 {
+	interval := max(c.opts.Interval(), checkInterval)
+	if now.Sub(c.opts.Board.LastReport(server)) < interval-checkInterval/2 {
 		return false
 	}
 	c.mu.Lock()
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -115,6 +115,14 @@
 	}
 }
 
+// Idle reports whether a kept connection to the address waits for a request.
+func (p *Pool) Idle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[address]
+	return s != nil && len(s.idle) > 0
+}
+
 // takeIdle returns the connection used last, or reports whether a further one
 // may be opened, which it then counts.
 func (p *Pool) takeIdle(address string, limit int) (c *Conn, open bool) {
