--- a/feed/feed.go
+++ b/feed/feed.go
@@ -147,7 +147,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	wait := staleAfter + f.opts.Exchange.Pace() + time.Duration(min(rank, maxStagger))*stagger
+	wait := staleAfter + f.opts.Exchange.FarPace() + time.Duration(min(rank, maxStagger))*stagger
 	return now.Sub(f.heard) > wait
 }
 
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -25,8 +25,8 @@
 	interval = 50 * time.Millisecond
 	// leastInterval is the least part of the pace between two datagrams.
 	leastInterval = 0.7
-	// instancesAtPace is the size of the fleet up to which datagrams are sent at
-	// each interval. Larger fleets send less often, so that an instance receives
+	// instancesAtPace is the number of instances up to which datagrams are sent
+	// at each interval. More instances send less often, so that each receives
 	// about as many.
 	instancesAtPace = 20
 	// maxPace bounds the time between datagrams.
@@ -142,10 +142,19 @@
 // Known returns the number of instances known, with this one.
 func (e *Exchange) Known() int { return e.members.count() + 1 }
 
-// Pace returns the time between two datagrams to an instance.
+// Pace returns the time between two datagrams to an instance of the same data
+// centre.
 func (e *Exchange) Pace() time.Duration {
-	alive := e.members.countAlive(time.Now()) + 1
-	return min(max(interval*time.Duration(alive)/instancesAtPace, interval), maxPace)
+	return pace(len(e.members.near(e.opts.DataCentre, time.Now())) + 1)
+}
+
+// FarPace returns the time between two datagrams to another data centre.
+func (e *Exchange) FarPace() time.Duration {
+	return pace(e.members.countAlive(time.Now()) + 1)
+}
+
+func pace(instances int) time.Duration {
+	return min(max(interval*time.Duration(instances)/instancesAtPace, interval), maxPace)
 }
 
 // Leave tells the others that this instance takes part in no duty any more.
@@ -215,12 +224,11 @@
 	backlogs := e.opts.Backlogs.Own()
 	e.nearNews.add(observed, results)
 	e.farNews.add(observed, results)
-	least := time.Duration(leastInterval * float64(e.Pace()))
-	if flush || e.nearNews.due(now, least, len(backlogs) > 0) {
+	if flush || e.nearNews.due(now, least(e.Pace()), len(backlogs) > 0) {
 		msg := e.news(e.nearNews, backlogs, now)
 		e.sendTo(msg, append(e.members.near(e.opts.DataCentre, now), e.members.silent(now)...))
 	}
-	if flush || e.farNews.due(now, least, len(backlogs) > 0) {
+	if flush || e.farNews.due(now, least(e.FarPace()), len(backlogs) > 0) {
 		msg := e.news(e.farNews, backlogs, now)
 		msg.PassOn = true
 		e.turn++
@@ -228,6 +236,11 @@
 	}
 }
 
+// least returns the least time between two datagrams at a pace.
+func least(pace time.Duration) time.Duration {
+	return time.Duration(leastInterval * float64(pace))
+}
+
 // news returns a datagram with what is to be told.
 func (e *Exchange) news(n *news, backlogs []admission.Backlog, now time.Time) *gossippb.Datagram {
 	msg := e.head()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,7 +31,7 @@
 	// connectTime weighs the opening of a connection. In a large fleet, where an
 	// instance has few requests for many servers, it also makes each instance
 	// keep to some of them.
-	connectTime = 1.25
+	connectTime = 1.12
 	// unhealthyTime weighs a status check that failed. Checks may be wrong.
 	unhealthyTime = 3.0
 	// unreachableTime weighs a status check that got no answer.
