--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -52,8 +52,10 @@
 	deadline time.Time
 	body     *requestBody
 
-	// tried names the servers that the request was sent to.
-	tried []string
+	// tried names the servers that the request was sent to, placements tells
+	// why.
+	tried      []string
+	placements []placed
 	// sent counts the attempts that reached a server or still may.
 	sent int
 	// mayHaveRun is set once an attempt ended without proof that it did not
@@ -74,7 +76,7 @@
 		if ans != nil {
 			ans.close()
 		}
-		x.log("caller left", slog.Int("sent", x.sent))
+		x.log("caller left", slog.Any("tried", x.placements), slog.Duration("after", time.Since(x.start)))
 		panic(http.ErrAbortHandler)
 	case failed != nil:
 		x.refuse(failed)
@@ -164,6 +166,7 @@
 			return failed
 		}
 		x.tried = append(x.tried, placed.server.ID)
+		x.placements = append(x.placements, placed)
 		x.sent++
 		running++
 		a := &attempt{x: x, placed: placed, server: placed.server}
@@ -265,7 +268,7 @@
 	if e.unsent {
 		x.sent--
 	}
-	x.log("attempt failed", slog.String("server", e.server.ID), slog.Bool("not_run", e.notRun),
+	x.log("attempt failed", slog.String("server", e.server.ID), slog.Bool("sent", !e.unsent), slog.Bool("not_run", e.notRun),
 		slog.Duration("left", time.Until(x.deadline)), slog.Any("error", e.err))
 }
 
@@ -339,7 +342,7 @@
 		service = x.service.Name
 	}
 	x.log("request not served", slog.String("code", string(failed.Code)), slog.Int("status", failed.Status),
-		slog.String("service", service), slog.Int("sent", x.sent), slog.Duration("took", took),
+		slog.String("service", service), slog.Any("tried", x.placements), slog.Duration("took", took),
 		slog.Duration("retry_after", failed.RetryAfter), slog.Any("error", failed.Err))
 	x.f.opts.Observer.Refused(service, string(failed.Code), took)
 	if err := x.f.opts.Protocol.WriteError(x.w, failed, x.caller.ID); err != nil {
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math"
 	"slices"
@@ -12,6 +13,7 @@
 	"github.com/pomelolock/pomelolock/directory"
 	"github.com/pomelolock/pomelolock/outcome"
 	"github.com/pomelolock/pomelolock/placement"
+	"github.com/pomelolock/pomelolock/readings"
 )
 
 const (
@@ -71,11 +73,20 @@
 type placed struct {
 	q      *queue
 	server directory.Server
+	// load is what the choice was based on.
+	load readings.Load
 	// time is the expected time in multiples of the queue's work.
 	time  float64
 	began time.Time
 }
 
+// String tells what the choice was based on, for logs.
+func (p placed) String() string {
+	l := p.load
+	return fmt.Sprintf("%s(running=%d waiting=%d unseen=%d slowness=%d age=%s failures=%.2f)",
+		p.server.ID, l.Running, l.Waiting, l.Unseen, l.Slowness, l.Age.Round(time.Millisecond), l.FailureRate)
+}
+
 func newQueue(f *Forwarder, service string) *queue {
 	return &queue{f: f, service: service, work: initialWork}
 }
@@ -196,8 +207,11 @@
 	if i < 0 {
 		return placed{}, false
 	}
+	load := q.f.opts.Board.Load(servers[i].ID, now)
 	q.f.opts.Board.Began(servers[i].ID, now)
-	return placed{q: q, server: servers[i], time: assessed[i].Time, began: now}, true
+	return placed{
+		q: q, server: servers[i], load: load, time: assessed[i].Time, began: now,
+	}, true
 }
 
 // enqueueLocked lets a request wait, or refuses it if it can't be served in time.
--- a/forward/write.go
+++ b/forward/write.go
@@ -60,7 +60,7 @@
 	}
 	x.f.opts.Observer.Served(x.service.Name, took)
 	x.log("served", slog.String("server", ans.server), slog.Int("status", ans.status),
-		slog.Int("sent", x.sent), slog.Duration("took", took))
+		slog.Any("tried", x.placements), slog.Duration("took", took))
 }
 
 // bodyAllowed reports whether an answer with the status has a body.
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -23,8 +23,11 @@
 	// spell of other load on a server lasts some hundred milliseconds; readings
 	// have to be much fresher.
 	interval = 50 * time.Millisecond
-	// leastInterval is the least part of the pace between two datagrams.
-	leastInterval = 0.7
+	// nudgedAfter is the part of the pace after which fresh readings are sent,
+	// and unaskedAfter that after which a datagram is sent without them. The
+	// latter is longer, so that datagrams follow the rounds of status checks.
+	nudgedAfter  = 0.7
+	unaskedAfter = 1.2
 	// instancesAtPace is the number of instances up to which datagrams are sent
 	// at each interval. More instances send less often, so that each receives
 	// about as many.
@@ -196,9 +199,9 @@
 		case <-ctx.Done():
 			return
 		case <-e.nudges:
-			e.tell(time.Now(), false)
+			e.tell(time.Now(), nudgedAfter)
 		case now := <-ticker.C:
-			e.tell(now, false)
+			e.tell(now, unaskedAfter)
 		}
 	}
 }
@@ -212,23 +215,24 @@
 }
 
 // Flush tells the others of the local freshness at once.
-func (e *Exchange) Flush() { e.tell(time.Now(), true) }
+func (e *Exchange) Flush() { e.tell(time.Now(), 0) }
 
 // tell sends datagrams for which it is time. Bytes between data centres are dear:
 // each other data centre gets one datagram, which one of its instances in turn
-// passes on to the rest.
-func (e *Exchange) tell(now time.Time, flush bool) {
+// passes on to the rest. The least time since the last datagram is given as a part
+// of the pace; 0 sends at once.
+func (e *Exchange) tell(now time.Time, after float64) {
 	e.sending.Lock()
 	defer e.sending.Unlock()
 	observed, results := e.opts.Board.TakeShared()
 	backlogs := e.opts.Backlogs.Own()
 	e.nearNews.add(observed, results)
 	e.farNews.add(observed, results)
-	if flush || e.nearNews.due(now, least(e.Pace()), len(backlogs) > 0) {
+	if after == 0 || e.nearNews.due(now, part(after, e.Pace()), len(backlogs) > 0) {
 		msg := e.news(e.nearNews, backlogs, now)
 		e.sendTo(msg, append(e.members.near(e.opts.DataCentre, now), e.members.silent(now)...))
 	}
-	if flush || e.farNews.due(now, least(e.FarPace()), len(backlogs) > 0) {
+	if after == 0 || e.farNews.due(now, part(after, e.FarPace()), len(backlogs) > 0) {
 		msg := e.news(e.farNews, backlogs, now)
 		msg.PassOn = true
 		e.turn++
@@ -236,10 +240,7 @@
 	}
 }
 
-// least returns the least time between two datagrams at a pace.
-func least(pace time.Duration) time.Duration {
-	return time.Duration(leastInterval * float64(pace))
-}
+func part(of float64, pace time.Duration) time.Duration { return time.Duration(of * float64(pace)) }
 
 // news returns a datagram with what is to be told.
 func (e *Exchange) news(n *news, backlogs []admission.Backlog, now time.Time) *gossippb.Datagram {
