--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -22,7 +22,7 @@
 	// interval is the time between datagrams to instances that are alive. A
 	// spell of other load on a server lasts some hundred milliseconds; readings
 	// have to be much fresher.
-	interval = 50 * time.Millisecond
+	interval = 30 * time.Millisecond
 	// nudgedAfter is the part of the pace after which fresh readings are sent,
 	// and unaskedAfter that after which a datagram is sent without them. The
 	// latter is longer, so that datagrams follow the rounds of status checks.
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -15,7 +15,7 @@
 const (
 	// checkInterval is the least time between two status checks of one server.
 	// A spell of other load lasts some hundred milliseconds.
-	checkInterval = 50 * time.Millisecond
+	checkInterval = 30 * time.Millisecond
 	// answerTime is when most answers to a round of checks have arrived.
 	answerTime = 5 * time.Millisecond
 	// checkTimeout bounds a status check.
