--- a/readings/board.go
+++ b/readings/board.go
@@ -238,6 +238,16 @@
 	return readings, results
 }
 
+// LastReport returns when the newest report of the server was made.
+func (b *Board) LastReport(server string) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.servers[server]; s != nil {
+		return s.reading.At
+	}
+	return time.Time{}
+}
+
 // Retain forgets servers for which keep returns false and that have no request
 // in flight.
 func (b *Board) Retain(keep func(server string) bool) {
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -13,12 +13,9 @@
 )
 
 const (
-	// checkInterval is the least time between two status checks of a busy
-	// server. A spell of other load lasts some hundred milliseconds.
+	// checkInterval is the least time between two status checks of one server.
+	// A spell of other load lasts some hundred milliseconds.
 	checkInterval = 30 * time.Millisecond
-	// busyShare is the part of the slots in use from which a server is checked
-	// twice as often: there a choice on an old report costs most.
-	busyShare = 0.5
 	// answerTime is when most answers to a round of checks have arrived.
 	answerTime = 5 * time.Millisecond
 	// checkTimeout bounds a status check.
@@ -106,11 +103,7 @@
 // begin reports whether a check of the server is due.
 func (c *Checks) begin(server string, now time.Time) bool {
 	interval := max(c.opts.Interval(), checkInterval)
-	load := c.opts.Board.Load(server, now)
-	if load.Known && float64(load.Running+load.Waiting) < busyShare*float64(load.Slots) {
-		interval *= 2
-	}
-	if load.Known && load.Age < interval-checkInterval/2 {
+	if now.Sub(c.opts.Board.LastReport(server)) < interval-checkInterval/2 {
 		return false
 	}
 	c.mu.Lock()
