--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -36,6 +36,10 @@
 	joinRetry = 500 * time.Millisecond
 	// joinTimeout bounds a try to register.
 	joinTimeout = 1500 * time.Millisecond
+	// checkShare is the part of the allowed status checks that is used; the rest
+	// covers instances that check the same server because they don't hear each
+	// other.
+	checkShare = 0.7
 	// targetsFor is how long the choice of servers to check holds.
 	targetsFor = 150 * time.Millisecond
 	// sweepInterval is the time between removals of what is no longer used.
@@ -176,7 +180,7 @@
 func (d *Daemon) wireRequests() {
 	d.checks = readings.NewChecks(readings.CheckOptions{
 		Board: d.board, Pool: d.pool, Checker: d.opts.Protocol, Targets: d.checkTargets,
-		Checked: d.exchange.Nudge, Interval: func() time.Duration { return d.exchange.Pace() / 2 },
+		Checked: d.exchange.Nudge, Interval: d.checkInterval,
 		Replaced: func(server string) {
 			if d.directory.Retire(server) {
 				d.logger.Info("server replaced", "server", server, "reason", "another server has its address")
@@ -191,6 +195,16 @@
 	})
 }
 
+// checkInterval returns the time between two checks of one server: as often as
+// others hear of them, within what the platform allows.
+func (d *Daemon) checkInterval() time.Duration {
+	interval := d.exchange.Pace() / 2
+	if limit := d.settings.Load().ChecksPerSecond * checkShare; limit > 0 {
+		interval = max(interval, time.Duration(float64(time.Second)/limit))
+	}
+	return interval
+}
+
 // checkTargets returns the servers that this instance checks.
 func (d *Daemon) checkTargets() []readings.Target {
 	now := time.Now()
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -24,6 +24,9 @@
 	Store string
 	// Retries bound further attempts over the fleet.
 	Retries retrybudget.Limits
+	// ChecksPerSecond bounds the status checks of each backend server by all
+	// instances; 0 is no known limit.
+	ChecksPerSecond float64
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
 	// FirstStart tells that the whole fleet starts for the first time.
