--- a/internal/entry/daemon_test.go
+++ b/internal/entry/daemon_test.go
@@ -173,7 +173,7 @@
 func TestServesFromTheFirstTableToTheStop(t *testing.T) {
 	g := gomega.NewWithT(t)
 	i := start(t, 0)
-	g.Eventually(i.ready).WithTimeout(5 * time.Second).Should(gomega.Equal(http.StatusServiceUnavailable), "no table yet")
+	g.Eventually(i.ready).WithTimeout(5*time.Second).Should(gomega.Equal(http.StatusServiceUnavailable), "no table yet")
 	status, _ := i.get(t, "/a/")
 	g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
 	i.store.accept(1, "/a/")
