Fault soak of real processes; an earlier start counts as old only while it is heard

Cause: members compared the start times of processes by the time of day; after a jump back and a restart an instance would have been ignored until that time came again. Found while listing the clocks that the soak has to cover; test first.

--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -142,6 +142,8 @@
 	now := time.Now()
 	g.Expect(m.hear(Member{ID: "a"}, 2, false, now)).To(gomega.BeTrue())
 	g.Expect(m.hear(Member{ID: "a"}, 1, false, now)).To(gomega.BeFalse())
+	later := now.Add(2 * aliveFor)
+	g.Expect(m.hear(Member{ID: "a"}, 1, false, later)).To(gomega.BeTrue(), "the time of day jumped back before a restart")
 }
 
 func TestRelaysTakeTurns(t *testing.T) {
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -67,7 +67,9 @@
 		known = &member{}
 		m.byID[from.ID] = known
 	}
-	if started < known.started {
+	// The time of day may have jumped back before a restart: an earlier start
+	// counts as old only while the other process is heard.
+	if started < known.started && now.Sub(known.heard) <= m.aliveLocked() {
 		return false
 	}
 	known.Member = from
--- /dev/null
+++ b/internal/soak/backend_test.go
@@ -0,0 +1,154 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// journal is what all backend servers ran.
+type journal struct {
+	mu sync.Mutex
+	// runs holds the servers that ran each request.
+	runs map[string][]string
+	// foreign lists requests that reached a server of another service.
+	foreign []string
+}
+
+func (j *journal) ran(id, server string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.runs[id] = append(j.runs[id], server)
+}
+
+func (j *journal) count(id string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.runs[id])
+}
+
+// Behaviours of a backend server toward a part of its requests.
+const (
+	behaveWell = iota
+	behaveRefuse
+	behaveReset
+	behaveLose
+	behaveError
+	behaviours
+)
+
+const (
+	workTime     = 15 * time.Millisecond
+	backendSlots = 6
+	beatEvery    = 500 * time.Millisecond
+)
+
+// backend is a stand-in for a backend server, reached through a link.
+type backend struct {
+	id, service string
+	born        int64
+	link        *link
+	server      *http.Server
+	store       *store
+	journal     *journal
+	behaviour   atomic.Int32
+	draining    atomic.Bool
+	running     atomic.Int32
+	arrivals    atomic.Int64
+	stop        chan struct{}
+}
+
+func startBackend(id, service string, s *store, j *journal) (*backend, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	b := &backend{id: id, service: service, born: time.Now().UnixMilli(), store: s, journal: j, stop: make(chan struct{})}
+	if b.link, err = newLink("127.0.0.1", listener.Addr().String()); err != nil {
+		return nil, err
+	}
+	b.server = &http.Server{Handler: b, ReadHeaderTimeout: time.Minute}
+	go func() { _ = b.server.Serve(listener) }()
+	go b.beat()
+	return b, nil
+}
+
+// beat writes the server's entry now and then.
+func (b *backend) beat() {
+	ticker := time.NewTicker(beatEvery)
+	defer ticker.Stop()
+	for seq := 1; ; seq++ {
+		b.register(seq)
+		select {
+		case <-b.stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (b *backend) register(seq int) {
+	state := "ready"
+	if b.draining.Load() {
+		state = "draining"
+	}
+	b.store.put("servers", b.id, map[string]any{
+		"addr": b.link.address(), "born": b.born,
+		"info":   map[string]any{"service": b.service, "version": "v1", "zone": "a", "slots": backendSlots},
+		"status": map[string]any{"state": state, "seq": seq, "warmup_left": "0ms"},
+	})
+}
+
+func (b *backend) drain() {
+	b.draining.Store(true)
+	b.register(0)
+}
+
+// crash ends the server without a word; its entry is removed a little later.
+func (b *backend) crash() {
+	close(b.stop)
+	b.server.Close()
+	b.link.close()
+	time.AfterFunc(beatEvery*2, func() { b.store.put("servers", b.id, nil) })
+}
+
+// ServeHTTP implements [http.Handler].
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Upstream-Load", fmt.Sprintf("%d,0,%d,100", b.running.Load(), backendSlots))
+	if r.URL.Path == "/healthz" {
+		w.Header().Set("Instance-Id", b.id)
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	if expected := r.Header.Get("Expect-Instance"); expected != b.id {
+		w.Header().Set("Instance-Id", b.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	b.arrivals.Add(1)
+	fails := len(id) > 0 && id[len(id)-1]%3 == 0
+	behaviour := b.behaviour.Load()
+	if fails && behaviour == behaveRefuse {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	b.running.Add(1)
+	defer b.running.Add(-1)
+	b.journal.ran(id, b.id)
+	time.Sleep(workTime)
+	switch {
+	case fails && (behaviour == behaveReset || behaviour == behaveLose):
+		panic(http.ErrAbortHandler)
+	case fails && behaviour == behaveError:
+		w.Header().Set("Upstream-Signature", "sig-"+id)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Upstream-Signature", "sig-"+id)
+	fmt.Fprintf(w, "%s %s", id, r.URL.Path)
+}
--- /dev/null
+++ b/internal/soak/daemon_test.go
@@ -0,0 +1,141 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// daemon is a process of pomelolockd on a loopback address of its own.
+type daemon struct {
+	t        *testing.T
+	binary   string
+	settings string
+	caller   string
+	store    *link
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// paused tells that the process is stopped.
+	paused bool
+	done   chan struct{}
+}
+
+const settingsFormat = `
+node_name = "entry-%[1]d"
+ip = "%[2]s"
+zone = "a"
+internal_ports = [%[3]d,%[3]d]
+bootstrap = false
+bounds = ["retry_ratio=0.2","retry_burst=62","grace=6s","probes_per_s=60"]
+[listen]
+front = "%[2]s:%[4]d"
+ready = "%[2]s:%[5]d"
+[limits]
+memory_mb = 284
+[platform]
+addr = "%[6]s"
+`
+
+// freePort returns a port of the address that is free for TCP and UDP.
+func freePort(t *testing.T, ip string) int {
+	t.Helper()
+	for {
+		tcp, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := tcp.Addr().(*net.TCPAddr).Port
+		udp, err := net.ListenPacket("udp", fmt.Sprintf("%s:%d", ip, port))
+		tcp.Close()
+		if err == nil {
+			udp.Close()
+			return port
+		}
+	}
+}
+
+// newDaemon prepares a daemon. Addresses differ between test processes, so that
+// the fixed port of the metrics is free.
+func newDaemon(t *testing.T, binary string, n int, s *store) *daemon {
+	t.Helper()
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, 2+n)
+	l, err := newLink("127.0.0.1", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	front := freePort(t, ip)
+	d := &daemon{
+		t: t, binary: binary, store: l, settings: filepath.Join(t.TempDir(), "boot.toml"),
+		caller: fmt.Sprintf("%s:%d", ip, front),
+	}
+	text := fmt.Sprintf(settingsFormat, n, ip, freePort(t, ip), front, freePort(t, ip), l.address())
+	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// start begins a new process and starts another one when it ends.
+func (d *daemon) start(log *os.File) {
+	d.done = make(chan struct{})
+	first := make(chan struct{})
+	go func() {
+		defer close(d.done)
+		for {
+			cmd := exec.Command(d.binary, "--platform")
+			cmd.Env = []string{"POMELOLOCK_CONFIG=" + d.settings}
+			cmd.Stdout, cmd.Stderr = log, log
+			d.mu.Lock()
+			stopped := d.binary == ""
+			if !stopped {
+				if err := cmd.Start(); err != nil {
+					d.t.Errorf("start daemon: %v", err)
+					stopped = true
+				}
+				d.cmd, d.paused = cmd, false
+			}
+			d.mu.Unlock()
+			if first != nil {
+				close(first)
+				first = nil
+			}
+			if stopped {
+				return
+			}
+			_ = cmd.Wait()
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	<-first
+}
+
+func (d *daemon) signal(sig syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch sig {
+	case syscall.SIGSTOP:
+		d.paused = true
+	case syscall.SIGCONT:
+		d.paused = false
+	}
+	// The process may have ended already.
+	_ = d.cmd.Process.Signal(sig)
+}
+
+// end kills the process for good.
+func (d *daemon) end() {
+	d.mu.Lock()
+	d.binary = ""
+	_ = d.cmd.Process.Kill()
+	d.mu.Unlock()
+	<-d.done
+	d.store.close()
+}
