--- a/internal/soak/daemon_test.go
+++ b/internal/soak/daemon_test.go
@@ -86,10 +86,10 @@
 // start begins a new process and starts another one when it ends.
 func (d *daemon) start(log *os.File) {
 	d.done = make(chan struct{})
-	first := make(chan struct{})
+	begun := make(chan struct{})
 	go func() {
 		defer close(d.done)
-		for {
+		for first := true; ; first = false {
 			cmd := exec.Command(d.binary, "--platform")
 			cmd.Env = []string{"POMELOLOCK_CONFIG=" + d.settings}
 			cmd.Stdout, cmd.Stderr = log, log
@@ -103,9 +103,8 @@
 				d.cmd, d.paused = cmd, false
 			}
 			d.mu.Unlock()
-			if first != nil {
-				close(first)
-				first = nil
+			if first {
+				close(begun)
 			}
 			if stopped {
 				return
@@ -114,7 +113,7 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	}()
-	<-first
+	<-begun
 }
 
 func (d *daemon) signal(sig syscall.Signal) {
