--- a/admission/order_test.go
+++ b/admission/order_test.go
@@ -93,5 +93,5 @@
 	g.Expect(b.Others("orders", now)).To(gomega.Equal(Counts{InTime: 5, Late: 1}))
 	b.Receive("a", nil, now)
 	g.Expect(b.Others("orders", now)).To(gomega.Equal(Counts{InTime: 3}))
-	g.Expect(b.Others("orders", now.Add(2 * backlogLife))).To(gomega.Equal(Counts{}))
+	g.Expect(b.Others("orders", now.Add(2*backlogLife))).To(gomega.Equal(Counts{}))
 }
--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -86,10 +86,7 @@
 	// turn is closed when all answers before the next one are written.
 	turn := make(chan struct{})
 	close(turn)
-	for {
-		if !c.awaitRequest() {
-			break
-		}
+	for c.awaitRequest() {
 		req, err := c.readRequest()
 		if err != nil {
 			c.rejectHead(err, turn)
@@ -210,7 +207,7 @@
 func (c *conn) handle(resp *response) {
 	defer func() {
 		aborted := recover()
-		if aborted != nil && aborted != http.ErrAbortHandler {
+		if err, _ := aborted.(error); aborted != nil && !errors.Is(err, http.ErrAbortHandler) {
 			c.server.opts.Logger.Error("handler failed", "error", aborted)
 		}
 		resp.finish(aborted != nil)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -199,7 +199,7 @@
 		}
 		members = append(members, gossip.Member{ID: i.id, DataCentre: "a", Address: address})
 		instances = append(instances, i)
-		t.Cleanup(func() { conn.Close() })
+		t.Cleanup(func() { _ = conn.Close() })
 	}
 	for _, i := range instances {
 		for _, m := range members {
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -73,7 +73,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Cleanup(func() { conn.Close() })
+		t.Cleanup(func() { _ = conn.Close() })
 		n := &node{
 			follower: &follower{}, board: readings.NewBoard(), backlogs: admission.NewBacklogs(),
 			member: Member{ID: fmt.Sprint("entry-", i), DataCentre: centre, Address: netip.MustParseAddrPort(conn.LocalAddr().String())},
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -106,10 +106,9 @@
 }
 
 // Close writes the queued lines. No line may be written after it.
-func (w *Writer) Close() error {
+func (w *Writer) Close() {
 	close(w.lines)
 	<-w.done
-	return nil
 }
 
 // New returns a logger that writes one key=value line per event. It fails with
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -37,7 +37,7 @@
 			time.Sleep(time.Second / linesPerSecond)
 		}
 		close(out.release)
-		g.Expect(w.Close()).To(gomega.Succeed())
+		w.Close()
 		g.Expect(out.out.String()).To(gomega.ContainSubstring("log lines dropped"))
 	})
 }
@@ -53,7 +53,7 @@
 			logger.Info("event")
 			synctest.Wait()
 		}
-		g.Expect(w.Close()).To(gomega.Succeed())
+		w.Close()
 		g.Expect(strings.Count(out.String(), "msg=event")).To(gomega.Equal(burstLines))
 		g.Expect(out.String()).To(gomega.ContainSubstring("lines=7"))
 	})
--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -14,8 +14,6 @@
 	mu sync.Mutex
 	// runs holds the servers that ran each request.
 	runs map[string][]string
-	// foreign lists requests that reached a server of another service.
-	foreign []string
 }
 
 func (j *journal) ran(id, server string) {
@@ -110,7 +108,7 @@
 // crash ends the server without a word; its entry is removed a little later.
 func (b *backend) crash() {
 	close(b.stop)
-	b.server.Close()
+	_ = b.server.Close()
 	b.link.close()
 	time.AfterFunc(beatEvery*2, func() { b.store.put("servers", b.id, nil) })
 }
--- a/internal/soak/daemon_test.go
+++ b/internal/soak/daemon_test.go
@@ -55,7 +55,7 @@
 		udp, err := net.ListenPacket("udp", fmt.Sprintf("%s:%d", ip, port))
 		tcp.Close()
 		if err == nil {
-			udp.Close()
+			_ = udp.Close()
 			return port
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -115,7 +115,7 @@
 	s.checkPromises()
 	s.checkRecovery()
 	if !t.Failed() {
-		os.Remove(log.Name())
+		_ = os.Remove(log.Name())
 	} else {
 		t.Logf("logs of the daemons: %s", log.Name())
 	}
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -67,7 +67,7 @@
 
 // Conn is a connection to a backend server.
 type Conn struct {
-	net.Conn
+	raw     net.Conn
 	pool    *Pool
 	address string
 	reader  *bufio.Reader
@@ -149,7 +149,7 @@
 		return nil, &DialError{Address: address, Err: err}
 	}
 	p.Opened.Add(1)
-	return &Conn{Conn: conn, pool: p, address: address, reader: bufio.NewReaderSize(conn, bufferSize), opened: time.Now()}, nil
+	return &Conn{raw: conn, pool: p, address: address, reader: bufio.NewReaderSize(conn, bufferSize), opened: time.Now()}, nil
 }
 
 func (p *Pool) release(address string) {
@@ -214,13 +214,13 @@
 }
 
 // Close closes the connection for good.
-func (c *Conn) Close() error {
+func (c *Conn) Close() {
 	if c.closed {
-		return nil
+		return
 	}
 	c.closed = true
 	c.pool.release(c.address)
-	return c.Conn.Close()
+	c.raw.Close()
 }
 
 // usable reports whether an idle connection is open and has received nothing.
@@ -228,7 +228,7 @@
 	if now.After(c.expires) || c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/serverconn/roundtrip.go
+++ b/serverconn/roundtrip.go
@@ -56,7 +56,7 @@
 // [SendError]; the connection is closed then. The answer's body must be closed,
 // which keeps the connection if the body was read to its end.
 func (c *Conn) RoundTrip(ctx context.Context, req *http.Request, belongs func(*http.Response) bool) (*http.Response, error) {
-	stop := context.AfterFunc(ctx, func() { _ = c.Conn.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
 	fail := func(unsent bool, err error) (*http.Response, error) {
 		stop()
 		c.Close()
@@ -65,7 +65,7 @@
 		}
 		return nil, &SendError{Unsent: unsent, Err: err}
 	}
-	out := &countingWriter{w: c.Conn}
+	out := &countingWriter{w: c.raw}
 	written := make(chan error, 1)
 	if req.ContentLength > inlineBody {
 		go func() { written <- req.Write(out) }()
@@ -132,7 +132,8 @@
 	b.closed = true
 	live := b.stop()
 	if !live || !b.eof || b.resp.Close || b.conn.reader.Buffered() > 0 || !b.sent() {
-		return b.conn.Close()
+		b.conn.Close()
+		return nil
 	}
 	b.conn.pool.put(b.conn, idleTime(b.resp.Header.Get("Keep-Alive")))
 	return nil
