--- a/directory/directory.go
+++ b/directory/directory.go
@@ -86,16 +86,6 @@
 	return all
 }
 
-// Find returns the server with the ID if it takes new work.
-func (d *Directory) Find(service, id string) (Server, bool) {
-	for _, server := range d.Servers(service) {
-		if server.ID == id {
-			return server, true
-		}
-	}
-	return Server{}, false
-}
-
 // Version returns the version of the newest change, up to which none is
 // missing.
 func (d *Directory) Version() uint64 {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -19,6 +19,9 @@
 	// defaultAttempts bounds the servers that a request is sent to if its
 	// route does not.
 	defaultAttempts = 2
+	// maxUnreached bounds the servers tried beyond the attempts because they
+	// could not be reached.
+	maxUnreached = 4
 	// defaultWait bounds a request whose caller and route set no time.
 	defaultWait = 30 * time.Second
 	// notReadyRetry is when to come back to an instance without a table.
@@ -58,6 +61,8 @@
 	placements []placed
 	// sent counts the attempts that reached a server or still may.
 	sent int
+	// charged counts the further attempts taken from the budget.
+	charged int
 	// mayHaveRun is set once an attempt ended without proof that it did not
 	// run.
 	mayHaveRun bool
@@ -158,7 +163,7 @@
 // follow.
 func (x *exchange) attempts(ctx context.Context) (*answer, *outcome.Error) {
 	ctx, cancel := context.WithCancel(ctx)
-	ends := make(chan end, x.maxAttempts())
+	ends := make(chan end, x.maxAttempts()+maxUnreached)
 	running := 0
 	launch := func() *outcome.Error {
 		placed, failed := x.f.queue(x.service.Name).acquire(ctx, x, running == 0)
@@ -196,17 +201,25 @@
 			}
 			x.note(e)
 			last = e
-			if x.mayRetry(e) && launch() == nil {
-				x.f.retries.Add(1)
-				continue
+			if x.mayRetry(e) {
+				if launch() == nil {
+					x.f.retries.Add(1)
+					continue
+				}
+				x.giveBack()
 			}
 			if running == 0 {
 				return finish(x.giveUp(last))
 			}
 		case <-hedge.C:
-			if x.mayHedge() && launch() == nil {
-				x.f.hedges.Add(1)
+			if !x.mayHedge() {
+				continue
+			}
+			if launch() != nil {
+				x.giveBack()
+				continue
 			}
+			x.f.hedges.Add(1)
 		case <-ctx.Done():
 			return finish(nil, x.late())
 		}
@@ -242,13 +255,31 @@
 // mayHedge reports whether a second attempt beside the first is allowed, and
 // takes it from the budget.
 func (x *exchange) mayHedge() bool {
-	return x.maxAttempts() > 1 && x.sent == 1 && len(x.tried) == 1 && x.f.opts.Budget.Take(x.service.Name)
+	return x.maxAttempts() > 1 && x.sent == 1 && len(x.tried) == 1 && x.charge()
+}
+
+// charge takes a further attempt from the budget.
+func (x *exchange) charge() bool {
+	if !x.f.opts.Budget.Take(x.service.Name) {
+		return false
+	}
+	x.charged++
+	return true
+}
+
+// giveBack returns a further attempt that did not reach a server.
+func (x *exchange) giveBack() {
+	if x.charged > 0 {
+		x.charged--
+		x.f.opts.Budget.Return(x.service.Name)
+	}
 }
 
 // mayRetry reports whether the request may be sent to a further server, and
 // takes it from the budget.
 func (x *exchange) mayRetry(e end) bool {
-	if x.body.streamed() || len(x.tried) >= x.maxAttempts() || time.Until(x.deadline) < leastTime {
+	if x.body.streamed() || x.sent >= x.maxAttempts() || len(x.tried) >= x.maxAttempts()+maxUnreached ||
+		time.Until(x.deadline) < leastTime {
 		return false
 	}
 	if !e.notRun && !x.route.Repeatable {
@@ -257,7 +288,7 @@
 	if x.sent == 0 {
 		return true
 	}
-	return x.f.opts.Budget.Take(x.service.Name)
+	return x.charge()
 }
 
 // note takes in the end of an attempt without a usable answer.
@@ -267,6 +298,7 @@
 	}
 	if e.unsent {
 		x.sent--
+		x.giveBack()
 	}
 	x.log("attempt failed", slog.String("server", e.server.ID), slog.Bool("sent", !e.unsent), slog.Bool("not_run", e.notRun),
 		slog.Duration("left", time.Until(x.deadline)), slog.Any("error", e.err))
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -259,6 +259,22 @@
 	}
 }
 
+// TestServersThatRefuseConnectionsDoNotCountAsAttempts has more of them than the
+// route allows attempts.
+func TestServersThatRefuseConnectionsDoNotCountAsAttempts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	dead := listener.Addr().String()
+	listener.Close()
+	alive := startServer(t, "alive", ok)
+	r := newRig(t, alive, &server{id: "d1", address: dead}, &server{id: "d2", address: dead}, &server{id: "d3", address: dead})
+	for range 5 {
+		resp, _ := r.call(t, http.MethodPost, "/order/", "x")
+		g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
+	}
+}
+
 func TestMisdirectedServerIsNotUsedAgain(t *testing.T) {
 	g := gomega.NewWithT(t)
 	wrong := startServer(t, "s1", func(c net.Conn, r *http.Request) { answer(c, r, 421, "", "Instance-Id: other") })
