--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/directory"
+	"github.com/pomelolock/pomelolock/internal/hop"
 	"github.com/pomelolock/pomelolock/readings"
 	"github.com/pomelolock/pomelolock/serverconn"
 )
@@ -106,7 +107,7 @@
 		Method:     in.Method,
 		URL:        target(in),
 		Host:       in.Host,
-		Header:     endToEnd(in.Header),
+		Header:     hop.EndToEnd(in.Header),
 		ProtoMajor: 1, ProtoMinor: 1,
 	}
 	a.x.f.opts.Protocol.Address(out.Header, a.server.ID, left)
@@ -224,7 +225,7 @@
 
 // read takes in the answer's body up to the hold limit.
 func (a *attempt) read(resp *http.Response) (*answer, error) {
-	ans := &answer{server: a.server.ID, status: resp.StatusCode, header: endToEnd(resp.Header), length: resp.ContentLength}
+	ans := &answer{server: a.server.ID, status: resp.StatusCode, header: hop.EndToEnd(resp.Header), length: resp.ContentLength}
 	var buf bytes.Buffer
 	if 0 < resp.ContentLength && resp.ContentLength <= holdAnswer {
 		buf.Grow(int(resp.ContentLength) + bytes.MinRead)
--- a/forward/write.go
+++ b/forward/write.go
@@ -5,35 +5,11 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"net/textproto"
 	"strconv"
-	"strings"
 	"time"
-)
-
-// hopByHop are the headers that concern one connection. Source: RFC 9110,
-// section 7.6.1, and the headers that proxies drop besides.
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
 
-// endToEnd returns a copy of header without hop-by-hop fields.
-func endToEnd(header http.Header) http.Header {
-	out := header.Clone()
-	if out == nil {
-		out = make(http.Header)
-	}
-	for _, field := range header["Connection"] {
-		for name := range strings.SplitSeq(field, ",") {
-			out.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
-	return out
-}
+	"github.com/pomelolock/pomelolock/internal/hop"
+)
 
 // writeTimeout is the longest time in which a caller may accept nothing of an
 // answer.
@@ -46,7 +22,7 @@
 	for name, values := range ans.header {
 		header[name] = values
 	}
-	if ans.rest == nil && x.in.Method != http.MethodHead && bodyAllowed(ans.status) {
+	if ans.rest == nil && x.in.Method != http.MethodHead && hop.BodyAllowed(ans.status) {
 		header.Set("Content-Length", strconv.Itoa(len(ans.held)))
 	}
 	rc := http.NewResponseController(x.w)
@@ -63,12 +39,6 @@
 		slog.Any("tried", x.placements), slog.Duration("took", took))
 }
 
-// bodyAllowed reports whether an answer with the status has a body.
-// Source: RFC 9110, section 6.4.1.
-func bodyAllowed(status int) bool {
-	return status != http.StatusNoContent && status != http.StatusNotModified
-}
-
 // copyBody writes the held part and then the rest as it comes.
 func (x *exchange) copyBody(rc *http.ResponseController, ans *answer) error {
 	if len(ans.held) > 0 && x.in.Method != http.MethodHead {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 
 	"github.com/pomelolock/pomelolock/burn"
 	"github.com/pomelolock/pomelolock/claim"
+	"github.com/pomelolock/pomelolock/internal/listen"
 	"github.com/pomelolock/pomelolock/loadbalancer"
 	"github.com/pomelolock/pomelolock/membership"
 	"github.com/pomelolock/pomelolock/metrics"
@@ -64,19 +65,6 @@
 	caller, peer, operator net.Listener
 }
 
-// ListenError reports an address that can't be listened on.
-type ListenError struct {
-	Address string
-	Err     error
-}
-
-func (e *ListenError) Error() string {
-	return fmt.Sprintf("daemon: listen on %s: %v", e.Address, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Err }
-
 // New wires an instance and opens its listeners.
 func New(set *settings.Settings, logger *slog.Logger) (*Daemon, error) {
 	client, err := httpplatform.New(httpplatform.Options{BaseURL: set.Platform.URL, Timeout: set.Platform.Timeout()})
@@ -260,8 +248,8 @@
 
 func (d *Daemon) duties() []duty {
 	return []duty{
-		{"callers", func(context.Context) error { return serveHTTP(d.callers, d.listeners.caller) }},
-		{"operators", func(context.Context) error { return serveHTTP(d.operators, d.listeners.operator) }},
+		{"callers", func(context.Context) error { return listen.Serve(d.callers, d.listeners.caller) }},
+		{"operators", func(context.Context) error { return listen.Serve(d.operators, d.listeners.operator) }},
 		{"peers", func(ctx context.Context) error { return d.mesh.Serve(ctx, d.listeners.peer) }},
 		{"membership", d.tracker.Run},
 		{"table", endless(d.sync.Run)},
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/pomelolock/pomelolock/internal/listen"
 	"github.com/pomelolock/pomelolock/internal/logline"
 	"github.com/pomelolock/pomelolock/settings"
 )
@@ -49,7 +50,7 @@
 	set := testSettings()
 	set.Listen.Operator = "192.0.2.1:1"
 	_, err = New(set, logger)
-	var listen *ListenError
+	var listen *listen.Error
 	g.Expect(err).To(gomega.BeAssignableToTypeOf(listen))
 }
 
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/tls"
-	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -10,6 +9,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/pomelolock/pomelolock/certs"
+	"github.com/pomelolock/pomelolock/internal/listen"
 	"github.com/pomelolock/pomelolock/settings"
 )
 
@@ -38,9 +38,9 @@
 }
 
 func (d *Daemon) listen(address string, cert *settings.Certificate) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := listen.TCP(address)
 	if err != nil {
-		return nil, &ListenError{Address: address, Err: err}
+		return nil, err
 	}
 	if cert == nil {
 		return listener, nil
@@ -88,11 +88,3 @@
 		ErrorLog:          slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
 	}
 }
-
-func serveHTTP(server *http.Server, listener net.Listener) error {
-	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -20,6 +19,7 @@
 	"github.com/pomelolock/pomelolock/feed"
 	"github.com/pomelolock/pomelolock/forward"
 	"github.com/pomelolock/pomelolock/gossip"
+	"github.com/pomelolock/pomelolock/internal/listen"
 	"github.com/pomelolock/pomelolock/membership"
 	"github.com/pomelolock/pomelolock/metrics"
 	"github.com/pomelolock/pomelolock/readings"
@@ -113,18 +113,7 @@
 	leaving atomic.Bool
 }
 
-// ListenError reports an address that can't be listened on.
-type ListenError struct {
-	Address string
-	Err     error
-}
-
-func (e *ListenError) Error() string { return fmt.Sprintf("entry: listen on %s: %v", e.Address, e.Err) }
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Err }
-
-// New wires an instance and opens its listeners. It fails with [ListenError].
+// New wires an instance and opens its listeners. It fails with [listen.Error].
 func New(opts Options) (*Daemon, error) {
 	set := opts.Settings
 	if set.MemoryMB > 0 {
@@ -160,7 +149,7 @@
 func (d *Daemon) wireExchange() error {
 	conn, err := net.ListenPacket("udp", d.opts.Settings.Peer)
 	if err != nil {
-		return &ListenError{Address: d.opts.Settings.Peer, Err: err}
+		return &listen.Error{Address: d.opts.Settings.Peer, Err: err}
 	}
 	d.exchange, err = gossip.New(gossip.Options{
 		Conn: conn, Address: d.self.Address, ID: d.self.ID, DataCentre: d.self.DataCentre, Board: d.board,
@@ -263,7 +252,7 @@
 func (d *Daemon) duties() []duty {
 	duties := []duty{
 		{"callers", func(context.Context) error { return d.callers.Serve(d.callerListener) }},
-		{"readiness", func(context.Context) error { return serve(d.ready, d.readyListener) }},
+		{"readiness", func(context.Context) error { return listen.Serve(d.ready, d.readyListener) }},
 		{"gossip", d.exchange.Run},
 		{"feed", d.feed.Run},
 		{"join", d.join},
@@ -273,7 +262,7 @@
 		{"settings", d.followSettings},
 	}
 	if d.metricsListener != nil {
-		duties = append(duties, duty{"metrics", func(context.Context) error { return serve(d.scrapes, d.metricsListener) }})
+		duties = append(duties, duty{"metrics", func(context.Context) error { return listen.Serve(d.scrapes, d.metricsListener) }})
 	}
 	return duties
 }
@@ -355,11 +344,3 @@
 		}
 	}
 }
-
-func serve(server *http.Server, listener net.Listener) error {
-	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/callerconn"
+	"github.com/pomelolock/pomelolock/internal/listen"
 )
 
 const (
@@ -31,9 +32,9 @@
 		if l.address == "" {
 			continue
 		}
-		opened, err := net.Listen("tcp", l.address)
+		opened, err := listen.TCP(l.address)
 		if err != nil {
-			return &ListenError{Address: l.address, Err: err}
+			return err
 		}
 		*l.listener = opened
 	}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/pomelolock/pomelolock/internal/hop"
 	"github.com/pomelolock/pomelolock/loadbalancer"
 	"github.com/pomelolock/pomelolock/outcome"
 	"github.com/pomelolock/pomelolock/table"
@@ -82,7 +83,7 @@
 		Method: in.Method,
 		URL:    cloneURL(in.URL, server.Address),
 		Host:   in.Host,
-		Header: endToEnd(in.Header),
+		Header: hop.EndToEnd(in.Header),
 	}).WithContext(ctx)
 	out.Header.Set(outcome.HeaderRequestID, a.x.id)
 	out.Header.Set(outcome.HeaderDeadline, remainingMS(ctx))
@@ -183,7 +184,7 @@
 	ans := &answer{
 		server: a.permit.Server.Name,
 		status: resp.StatusCode,
-		header: endToEnd(resp.Header),
+		header: hop.EndToEnd(resp.Header),
 		length: resp.ContentLength,
 	}
 	load := parseLoad(resp.Header)
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -11,33 +10,6 @@
 	"github.com/pomelolock/pomelolock/outcome"
 )
 
-// Source: RFC 9110, section 7.6.1, and the headers that proxies drop besides.
-var hopByHop = []string{
-	"Connection",
-	"Proxy-Connection",
-	"Keep-Alive",
-	"Proxy-Authenticate",
-	"Proxy-Authorization",
-	"Te",
-	"Trailer",
-	"Transfer-Encoding",
-	"Upgrade",
-}
-
-// endToEnd returns a copy of header without hop-by-hop fields.
-func endToEnd(header http.Header) http.Header {
-	out := header.Clone()
-	for _, field := range header["Connection"] {
-		for name := range strings.SplitSeq(field, ",") {
-			out.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
-	return out
-}
-
 // parseLoad reads the load report of an answer, or returns nil. A malformed
 // report is ignored.
 func parseLoad(header http.Header) *loadbalancer.Load {
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/pomelolock/pomelolock/internal/hop"
 	"github.com/pomelolock/pomelolock/outcome"
 )
 
@@ -81,18 +82,12 @@
 	header.Del(outcome.HeaderDraining)
 	header.Set(outcome.HeaderRequestID, x.id)
 	header.Set(outcome.HeaderOutcome, string(outcome.Ran))
-	if ans.rest == nil && x.in.Method != http.MethodHead && bodyAllowed(ans.status) {
+	if ans.rest == nil && x.in.Method != http.MethodHead && hop.BodyAllowed(ans.status) {
 		header.Set("Content-Length", strconv.Itoa(len(ans.held)))
 	}
 	x.w.WriteHeader(ans.status)
 }
 
-// bodyAllowed reports whether an answer with the status has a body.
-// Source: RFC 9110, section 6.4.1.
-func bodyAllowed(status int) bool {
-	return status != http.StatusNoContent && status != http.StatusNotModified
-}
-
 func (x *exchange) writeBody(ans *answer) error {
 	if len(ans.held) > 0 {
 		rc := http.NewResponseController(x.w)
