--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -29,8 +30,10 @@
 	nudgedAfter  = 0.7
 	unaskedAfter = 1.2
 	// instancesAtPace is the number of instances up to which datagrams are sent
-	// at each interval. More instances send less often, so that each receives
-	// about as many.
+	// at each interval. More instances send less often, and the time between
+	// datagrams grows with this power of their number: each datagram received
+	// costs processor time, and the instances of large fleets have less of it.
+	paceGrowth = 1.5
 	instancesAtPace = 20
 	// maxPace bounds the time between datagrams.
 	maxPace = 400 * time.Millisecond
@@ -157,7 +160,8 @@
 }
 
 func pace(instances int) time.Duration {
-	return min(max(interval*time.Duration(instances)/instancesAtPace, interval), maxPace)
+	growth := math.Pow(float64(instances)/instancesAtPace, paceGrowth)
+	return min(max(time.Duration(growth*float64(interval)), interval), maxPace)
 }
 
 // Leave tells the others that this instance takes part in no duty any more.
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -197,3 +197,11 @@
 		gomega.NewWithT(t).Expect(err).To(gomega.BeAssignableToTypeOf(&ChunkError{}))
 	}
 }
+
+func TestPaceGrowsWithTheInstances(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(pace(1)).To(gomega.Equal(interval))
+	g.Expect(pace(instancesAtPace)).To(gomega.Equal(interval))
+	g.Expect(pace(43)).To(gomega.BeNumerically("~", 95*time.Millisecond, 5*time.Millisecond))
+	g.Expect(pace(1000)).To(gomega.Equal(maxPace))
+}
