--- a/forward/waits.go
+++ b/forward/waits.go
@@ -10,6 +10,8 @@
 	waitValues = 4
 	// waitEnough is the count from which the most frequent value is believed.
 	waitEnough = 8
+	// maxWaitRoutes bounds the routes remembered; tables add and remove them.
+	maxWaitRoutes = 20_000
 	// waitMost bounds a count, so that another value can take over.
 	waitMost = 100
 )
@@ -37,6 +39,9 @@
 	defer w.mu.Unlock()
 	counts := w.byRoute[route]
 	if counts == nil {
+		if len(w.byRoute) >= maxWaitRoutes {
+			clear(w.byRoute)
+		}
 		counts = &[waitValues]waitCount{}
 		w.byRoute[route] = counts
 	}
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -30,11 +30,12 @@
 	nudgedAfter  = 0.7
 	unaskedAfter = 1.2
 	// instancesAtPace is the number of instances up to which datagrams are sent
-	// at each interval. More instances send less often, and the time between
-	// datagrams grows with this power of their number: each datagram received
-	// costs processor time, and the instances of large fleets have less of it.
-	paceGrowth = 1.5
+	// at each interval.
 	instancesAtPace = 20
+	// paceGrowth is the power of the number of instances beyond that with which
+	// the time between datagrams grows: each datagram received costs processor
+	// time, and the instances of large fleets have less of it.
+	paceGrowth = 1.5
 	// maxPace bounds the time between datagrams.
 	maxPace = 400 * time.Millisecond
 	// quietInterval is the time between datagrams that tell nothing new.
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -146,6 +146,18 @@
 	g.Expect(m.hear(Member{ID: "a"}, 1, false, later)).To(gomega.BeTrue(), "the time of day jumped back before a restart")
 }
 
+func TestSilentInstanceIsForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := members{byID: make(map[string]*member)}
+	now := time.Now()
+	m.add(Member{ID: "never-heard"})
+	m.hear(Member{ID: "gone"}, 1, false, now)
+	m.silent(now.Add(forgetAfter / 2))
+	g.Expect(m.byID).To(gomega.HaveLen(2))
+	m.silent(now.Add(2 * forgetAfter))
+	g.Expect(m.byID).To(gomega.BeEmpty())
+}
+
 func TestRelaysTakeTurns(t *testing.T) {
 	g := gomega.NewWithT(t)
 	m := members{byID: make(map[string]*member)}
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -15,6 +15,9 @@
 	aliveForMany = 1200 * time.Millisecond
 	// manyInstances is the size from which a fleet is large.
 	manyInstances = 40
+	// forgetAfter is how long an instance that is silent stays known. One that
+	// comes back makes itself known.
+	forgetAfter = 10 * time.Minute
 	// silentInterval is the time between datagrams to instances that are not
 	// heard.
 	silentInterval = time.Second
@@ -31,6 +34,7 @@
 	Member
 	// started is when its process started, in Unix nanoseconds.
 	started int64
+	added   time.Time
 	heard   time.Time
 	sent    time.Time
 	leaving bool
@@ -54,7 +58,7 @@
 		}
 		return
 	}
-	m.byID[found.ID] = &member{Member: found}
+	m.byID[found.ID] = &member{Member: found, added: time.Now()}
 }
 
 // hear records a datagram and reports whether it is from the newest process of
@@ -135,7 +139,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var addresses []netip.AddrPort
-	for _, known := range m.byID {
+	for id, known := range m.byID {
+		if now.Sub(later(known.heard, known.added)) > forgetAfter {
+			delete(m.byID, id)
+			continue
+		}
 		if now.Sub(known.heard) > m.aliveLocked() && now.Sub(known.sent) >= silentInterval {
 			known.sent = now
 			addresses = append(addresses, known.Address)
@@ -152,6 +160,13 @@
 	return aliveFor
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (m *members) countAlive(now time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -82,7 +82,6 @@
 	opts     Options
 	self     gossip.Member
 	logger   *slog.Logger
-	started  time.Time
 	settings atomic.Pointer[Settings]
 
 	current   *table.Current
@@ -124,7 +123,7 @@
 		return nil, &SettingError{Name: "peer address", Value: set.Peer, Err: err}
 	}
 	d := &Daemon{
-		opts: opts, logger: opts.Logger, started: time.Now(),
+		opts: opts, logger: opts.Logger,
 		self:      gossip.Member{ID: set.ID, DataCentre: set.DataCentre, Address: peer},
 		current:   table.NewCurrent(),
 		directory: directory.New(),
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -16,6 +16,9 @@
 	// checkInterval is the least time between two status checks of one server.
 	// A spell of other load lasts some hundred milliseconds.
 	checkInterval = 30 * time.Millisecond
+	// maxUnreachable bounds the servers whose pause after a failed check is
+	// remembered.
+	maxUnreachable = 1024
 	// answerTime is when most answers to a round of checks have arrived.
 	answerTime = 5 * time.Millisecond
 	// checkTimeout bounds a status check.
@@ -108,6 +111,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.next) > maxUnreachable {
+		clear(c.next)
+	}
 	if c.running[server] || now.Before(c.next[server]) {
 		return false
 	}
