--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -325,8 +325,11 @@
 	r.board.Receive(readings.Reading{
 		Server: "s1", Measured: true, At: time.Now().Add(time.Hour), Report: readings.Report{Running: 6, Slots: 6, Slowness: 100},
 	})
-	resp, _ := r.call(t, http.MethodGet, "/order/", "")
-	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	for _, path := range []string{"/order/", "/brief/"} {
+		resp, _ := r.call(t, http.MethodGet, path, "")
+		g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable), path)
+		g.Expect(resp.Header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+	}
 	g.Expect(s.arrivals()).To(gomega.BeZero())
 }
 
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -112,7 +112,9 @@
 	}
 }
 
-// acquire takes room for an attempt, waiting for it if wait is set. It fails if the request can't be served in time.
+// acquire takes room for an attempt, waiting for it if wait is set. It fails if
+// the request can't be served in time. An exchange waits only while none of its
+// attempts runs.
 func (q *queue) acquire(ctx context.Context, x *exchange, wait bool) (placed, *outcome.Error) {
 	now := time.Now()
 	w := &waiter{
@@ -142,7 +144,10 @@
 		return g.placed, g.failed
 	case <-ctx.Done():
 		q.leave(w)
-		return placed{}, x.late()
+		if x.mayHaveRun {
+			return placed{}, x.late()
+		}
+		return placed{}, x.refusal(outcome.CodeOverload, "no room in time")
 	}
 }
 
