--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -24,7 +24,11 @@
 )
 
 // regression are seeds that failed once, with the cause.
-var regression = []uint64{}
+var regression = []uint64{
+	// The harness hung at the start of a daemon: a channel was set to nil by the
+	// goroutine before it was waited for.
+	106, 140,
+}
 
 const (
 	daemons     = 5
