feed: a read of the store counts once, however often it is told on

The reader was refused with 503 by the store; the next instance read, heard its own read back from others, took it for theirs and stopped for a second, in which its reading of tables was missed. Moreover the age lost the way of each datagram and part of a millisecond, so that a read that went round looked younger each time. Ruled out: lost datagrams (the others were as late). Change: a datagram names the read that confirmed its view; each read is taken once. Two tests: tables accepted while the reader is turned away, and the age while all are.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -46,6 +47,8 @@
 	// maxChangeLines is the number of changes at once from which they are logged
 	// in one line.
 	maxChangeLines = 8
+	// maxProcesses bounds the processes whose reads are remembered.
+	maxProcesses = 4096
 	// feedKey selects the reader among the instances.
 	feedKey = "feed"
 )
@@ -92,6 +95,13 @@
 	// fresh is the moment for which the local view is current, heard the same
 	// as far as other instances tell.
 	fresh, heard time.Time
+	// read is the read of the store that fresh comes from, reads the newest one
+	// heard of each process, and process stands for this process.
+	read    gossip.Read
+	reads   map[uint32]uint64
+	process uint32
+	// made counts the reads of this process.
+	made uint64
 	// table is the table in force as JSON.
 	table []byte
 	// holdUntil ends the time in which removed entries stay in use.
@@ -102,7 +112,7 @@
 
 // New returns a feed.
 func New(opts Options) *Feed {
-	f := &Feed{opts: opts}
+	f := &Feed{opts: opts, reads: make(map[uint32]uint64), process: rand.Uint32()}
 	if opts.FirstStart {
 		f.readFrom = time.Now().Add(meetTime)
 	}
@@ -133,8 +143,8 @@
 	return membership.Rank(feedKey, f.opts.ID, f.opts.Exchange.Alive(""))
 }
 
-// reads reports whether this instance has to read the store now.
-func (f *Feed) reads(now time.Time) bool {
+// mustRead reports whether this instance has to read the store now.
+func (f *Feed) mustRead(now time.Time) bool {
 	if now.Before(f.readFrom) {
 		return false
 	}
@@ -166,7 +176,7 @@
 			for _, id := range f.opts.Directory.Expire(now) {
 				f.opts.Logger.Info("server gone", "server", id, "reason", "not registered again after the store's return")
 			}
-			if now.Before(next) || !f.reads(now) {
+			if now.Before(next) || !f.mustRead(now) {
 				continue
 			}
 			read, err := f.readServers(ctx, version)
@@ -250,8 +260,9 @@
 		f.failingSince = time.Time{}
 		f.opts.Logger.Info("store readable", "outage", lasted)
 	}
+	f.made++
 	if at.After(f.fresh) {
-		f.fresh = at
+		f.fresh, f.read = at, gossip.Read{Process: f.process, Number: f.made}
 	}
 	return f.holdUntil
 }
@@ -280,7 +291,7 @@
 	var version uint64
 	for ctx.Err() == nil {
 		now := time.Now()
-		if now.Before(f.readFrom) || f.opts.Current.Load() != nil && !f.reads(now) {
+		if now.Before(f.readFrom) || f.opts.Current.Load() != nil && !f.mustRead(now) {
 			sleep(ctx, pollInterval)
 			continue
 		}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -156,6 +156,7 @@
 	directory *directory.Directory
 	current   *table.Current
 	exchange  *gossip.Exchange
+	feed      *Feed
 	stop      context.CancelFunc
 	done      chan struct{}
 }
@@ -215,6 +216,7 @@
 		ID: i.id, Store: i.access, Directory: i.directory, Current: i.current, Exchange: i.exchange,
 		Logger: slog.New(slog.DiscardHandler),
 	})
+	i.feed = f
 	i.exchange.Follow(f)
 	ctx, cancel := context.WithCancel(t.Context())
 	i.stop = cancel
@@ -321,6 +323,42 @@
 	}
 }
 
+// TestOutageOfTheReaderLasts accepts tables for a while that the reader in calm
+// times can't read: the next instance has to go on reading in its place.
+func TestOutageOfTheReaderLasts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newStore()
+	s.put(server("a"))
+	s.accept(3)
+	instances := fleet(t, s, 6)
+	reader(t, instances).access.setAway(true)
+	time.Sleep(2 * time.Second)
+	for version := uint64(5); version < 12; version++ {
+		s.accept(version)
+		for _, i := range instances {
+			g.Eventually(i.tableVersion).WithTimeout(within).Should(gomega.Equal(version))
+		}
+	}
+}
+
+// TestReadThatIsToldOnDoesNotGetYounger cuts all instances off from the store:
+// none may take what the others tell for a new read.
+func TestReadThatIsToldOnDoesNotGetYounger(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newStore()
+	s.put(server("a"))
+	s.accept(3)
+	instances := fleet(t, s, 6)
+	reader(t, instances)
+	for _, i := range instances {
+		i.access.setAway(true)
+	}
+	time.Sleep(3 * time.Second)
+	for _, i := range instances {
+		g.Expect(i.feed.Age()).To(gomega.BeNumerically(">", 2*time.Second))
+	}
+}
+
 func TestLostHistoryIsReadWhole(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newStore()
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -18,6 +18,7 @@
 		ServersVersion: f.opts.Directory.Version(),
 		TableVersion:   f.tableVersion(),
 		At:             f.fresh,
+		Read:           f.read,
 	}
 }
 
@@ -39,11 +40,20 @@
 	if theirs.ServersVersion < servers || theirs.TableVersion < inForce {
 		return false
 	}
+	// A read that came back, or came again by another way, confirms nothing
+	// new. Without this, each way would make it look a little younger.
+	if theirs.Read.Process == f.process || theirs.Read.Number <= f.reads[theirs.Read.Process] {
+		return false
+	}
+	if len(f.reads) >= maxProcesses {
+		clear(f.reads)
+	}
+	f.reads[theirs.Read.Process] = theirs.Read.Number
 	if theirs.At.After(f.heard) {
 		f.heard = theirs.At
 	}
 	if theirs.At.After(f.fresh) {
-		f.fresh = theirs.At
+		f.fresh, f.read = theirs.At, theirs.Read
 	}
 	return false
 }
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -54,6 +54,16 @@
 	ServersVersion, TableVersion uint64
 	// At is the moment for which the view is known to be current.
 	At time.Time
+	// Read is the read of the store that confirmed it.
+	Read Read
+}
+
+// Read names one read of the store.
+type Read struct {
+	// Process stands for the process that read.
+	Process uint32
+	// Number counts the reads of the process, from 1.
+	Number uint64
 }
 
 // Follower takes part in keeping the view of the store alike everywhere. Its
@@ -254,7 +264,9 @@
 	msg.Freshness = &gossippb.Freshness{
 		ServersVersion: f.ServersVersion,
 		TableVersion:   f.TableVersion,
-		AgeMs:          milliseconds(now.Sub(f.At)),
+		AgeMs:          milliseconds(now.Sub(f.At) + time.Millisecond),
+		Process:        f.Read.Process,
+		Read:           f.Read.Number,
 	}
 	n.take(msg, now)
 	for _, b := range backlogs {
@@ -406,6 +418,7 @@
 		ServersVersion: f.GetServersVersion(),
 		TableVersion:   f.GetTableVersion(),
 		At:             now.Add(-time.Duration(f.GetAgeMs()) * time.Millisecond),
+		Read:           Read{Process: f.GetProcess(), Number: f.GetRead()},
 	})
 	if !behind || !e.members.mayAsk(from, now, askInterval) {
 		return
