--- a/internal/entry/daemon_test.go
+++ b/internal/entry/daemon_test.go
@@ -80,14 +80,25 @@
 	}
 }
 
+// freeAddress returns an address that is free for TCP and UDP. Its IP address is
+// that of this test process alone, so that no other takes the port meanwhile.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 128+pid>>16&0x3f, pid>>8&0xff, 1+pid&0x7f)
+	for {
+		tcp, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := tcp.Addr().String()
+		udp, err := net.ListenPacket("udp", address)
+		tcp.Close()
+		if err == nil {
+			_ = udp.Close()
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 // backend answers requests after a pause, and status checks at once.
