--- a/Makefile
+++ b/Makefile
@@ -5,17 +5,17 @@
 GOBIN := $(CURDIR)/.bin
 BIN := $(CURDIR)/bin
 
-.PHONY: build test fmt lint generate demo bench slopes prove prove-off
+.PHONY: build test fmt lint generate demo bench slopes prove prove-off fleet soak
 
 build:
 	go build -o $(BIN)/ ./cmd/...
 
 # Packages whose tests start processes; they run one after the other, so that
 # they don't starve each other.
-PROCESS_TESTS := ./internal/cli ./internal/fleet ./internal/scenario
+PROCESS_TESTS := ./internal/cli ./internal/fleet ./internal/scenario ./internal/soak
 
 test: fmt lint
-	go test $$(go list ./... | grep -v -E 'internal/(cli|fleet|scenario)$$')
+	go test $$(go list ./... | grep -v -E 'internal/(cli|fleet|scenario|soak)$$')
 	go test -p 1 $(PROCESS_TESTS)
 
 fmt:
@@ -48,3 +48,15 @@
 
 slopes: build
 	$(BIN)/slopes --bin $(BIN)
+
+# The users' bench and its site files are no part of this repository.
+FLEETBENCH ?=
+SITES ?=
+fleet:
+	@if [ ! -x "$(FLEETBENCH)" ]; then echo "no bench at FLEETBENCH=$(FLEETBENCH): not run"; exit 0; fi; \
+	for site in $(SITES); do $(FLEETBENCH) run $$site quiet-1 --why "calm day" || exit 1; done
+
+SEEDS ?= 50
+FIRST ?= 1
+soak:
+	go test ./internal/soak -timeout 60m -v -seeds $(SEEDS) -first $(FIRST)
