burn: each request is counted completely or not at all

Cause: collect read total, complete and good one after the other while Record added to them, and dropped the counts of a meter whose total was 0. Now a request adds to one of three disjoint counters (failed, slow, good), from which the counts are summed.

A lock was ruled out: Record takes none.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -223,6 +223,32 @@
 	})
 }
 
+// TestCollectionBesideRecordLosesNothing collects all the time while requests are
+// recorded: each request is counted once, in all of its counts.
+func TestCollectionBesideRecordLosesNothing(t *testing.T) {
+	g := NewWithT(t)
+	const requests = 200_000
+	r := burn.NewRecorder()
+	r.SetObjectives(objectives)
+	service, latency := objectives[0].Service, objectives[0].Latency
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range requests {
+			r.Record(service, true, latency)
+		}
+	}()
+	for collecting := true; collecting; {
+		select {
+		case <-done:
+			collecting = false
+		default:
+		}
+		r.Collect()
+	}
+	g.Expect(r.Recorded(service)).To(Equal(burn.Counts{Total: requests, Complete: requests, Good: requests}))
+}
+
 // bubbleTB hides the Deadline method of testing.T, which must not be called in a
 // synctest bubble and which rapid would use.
 type bubbleTB struct{ rapid.TB }
--- a/burn/export_test.go
+++ b/burn/export_test.go
@@ -1,6 +1,9 @@
 package burn
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // FullHourBytes returns the encoded size, in bytes, of the object of one process
 // that served the given number of services in every minute of the hour.
@@ -18,3 +21,19 @@
 	}
 	return len(data)
 }
+
+// Collect collects the counts since the last collection into the current minute.
+func (r *Recorder) Collect() { r.collect(time.Now()) }
+
+// Recorded returns the counts of a service in all collected minutes.
+func (r *Recorder) Recorded(service string) Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var sum Counts
+	for _, hour := range r.hours {
+		for _, counts := range hour.minutes(service) {
+			sum.add(counts)
+		}
+	}
+	return sum
+}
--- a/burn/recorder.go
+++ b/burn/recorder.go
@@ -34,17 +34,20 @@
 	c.Good += other.Good
 }
 
-// meter counts the requests of one service since the last collection.
+// meter counts the requests of one service since the last collection. Each request is
+// in exactly one of the counters, so that a collection that runs beside
+// [Recorder.Record] counts it completely or not at all.
 type meter struct {
 	// latency is the latency bound of the objective, in nanoseconds.
-	latency  atomic.Int64
-	total    atomic.Uint64
-	complete atomic.Uint64
-	good     atomic.Uint64
+	latency atomic.Int64
+	// failed counts the requests without a complete response, slow those with one
+	// beyond the latency bound and good those within it.
+	failed, slow, good atomic.Uint64
 }
 
 func (m *meter) collect() Counts {
-	return Counts{Total: m.total.Swap(0), Complete: m.complete.Swap(0), Good: m.good.Swap(0)}
+	failed, slow, good := m.failed.Swap(0), m.slow.Swap(0), m.good.Swap(0)
+	return Counts{Total: failed + slow + good, Complete: slow + good, Good: good}
 }
 
 // Recorder counts the requests that this process served. It is safe for
@@ -109,12 +112,12 @@
 		return
 	}
 	m := value.(*meter)
-	m.total.Add(1)
-	if !complete {
-		return
-	}
-	m.complete.Add(1)
-	if int64(latency) <= m.latency.Load() {
+	switch {
+	case !complete:
+		m.failed.Add(1)
+	case int64(latency) > m.latency.Load():
+		m.slow.Add(1)
+	default:
 		m.good.Add(1)
 	}
 }
