slot: a server closed for slowness gets its trial while others have free slots

Cause: only servers closed by errors got a due trial first. One closed for slowness right after its recovery got none while others had free slots, and a drain there was found only by a request long after. Draining servers still get none. Test first: TestSlowServerGetsTrialWhileOthersHaveFreeSlots failed before.

--- a/slot/coordinator_test.go
+++ b/slot/coordinator_test.go
@@ -233,6 +233,27 @@
 	}
 }
 
+// TestSlowServerGetsTrialWhileOthersHaveFreeSlots checks that a server whose window is
+// closed for slowness gets its trial when it is due, so that its recovery is found.
+func TestSlowServerGetsTrialWhileOthersHaveFreeSlots(t *testing.T) {
+	d := newTestCoordinator(coordinatorConfig{recorded: []string{"a", "b"}, takeoverDone: true})
+	slow := idOfServer("server-0")
+	report := &slotpb.ServerReport{Server: uint64(slow), Ok: 1, LatencyUs: 100_000}
+	for !d.byID[slow].quality.closed() {
+		d.byID[slow].quality.observe(d.now, report, simSlots, time.Millisecond)
+		d.now = d.now.Add(decreaseInterval)
+	}
+	for end := d.now.Add(maxTrialInterval); d.now.Before(end); {
+		d.advance(100 * time.Millisecond)
+		d.ask("a", &slotpb.Ask{})
+		d.ask("b", &slotpb.Ask{})
+	}
+	d.ask("b", &slotpb.Ask{Want: 1})
+	if lease := d.last["b"].GetLeases(); len(lease) != 1 || leaseID(lease[0].GetId()).server() != slow {
+		t.Errorf("the trial of the slow server was not granted: %v", lease)
+	}
+}
+
 // TestDrainingServerGetsNoTrialWhileOthersHaveFreeSlots checks that a server that
 // reports draining gets no trial while others have free slots.
 func TestDrainingServerGetsNoTrialWhileOthersHaveFreeSlots(t *testing.T) {
--- a/slot/grant.go
+++ b/slot/grant.go
@@ -96,9 +96,9 @@
 }
 
 // bestSlot returns a free slot of the server with the best score among those
-// that the holder may use. A due trial of a failed server comes first, because
-// its score is never the best while others have free slots. Slow and draining
-// servers get a trial only if no other server has a free slot.
+// that the holder may use. A due trial comes first, because the score of a closed
+// server is never the best while others have free slots. Draining servers get a trial
+// only if no other server has a free slot.
 func (c *coordinator) bestSlot(h *holderState, median time.Duration, now time.Time) (leaseID, bool) {
 	var best *coordinatorServer
 	var bestScore float64
@@ -109,7 +109,7 @@
 		if server.leased >= c.limit(server, now) || c.freeSlot(server) < 0 {
 			continue
 		}
-		if server.quality.failed() && !c.mostServersClosed() {
+		if server.quality.wantsTrial() && !c.mostServersClosed() {
 			best = server
 			break
 		}
--- a/slot/quality.go
+++ b/slot/quality.go
@@ -124,6 +124,10 @@
 
 func (q *quality) closed() bool { return q.window < 1 }
 
+// wantsTrial reports whether the window of a server that is not draining is closed, by
+// errors or for slowness.
+func (q *quality) wantsTrial() bool { return q.closed() && !q.draining }
+
 // failed reports whether errors closed the window of a server that is not
 // draining.
 func (q *quality) failed() bool { return q.closed() && q.failing && !q.draining }
