readings: a check keeps its own time; a loss is judged when a check shows it

Cause: a crash counted only if a check had found the server down exactly 500 ms after the loss; late checks lost it. A loss now waits, up to 5 s, for a check that ended after it. A draining server that closes connections no longer counts as crashed, only one that is down or removed.

Reports and checks have times of their own now; TestOlderCheckOfAPeerKeepsTheServerUnreachable did not hold before.

TestOnlyServersThatAreDownCountAsCrashed now checks after the loss, once late.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -88,12 +88,12 @@
 	return all
 }
 
-// Listed reports whether a server accepts new requests.
-func (d *Directory) Listed(id string) bool {
+// Removed reports whether a server has no entry in the store. A draining server has one.
+func (d *Directory) Removed(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e := d.entries[id]
-	return e != nil && e.inUse(time.Now())
+	return e == nil || e.Removed
 }
 
 // Version returns the store version up to which no change is missing.
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -21,9 +21,11 @@
 	// request would be refused that met two servers which crashed for other
 	// reasons.
 	crashLosses = 3
-	// crashDetectionTime is the time after which a crashed server is known to be down.
-	// Status checks and the datagrams that report them take less.
+	// crashDetectionTime is the time in which status checks and the datagrams that
+	// report them usually show that a server is down. crashJudgeTimeout is the time
+	// after which a loss is dropped that no later check has judged.
 	crashDetectionTime = 500 * time.Millisecond
+	crashJudgeTimeout  = 5 * time.Second
 	// crashShareInterval is the time between two messages with all quarantined
 	// requests. It is short enough for a restarted instance to receive them before
 	// the platform sends it callers.
@@ -35,17 +37,29 @@
 type crashes struct {
 	*quarantine.Quarantine
 	board *readings.Board
-	// listed reports whether a server accepts new requests.
-	listed func(server string) bool
+	// removed reports whether a server has no entry in the store.
+	removed func(server string) bool
+	logger  *slog.Logger
 }
 
-// ReportLoss implements [forward.Quarantine]. It counts a connection that was lost
-// while a request ran only if the server is down or no longer listed after
-// crashDetectionTime, since live servers reset connections too.
-func (c *crashes) ReportLoss(fp [32]byte, server string) {
+// ReportLoss implements [forward.Quarantine]. Live servers reset connections too, so a
+// connection that was lost while a request ran counts only if the server then turns out
+// to be down or removed.
+func (c *crashes) ReportLoss(fp [32]byte, server string) { c.judgeLater(fp, server, time.Now()) }
+
+// judgeLater judges a loss after crashDetectionTime, and again each such time as long as
+// no status check of the server has ended since the loss.
+func (c *crashes) judgeLater(fp [32]byte, server string, lostAt time.Time) {
 	time.AfterFunc(crashDetectionTime, func() {
-		if !c.listed(server) || c.board.Load(server, time.Now()).Health == readings.HealthUnreachable {
+		load := c.board.Load(server, time.Now())
+		switch checked := load.HealthAt.After(lostAt); {
+		case c.removed(server), checked && load.Health == readings.HealthUnreachable:
 			c.Quarantine.ReportLoss(fp, server)
+		case checked:
+		case time.Since(lostAt) < crashJudgeTimeout:
+			c.judgeLater(fp, server, lostAt)
+		default:
+			c.logger.Info("loss not judged", "server", server, "reason", "no status check since")
 		}
 	})
 }
@@ -57,8 +71,9 @@
 			Logger:    d.logger.With("part", "quarantine"),
 			Losses:    crashLosses, ShareEvery: crashShareInterval,
 		}),
-		board:  d.board,
-		listed: d.directory.Listed,
+		board:   d.board,
+		removed: d.directory.Removed,
+		logger:  d.logger.With("part", "quarantine"),
 	}
 }
 
--- a/readings/board.go
+++ b/readings/board.go
@@ -43,16 +43,25 @@
 }
 
 // Reading is the observed state of a server: its health and, if HasReport is set, its
-// load report.
+// load report. Times are on the local monotonic clock.
 type Reading struct {
 	Server string
 	Report
-	Health Health
-	// At is when the report arrived, or the result of the check if there is no
-	// report, on the local monotonic clock.
-	At time.Time
-	// HasReport reports whether Report is set.
+	// HasReport reports whether Report is set, and At is when the report arrived.
 	HasReport bool
+	At        time.Time
+	// Health is the result of the last status check, unless it is HealthUnknown, and
+	// HealthAt is when that check ended.
+	Health   Health
+	HealthAt time.Time
+}
+
+// newest returns the time of the newer of the report and the check.
+func (r Reading) newest() time.Time {
+	if r.HealthAt.After(r.At) {
+		return r.HealthAt
+	}
+	return r.At
 }
 
 // Results counts the attempts at one server by outcome.
@@ -65,6 +74,8 @@
 type Load struct {
 	Report
 	Health Health
+	// HealthAt is when the status check that determined Health ended.
+	HealthAt time.Time
 	// Age is the age of the report. HasReport reports whether there is one.
 	Age       time.Duration
 	HasReport bool
@@ -142,19 +153,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.stateLocked(r.Server)
-	if r.At.Before(s.reading.At) {
+	newReport := r.HasReport && !r.At.Before(s.reading.At)
+	newHealth := r.Health != HealthUnknown && !r.HealthAt.Before(s.reading.HealthAt)
+	if !newReport && !newHealth {
 		return
 	}
-	if !r.HasReport && s.reading.HasReport {
-		// A response without a load report updates only the health.
-		health := r.Health
-		r = s.reading
-		r.Health = health
+	s.reading.Server = r.Server
+	if newReport {
+		s.reading.Report, s.reading.HasReport, s.reading.At = r.Report, true, r.At
 	}
-	if r.Health == HealthUnknown {
-		r.Health = s.reading.Health
+	if newHealth {
+		s.reading.Health, s.reading.HealthAt = r.Health, r.HealthAt
 	}
-	s.reading = r
 	s.readingUnshared = own
 	if own {
 		b.queueLocked(r.Server, s)
@@ -227,6 +237,7 @@
 	load := Load{
 		Report:      s.reading.Report,
 		Health:      s.reading.Health,
+		HealthAt:    s.reading.HealthAt,
 		HasReport:   s.reading.HasReport,
 		Age:         now.Sub(s.reading.At),
 		OwnInFlight: s.ownInFlight,
@@ -266,13 +277,13 @@
 	return readings, results
 }
 
-// LastReading returns the time of the server's current reading, see [Reading.At], or the
-// zero time if there is none.
+// LastReading returns the time of the server's last report or status check, or the zero
+// time if there is none.
 func (b *Board) LastReading(server string) time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.servers[server]; s != nil {
-		return s.reading.At
+		return s.reading.newest()
 	}
 	return time.Time{}
 }
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -175,7 +175,10 @@
 }
 
 func timestamped(r Reading) Reading {
-	r.At = time.Now()
+	r.HealthAt = time.Now()
+	if r.HasReport {
+		r.At = r.HealthAt
+	}
 	return r
 }
 
