--- a/admission/order.go
+++ b/admission/order.go
@@ -58,6 +58,15 @@
 // target, Late those that can't.
 type Counts struct{ InTime, Late int }
 
+func (c Counts) plus(other Counts) Counts {
+	return Counts{InTime: c.InTime + other.InTime, Late: c.Late + other.Late}
+}
+
+// minus returns the difference, which is not below 0.
+func (c Counts) minus(other Counts) Counts {
+	return Counts{InTime: max(c.InTime-other.InTime, 0), Late: max(c.Late-other.Late, 0)}
+}
+
 // Shares returns how many of its own queued requests an instance may send now.
 // Late requests get the capacity that those in time leave.
 func Shares(capacity int, own, others Counts) Counts {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,8 +32,10 @@
 	// maxStaggerRank is the highest rank that adds to the delay.
 	maxStaggerRank = 5
 	// backupRetryInterval is the time between two failed reads of an instance beyond the
-	// first three in rank.
+	// first three in rank. Of the instances that are no readers, at most
+	// maxBackupReaders try in each such time.
 	backupRetryInterval = 1500 * time.Millisecond
+	maxBackupReaders    = 20
 	// tablePollTime is how long the store may hold a long poll for the next table.
 	tablePollTime = 2 * time.Second
 	// callTimeout bounds a call to the store, excluding the long poll time.
@@ -43,6 +46,11 @@
 	// discoveryTime is the time that instances which start together take to discover
 	// each other.
 	discoveryTime = 1500 * time.Millisecond
+	// peersFirst is the time for which a process that starts in a running fleet waits
+	// for the state of its peers before it reads the store; up to peersFirstSpread is
+	// added at random, so that processes that start together don't all read.
+	peersFirst       = 200 * time.Millisecond
+	peersFirstSpread = 250 * time.Millisecond
 	// firstReadDelay is the additional delay, at the first start of the fleet, of
 	// instances that are not the first reader.
 	firstReadDelay = time.Second
@@ -92,6 +100,9 @@
 	// FirstStart is set when the whole fleet starts, before any traffic. The
 	// instances then discover each other before one of them reads the store.
 	FirstStart bool
+	// PeersFirst is set if a process that starts later waits a moment for the state of
+	// its peers before it reads the store.
+	PeersFirst bool
 	Logger     *slog.Logger
 }
 
@@ -126,8 +137,11 @@
 // New returns a feed. [Feed.Run] starts it.
 func New(opts Options) *Feed {
 	f := &Feed{opts: opts, peerReads: make(map[uint32]uint64), process: rand.Uint32()}
-	if opts.FirstStart {
+	switch {
+	case opts.FirstStart:
 		f.readNotBefore = time.Now().Add(discoveryTime)
+	case opts.PeersFirst:
+		f.readNotBefore = time.Now().Add(peersFirst + rand.N(peersFirstSpread))
 	}
 	return f
 }
@@ -151,9 +165,14 @@
 	return time.Since(f.freshAt)
 }
 
-// rank returns the position of this instance in the order of readers; 0 reads first.
+// rank returns the position of this instance in the order of readers; 0 reads first. An
+// instance that is no reader comes after them.
 func (f *Feed) rank() int {
-	return membership.Rank(readerKey, f.opts.ID, f.opts.Exchange.Alive(""))
+	readers := f.opts.Exchange.Readers()
+	if !slices.Contains(readers, f.opts.ID) {
+		return max(len(readers), maxStaggerRank)
+	}
+	return membership.Rank(readerKey, f.opts.ID, readers)
 }
 
 // shouldRead reports whether this instance has to read the store now.
@@ -200,10 +219,15 @@
 }
 
 func (f *Feed) readDelay(err error) time.Duration {
-	if err != nil && f.rank() > 2 {
+	if err == nil || f.rank() <= 2 {
+		return readInterval
+	}
+	readers := f.opts.Exchange.Readers()
+	if slices.Contains(readers, f.opts.ID) {
 		return backupRetryInterval
 	}
-	return readInterval
+	share := max(float64(f.opts.Exchange.Known()-len(readers))/maxBackupReaders, 1)
+	return time.Duration(share * (0.5 + rand.Float64()) * float64(backupRetryInterval))
 }
 
 // readServers reads the entries once and returns the version from which to continue;
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -266,7 +266,7 @@
 	if report == nil {
 		return
 	}
-	a.x.f.opts.Board.Observe(readings.Reading{Server: a.reservation.server.ID, Report: *report, At: time.Now(), HasReport: true})
+	a.x.f.opts.Board.Observe(readings.Reading{Server: readings.KeyOf(a.reservation.server.ID), Report: *report, At: time.Now(), HasReport: true})
 }
 
 // bufferBody buffers the body of a response up to maxBufferedResponse.
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,9 +46,12 @@
 	heartbeatInterval = 200 * time.Millisecond
 	// maxDatagram is the size of the receive buffer in bytes.
 	maxDatagram = 64 << 10
-	// stateRequestInterval is the minimum time between two requests for state to
-	// one instance.
+	// stateRequestInterval is the minimum time between two requests for state. It is
+	// the time in which an instance with a slow link receives the whole state.
 	stateRequestInterval = 150 * time.Millisecond
+	// largeFleetReaders is the number of instances from which only the relays read the
+	// store for all.
+	largeFleetReaders = 60
 )
 
 // Freshness describes how recent a view of the store is.
@@ -84,26 +88,29 @@
 	State(serversVersion, tableVersion uint64) *gossippb.State
 }
 
-// Options configure an [Exchange]. All are required.
+// Options configure an [Exchange]. All but Seeds are required.
 type Options struct {
 	Conn net.PacketConn
 	// Address is the address at which other instances reach this one.
 	Address    netip.AddrPort
 	ID         string
 	DataCentre string
-	// RelayCapacity is the capacity of this instance for relaying datagrams, in
-	// thousandths of a core; 0 if its link is too slow.
+	// RelayCapacity is the capacity of this instance for relaying, in any unit that is
+	// the same in the whole fleet; 0 if it can't relay.
 	RelayCapacity uint32
-	Board         *readings.Board
-	Backlogs      *admission.Backlogs
-	Logger        *slog.Logger
+	// Seeds returns the addresses of instances that may be alive, from which a new
+	// process learns of the others; nil if there are none.
+	Seeds    func() []netip.AddrPort
+	Board    *readings.Board
+	Backlogs *admission.Backlogs
+	Logger   *slog.Logger
 }
 
 // Exchange sends and receives datagrams. It is safe for concurrent use.
 type Exchange struct {
 	opts          Options
 	conn          *net.UDPConn
-	started       int64
+	startedAt     time.Time
 	address       []byte
 	members       members
 	chunks        assembler
@@ -120,9 +127,17 @@
 	// localTurn and remoteTurn select the relays round robin.
 	localTurn, remoteTurn int
 
-	// bundles holds the datagrams that this instance relays.
-	bundles   bundles
+	// ownResults, rosterSent and helloSent are guarded by sending too.
+	ownResults            ownResults
+	rosterSent, helloSent time.Time
+
 	viewCache viewCache
+	// introduction and stateRequested are used only by the receiving goroutine.
+	introduction   introduction
+	stateRequested time.Time
+	stateCache     stateCache
+	// size is the largest number of instances that relays reported lately.
+	size fleetSize
 
 	// Sent and Received count datagrams, SentBytes and ReceivedBytes their
 	// sizes.
@@ -141,7 +156,7 @@
 	if !ok {
 		return nil, &ConnError{}
 	}
-	e := &Exchange{opts: opts, conn: conn, started: time.Now().UnixNano(), triggers: make(chan struct{}, 1), localUpdates: newPendingUpdates(), remoteUpdates: newPendingUpdates()}
+	e := &Exchange{opts: opts, conn: conn, startedAt: time.Now(), triggers: make(chan struct{}, 1), localUpdates: newPendingUpdates(), remoteUpdates: newPendingUpdates()}
 	e.members.byID = make(map[string]*member)
 	var err error
 	if e.address, err = opts.Address.MarshalBinary(); err != nil {
@@ -200,8 +215,42 @@
 // call, because nothing was received from them for 10 minutes.
 func (e *Exchange) TakeRemoved() []string { return e.members.takeRemoved() }
 
-// Known returns the number of known instances, including this one.
-func (e *Exchange) Known() int { return e.members.count() + 1 }
+// Known returns the number of instances of the fleet, including this one: those that this
+// instance knows, or more if relays know of more.
+func (e *Exchange) Known() int {
+	return max(e.members.count()+1, e.size.total(e.opts.DataCentre, e.members.countIn))
+}
+
+// Relays returns the IDs of the relays of the data centre of this instance.
+func (e *Exchange) Relays() []string { return ids(e.currentView(time.Now()).relays) }
+
+// Readers returns the IDs of the live instances that read the store for all: all instances
+// of a small fleet, and the relays of each data centre of a large one. They include this
+// instance, if it is one of them.
+func (e *Exchange) Readers() []string {
+	if e.Known() < largeFleetReaders {
+		return e.Alive("")
+	}
+	now := time.Now()
+	readers := ids(e.members.relays(e.opts.DataCentre, e.self(), now))
+	for _, centre := range e.members.dataCentres(now) {
+		if centre != e.opts.DataCentre {
+			readers = append(readers, ids(e.members.relays(centre, presence{}, now))...)
+		}
+	}
+	if len(readers) == 0 {
+		return e.Alive("")
+	}
+	return readers
+}
+
+func ids(members []presence) []string {
+	var list []string
+	for _, m := range members {
+		list = append(list, m.ID)
+	}
+	return list
+}
 
 // SendInterval returns the time between two datagrams to an instance of the same data
 // centre.
@@ -265,7 +314,6 @@
 			e.sendUpdates(time.Now(), triggeredFraction)
 		case now := <-ticker.C:
 			e.sendUpdates(now, periodicFraction)
-			e.sendBundles(now)
 		}
 	}
 }
@@ -281,59 +329,62 @@
 // Flush sends the local freshness and pending updates immediately.
 func (e *Exchange) Flush() { e.sendUpdates(time.Now(), 0) }
 
-// sendUpdates sends the datagrams that are due. Traffic between data centres is
-// expensive, so each other data centre gets one datagram, which one of its instances,
-// chosen round robin, relays to the rest. The minimum time since the last datagram is
-// given as a fraction of the send interval; 0 sends immediately.
+// sendUpdates sends the datagrams that are due. The minimum time since the last one is given
+// as a fraction of the send interval; 0 sends immediately.
 func (e *Exchange) sendUpdates(now time.Time, fraction float64) {
 	e.sending.Lock()
 	defer e.sending.Unlock()
 	observed, results := e.opts.Board.TakeUnshared()
-	backlogs := e.opts.Backlogs.Own()
 	e.localUpdates.add(observed, results)
-	e.remoteUpdates.add(observed, results)
-	current := e.currentView(now)
-	if fraction == 0 || e.localUpdates.due(now, scale(fraction, current.interval), len(backlogs) > 0) {
-		e.sendLocal(e.updateDatagram(e.localUpdates, backlogs, now), current, fraction == 0, now)
-	}
-	if fraction == 0 || e.remoteUpdates.due(now, scale(fraction, current.remoteInterval), len(backlogs) > 0) {
-		msg := e.updateDatagram(e.remoteUpdates, backlogs, now)
-		msg.PassOn = true
-		e.remoteTurn++
-		e.sendTo(msg, e.members.remoteRelays(e.opts.DataCentre, e.remoteTurn, now))
+	e.sendHello(now)
+	v := e.currentView(now)
+	switch {
+	case !v.relayed():
+		e.remoteUpdates.add(observed, results)
+		e.sendDirectly(v, fraction, now)
+	case v.relaying:
+		e.remoteUpdates.add(observed, results)
+		e.sendAsRelay(v, fraction, now)
+	default:
+		e.ownResults.add(results, now)
+		if fraction == 0 || e.localUpdates.due(now, scale(fraction, v.interval), len(e.opts.Backlogs.Own()) > 0) {
+			e.sendToRelay(v, now)
+		}
 	}
 }
 
-// sendLocal sends a datagram to the instances of the same data centre: through a relay
-// if the data centre is large, unless the datagram is urgent. It also sends the datagram
-// directly to instances of all data centres that are not alive, to each of them at most
-// once per silentInterval.
-func (e *Exchange) sendLocal(msg *gossippb.Datagram, current view, urgent bool, now time.Time) {
-	silent := e.members.silent(now)
-	if urgent || !current.large() || len(current.relays) == 0 {
-		e.sendTo(msg, append(silent, current.local...))
-		return
-	}
-	if len(silent) > 0 {
-		e.sendTo(msg, silent)
-	}
-	e.localTurn++
-	relay := current.relays[e.localTurn%len(current.relays)]
-	if relay.ID == e.opts.ID {
-		e.hold(msg, now)
-		return
+// sendDirectly sends to all instances of a small data centre, and to one instance of each
+// other data centre, in turn, which passes it on: traffic between data centres is expensive.
+// It also sends to instances that are not alive, to each at most once per silentInterval.
+func (e *Exchange) sendDirectly(v view, fraction float64, now time.Time) {
+	backlogs := e.opts.Backlogs.Own()
+	if fraction == 0 || e.localUpdates.due(now, scale(fraction, v.interval), len(backlogs) > 0) {
+		msg := e.updateDatagram(now)
+		e.localUpdates.take(msg, now)
+		msg.Backlogs = encodeBacklogs(backlogs)
+		all := func(presence) bool { return false }
+		e.sendTo(msg, append(e.members.silent(now, all), v.local...))
+	}
+	if fraction == 0 || e.remoteUpdates.due(now, scale(fraction, v.remoteInterval), len(backlogs) > 0) {
+		msg := e.updateDatagram(now)
+		e.remoteUpdates.take(msg, now)
+		msg.Backlogs = encodeBacklogs(backlogs)
+		msg.PassOn = true
+		e.remoteTurn++
+		for _, centre := range e.members.dataCentres(now) {
+			if targets := e.members.remoteTargets(centre, now); centre != e.opts.DataCentre && len(targets) > 0 {
+				e.sendTo(msg, targets[e.remoteTurn%len(targets):][:1])
+			}
+		}
 	}
-	msg.PassOn = true
-	e.sendTo(msg, []netip.AddrPort{relay.Address})
 }
 
 func scale(fraction float64, interval time.Duration) time.Duration {
 	return time.Duration(fraction * float64(interval))
 }
 
-// updateDatagram returns a datagram with the local freshness, the pending updates and
-// the backlogs.
-func (e *Exchange) updateDatagram(pending *pendingUpdates, backlogs []admission.Backlog, now time.Time) *gossippb.Datagram {
+// updateDatagram returns a datagram with the local freshness.
+func (e *Exchange) updateDatagram(now time.Time) *gossippb.Datagram {
 	msg := e.newDatagram()
 	f := e.follower.Freshness()
 	msg.Freshness = &gossippb.Freshness{
@@ -343,14 +394,21 @@
 		Process:        f.Read.Process,
 		Read:           f.Read.Number,
 	}
-	pending.take(msg, now)
+	return msg
+}
+
+func encodeBacklogs(backlogs []admission.Backlog) []*gossippb.Backlog {
+	var encoded []*gossippb.Backlog
 	for _, b := range backlogs {
-		msg.Backlogs = append(msg.Backlogs, &gossippb.Backlog{Service: b.Service, InTime: uint32(b.InTime), Late: uint32(b.Late)})
+		encoded = append(encoded, &gossippb.Backlog{Service: b.Service, InTime: uint32(b.InTime), Late: uint32(b.Late)})
 	}
-	return msg
+	return encoded
 }
 
 func (e *Exchange) sendTo(msg *gossippb.Datagram, addresses []netip.AddrPort) {
+	if len(addresses) == 0 {
+		return
+	}
 	data, err := proto.Marshal(msg)
 	if err != nil {
 		e.opts.Logger.Error("encoding a datagram failed", "error", err)
@@ -377,7 +435,7 @@
 func (e *Exchange) newDatagram() *gossippb.Datagram {
 	return &gossippb.Datagram{
 		Instance:   e.opts.ID,
-		Started:    e.started,
+		Started:    e.startedAt.UnixNano(),
 		DataCentre: e.opts.DataCentre,
 		Leaving:    e.leaving.Load(),
 		Address:    e.address,
@@ -386,31 +444,66 @@
 	}
 }
 
-// SendState sends state to one instance. It does nothing if the instance is unknown.
-func (e *Exchange) SendState(to string, state *gossippb.State) {
-	address, ok := e.members.address(to)
-	if !ok {
-		return
+// SendStateAll sends state to the live instances that are not leaving: in a large fleet only
+// to the readers, from which the others request it.
+func (e *Exchange) SendStateAll(state *gossippb.State) {
+	targets := e.members.alive("", time.Now())
+	if e.Known() >= largeFleetReaders {
+		targets = slices.DeleteFunc(e.Readers(), func(id string) bool { return id == e.opts.ID })
 	}
-	for _, data := range e.encodeState(state) {
-		e.write(data, address)
+	packed := e.encodeState(state)
+	for _, id := range targets {
+		if address, ok := e.members.address(id); ok {
+			e.writeAll(packed, address)
+		}
 	}
 }
 
-// SendStateAll sends state to all live instances that are not leaving.
-func (e *Exchange) SendStateAll(state *gossippb.State) {
-	packed := e.encodeState(state)
-	for _, id := range e.members.alive("", time.Now()) {
-		address, ok := e.members.address(id)
-		if !ok {
-			continue
+func (e *Exchange) writeAll(packed [][]byte, to netip.AddrPort) {
+	for _, data := range packed {
+		e.write(data, to)
+	}
+}
+
+// stateCache holds the encoded states last sent, by the request that they answer. Many
+// instances request the same after a change.
+type stateCache struct {
+	own    Freshness
+	filled time.Time
+	states map[string][][]byte
+}
+
+// sendState sends the state that an instance wants.
+func (e *Exchange) sendState(want *gossippb.Want, to netip.AddrPort) {
+	own := e.follower.Freshness()
+	own.At, own.Read = time.Time{}, Read{}
+	now := time.Now()
+	if e.stateCache.own != own || len(e.stateCache.states) > maxCachedStates || now.Sub(e.stateCache.filled) > stateCacheTTL {
+		e.stateCache = stateCache{own: own, filled: now, states: make(map[string][][]byte)}
+	}
+	key := fmt.Sprint(want.GetServersVersion(), want.GetTableVersion())
+	packed, ok := e.stateCache.states[key]
+	if !ok {
+		state := e.follower.State(want.GetServersVersion(), want.GetTableVersion())
+		if state == nil {
+			return
 		}
-		for _, data := range packed {
-			e.write(data, address)
+		packed = e.encodeState(state)
+		if state.GetHoldMs() == 0 {
+			e.stateCache.states[key] = packed
 		}
 	}
+	e.writeAll(packed, to)
 }
 
+const (
+	// maxCachedStates bounds the encoded states kept.
+	maxCachedStates = 16
+	// stateCacheTTL bounds the time for which they are used, since they hold remaining
+	// times of warm-ups.
+	stateCacheTTL = 500 * time.Millisecond
+)
+
 // encodeState returns the encoded datagrams that carry a state.
 func (e *Exchange) encodeState(state *gossippb.State) [][]byte {
 	parts, err := split(state)
@@ -433,8 +526,7 @@
 	return packed
 }
 
-// receive handles a datagram. now is the time of its arrival, less the time for which
-// a relay held it, if any.
+// receive handles a datagram that arrived at the given time.
 func (e *Exchange) receive(msg *gossippb.Datagram, from netip.AddrPort, now time.Time) {
 	id := msg.GetInstance()
 	if id == e.opts.ID || id == "" {
@@ -448,20 +540,20 @@
 		e.opts.Logger.Warn("received datagram has an invalid sender address", "from", from, "error", err)
 		return
 	}
-	if msg.GetPassOn() {
-		msg.PassOn = false
-		e.relay(msg, now)
-	}
 	if !e.members.recordDatagram(sender, now) {
 		return
 	}
-	e.receiveBundle(msg.GetBundle(), from, now)
-	for _, r := range msg.GetReadings() {
-		e.opts.Board.Receive(decodeReading(r, now))
-	}
-	for _, r := range msg.GetResults() {
-		e.opts.Board.ReceiveResults(readings.Results{Server: r.GetServer(), Good: int(r.GetGood()), Failed: int(r.GetFailed())}, now)
+	switch {
+	case msg.GetPassOn():
+		msg.PassOn = false
+		e.passOn(msg, now)
+	case sender.DataCentre == e.opts.DataCentre && msg.GetScope() == gossippb.Scope_SCOPE_INSTANCE:
+		// The sender doesn't know yet that its data centre has relays.
+		if v := e.currentView(now); v.relayed() && v.relaying {
+			e.collect(msg, now)
+		}
 	}
+	e.receiveUpdates(msg, now)
 	if message := msg.GetMessage(); message != nil && e.handleMessage != nil {
 		e.handleMessage(id, message.GetKind(), message.GetPayload())
 	}
@@ -469,14 +561,19 @@
 		e.receiveChunk(id, chunk)
 	}
 	if want := msg.GetWant(); want != nil {
-		if state := e.follower.State(want.GetServersVersion(), want.GetTableVersion()); state != nil {
-			e.SendState(id, state)
-		}
+		e.sendState(want, sender.Address)
+	}
+	if msg.GetRoster() != nil {
+		e.receiveRoster(msg, now)
+	}
+	if msg.GetHello() {
+		e.introduce(sender.Member, now)
 	}
 	if f := msg.GetFreshness(); f != nil {
-		e.receiveBacklogs(id, msg.GetBacklogs(), now)
+		e.receiveBacklogs(msg, now)
 		e.receiveFreshness(id, f, now)
 	}
+	e.size.record(msg, now)
 }
 
 func (e *Exchange) receiveChunk(from string, chunk *gossippb.Chunk) {
@@ -485,19 +582,37 @@
 		e.opts.Logger.Warn("received state is invalid", "from", from, "error", err)
 		return
 	}
-	if state != nil {
-		e.follower.ReceiveState(from, state)
+	if state == nil {
+		return
+	}
+	before := e.follower.Freshness()
+	e.follower.ReceiveState(from, state)
+	after := e.follower.Freshness()
+	changed := before.ServersVersion != after.ServersVersion || before.TableVersion != after.TableVersion
+	if v := e.currentView(time.Now()); changed && v.relayed() && v.relaying {
+		// The instances of the data centre then request the state from this one.
+		e.Flush()
 	}
 }
 
-func (e *Exchange) receiveBacklogs(from string, encoded []*gossippb.Backlog, now time.Time) {
-	backlogs := make([]admission.Backlog, len(encoded))
-	for i, b := range encoded {
+func (e *Exchange) receiveBacklogs(msg *gossippb.Datagram, now time.Time) {
+	backlogs := make([]admission.Backlog, len(msg.GetBacklogs()))
+	for i, b := range msg.GetBacklogs() {
 		backlogs[i] = admission.Backlog{
 			Service: b.GetService(), Counts: admission.Counts{InTime: int(b.GetInTime()), Late: int(b.GetLate())},
 		}
 	}
-	e.opts.Backlogs.Receive(from, backlogs, now)
+	remote := msg.GetDataCentre() != e.opts.DataCentre
+	switch msg.GetScope() {
+	case gossippb.Scope_SCOPE_FLEET:
+		if !e.currentView(now).relaying {
+			e.opts.Backlogs.ReceiveFleet(backlogs, now)
+		}
+	case gossippb.Scope_SCOPE_DATA_CENTRE:
+		e.opts.Backlogs.Receive("data centre "+msg.GetDataCentre(), remote, backlogs, now)
+	default:
+		e.opts.Backlogs.Receive(msg.GetInstance(), remote, backlogs, now)
+	}
 }
 
 func (e *Exchange) receiveFreshness(from string, f *gossippb.Freshness, now time.Time) {
@@ -507,9 +622,10 @@
 		At:             now.Add(-time.Duration(f.GetAgeMs()) * time.Millisecond),
 		Read:           Read{Process: f.GetProcess(), Number: f.GetRead()},
 	})
-	if !behind || !e.members.mayRequestState(from, now, stateRequestInterval) {
+	if !behind || now.Sub(e.stateRequested) < stateRequestInterval {
 		return
 	}
+	e.stateRequested = now
 	own := e.follower.Freshness()
 	msg := e.newDatagram()
 	msg.Want = &gossippb.Want{ServersVersion: own.ServersVersion, TableVersion: own.TableVersion}
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -24,8 +24,11 @@
 	// silentInterval is the time between datagrams to instances that are not
 	// alive.
 	silentInterval = time.Second
+	// listedTimeout is how long an instance counts as alive after a roster has listed
+	// it. It spans several rosters.
+	listedTimeout = 2500 * time.Millisecond
 	// maxRelays is the maximum number of relays in a data centre. With more, each
-	// instance receives more bundles; with fewer, the loss of one costs more.
+	// instance receives more datagrams; with fewer, the loss of one costs more.
 	maxRelays = 3
 )
 
@@ -42,8 +45,7 @@
 	// started is the start time of its process in Unix nanoseconds.
 	started int64
 	leaving bool
-	// relayCapacity is its capacity for relaying datagrams, in thousandths of a
-	// core; 0 if its link is too slow.
+	// relayCapacity is its capacity for relaying; 0 if it can't relay.
 	relayCapacity uint32
 }
 
@@ -52,8 +54,8 @@
 	added        time.Time
 	lastReceived time.Time
 	lastSent     time.Time
-	// stateRequested is when state was last requested from it.
-	stateRequested time.Time
+	// lastListed is when a roster last listed it as alive.
+	lastListed time.Time
 }
 
 // members holds the other instances. It is safe for concurrent use.
@@ -108,29 +110,94 @@
 	return true
 }
 
-// localRelays returns the relays in the data centre of this instance, which own
-// describes: the live instances with the greatest relay capacity that are not leaving.
-// own is a candidate if it has relay capacity.
-func (m *members) localRelays(own presence, now time.Time) []Member {
+// relays returns the relays of a data centre: the live instances with the greatest relay
+// capacity that are not leaving. own describes this instance, which is a candidate in its
+// data centre.
+func (m *members) relays(dataCentre string, own presence, now time.Time) []presence {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var candidates []presence
 	for _, known := range m.byID {
-		if known.DataCentre == own.DataCentre && known.relayCapacity > 0 && !known.leaving && m.aliveLocked(known, now) {
+		if known.DataCentre == dataCentre && known.relayCapacity > 0 && !known.leaving && m.aliveLocked(known, now) {
 			candidates = append(candidates, known.presence)
 		}
 	}
-	if own.relayCapacity > 0 {
+	if own.relayCapacity > 0 && own.DataCentre == dataCentre && !own.leaving {
 		candidates = append(candidates, own)
 	}
 	slices.SortFunc(candidates, func(a, b presence) int {
 		return cmp.Or(cmp.Compare(b.relayCapacity, a.relayCapacity), cmp.Compare(a.ID, b.ID))
 	})
-	relays := make([]Member, 0, maxRelays)
-	for _, known := range candidates[:min(len(candidates), maxRelays)] {
-		relays = append(relays, known.Member)
+	return candidates[:min(len(candidates), maxRelays)]
+}
+
+// dataCentres returns the data centres of the live instances, sorted.
+func (m *members) dataCentres(now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for _, known := range m.byID {
+		if m.aliveLocked(known, now) && !slices.Contains(names, known.DataCentre) {
+			names = append(names, known.DataCentre)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// list records instances that a roster lists as alive. If the roster is complete, the
+// other instances of the data centre are no longer listed.
+func (m *members) list(listed []presence, dataCentre string, complete bool, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, found := range listed {
+		known := m.byID[found.ID]
+		if known == nil {
+			known = &member{presence: found, added: now}
+			m.byID[found.ID] = known
+		}
+		if !m.aliveLocked(known, now) {
+			found.started = known.started
+			known.presence = found
+		}
+		known.lastListed = now
+	}
+	if !complete {
+		return
+	}
+	for _, known := range m.byID {
+		if known.DataCentre == dataCentre && known.lastListed.Before(now) {
+			known.lastListed = time.Time{}
+		}
+	}
+}
+
+// heard returns the live instances of a data centre from which datagrams arrived, except
+// those that are leaving, sorted by ID.
+func (m *members) heard(dataCentre string, now time.Time) []presence {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var found []presence
+	for _, known := range m.byID {
+		if known.DataCentre == dataCentre && !known.leaving && m.heardLocked(known, now) {
+			found = append(found, known.presence)
+		}
+	}
+	slices.SortFunc(found, func(a, b presence) int { return cmp.Compare(a.ID, b.ID) })
+	return found
+}
+
+// countIn returns the number of known instances of a data centre.
+func (m *members) countIn(dataCentre string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	count := 0
+	for _, known := range m.byID {
+		if known.DataCentre == dataCentre {
+			count++
+		}
 	}
-	return relays
+	return count
 }
 
 // alive returns the sorted IDs of the live instances in a data centre that are not
@@ -164,48 +231,41 @@
 	return addresses
 }
 
-// remoteRelays returns the address of one instance in each data centre other than the
-// given one. It selects, by turn, among the live instances that are not leaving, and
-// only among those with relay capacity if there are any.
-func (m *members) remoteRelays(dataCentre string, turn int, now time.Time) []netip.AddrPort {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	byCentre := make(map[string][]string)
-	able := make(map[string]bool)
-	for id, known := range m.byID {
-		if known.DataCentre == dataCentre || known.leaving || !m.aliveLocked(known, now) {
-			continue
-		}
-		switch centre := known.DataCentre; {
-		case known.relayCapacity > 0 && !able[centre]:
-			able[centre] = true
-			byCentre[centre] = []string{id}
-		case known.relayCapacity > 0 || !able[centre]:
-			byCentre[centre] = append(byCentre[centre], id)
+// remoteTargets returns the addresses of the instances of another data centre that take in
+// datagrams for it: its relays if it is large, otherwise all live instances that are not
+// leaving. They are sorted by ID.
+func (m *members) remoteTargets(dataCentre string, now time.Time) []netip.AddrPort {
+	ids := m.alive(dataCentre, now)
+	if len(ids) >= maxAtBaseInterval {
+		ids = ids[:0]
+		for _, relay := range m.relays(dataCentre, presence{}, now) {
+			ids = append(ids, relay.ID)
 		}
+		slices.Sort(ids)
 	}
 	var addresses []netip.AddrPort
-	for _, ids := range byCentre {
-		sort.Strings(ids)
-		addresses = append(addresses, m.byID[ids[turn%len(ids)]].Address)
+	for _, id := range ids {
+		if address, ok := m.address(id); ok {
+			addresses = append(addresses, address)
+		}
 	}
 	return addresses
 }
 
 // silent returns the addresses of the instances that are not alive and to which
-// nothing was sent within silentInterval. It also removes the instances from which
-// nothing was received for removeAfter.
-func (m *members) silent(now time.Time) []netip.AddrPort {
+// nothing was sent within silentInterval, except those for which skip returns true. It
+// also removes the instances of which nothing was heard for removeAfter.
+func (m *members) silent(now time.Time, skip func(presence) bool) []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var addresses []netip.AddrPort
 	for id, known := range m.byID {
-		if now.Sub(latest(known.lastReceived, known.added)) > removeAfter {
+		if now.Sub(latest(latest(known.lastReceived, known.lastListed), known.added)) > removeAfter {
 			delete(m.byID, id)
 			m.removed = append(m.removed, id)
 			continue
 		}
-		if !m.aliveLocked(known, now) && now.Sub(known.lastSent) >= silentInterval {
+		if !m.aliveLocked(known, now) && now.Sub(known.lastSent) >= silentInterval && !skip(known.presence) {
 			known.lastSent = now
 			addresses = append(addresses, known.Address)
 		}
@@ -213,8 +273,14 @@
 	return addresses
 }
 
-// aliveLocked reports whether a datagram of the instance arrived recently.
+// aliveLocked reports whether a datagram of the instance arrived recently, or a roster that
+// lists it.
 func (m *members) aliveLocked(known *member, now time.Time) bool {
+	return m.heardLocked(known, now) || now.Sub(known.lastListed) <= listedTimeout
+}
+
+// heardLocked reports whether a datagram of the instance arrived recently.
+func (m *members) heardLocked(known *member, now time.Time) bool {
 	timeout := aliveTimeout
 	if len(m.byID) >= largeFleet {
 		timeout = largeAliveTimeout
@@ -252,19 +318,6 @@
 	return known.Address, true
 }
 
-// mayRequestState reports whether state may be requested from the instance again, and
-// records the request.
-func (m *members) mayRequestState(id string, now time.Time, interval time.Duration) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	known := m.byID[id]
-	if known == nil || now.Sub(known.stateRequested) < interval {
-		return false
-	}
-	known.stateRequested = now
-	return true
-}
-
 func (m *members) count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -2,23 +2,25 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/pomelolock/pomelolock/gossip/gossippb"
+	"github.com/pomelolock/pomelolock/readings"
 )
 
 const (
-	// holdFraction is the fraction of the send interval for which a relay holds
-	// datagrams to bundle them. Holding them for the full interval would add that
-	// interval to the age of readings.
-	holdFraction = 0.5
-	// maxBundle bounds the size of the datagrams in one bundle, in bytes. A
-	// bundle is lost if any of the frames that carry it is lost, so long ones are
-	// lost more often.
-	maxBundle = 8 << 10
+	// centreHeartbeat is the time between two datagrams of a relay to the relays of
+	// other data centres.
+	centreHeartbeat = 300 * time.Millisecond
+	// remotePerInstance is the part of the interval between two readings of a server
+	// in other data centres that each instance of the fleet adds. It keeps the bytes
+	// that an instance receives nearly independent of the number of data centres.
+	remotePerInstance = 2 * time.Millisecond
+	// minRemoteContent and maxRemoteContent bound that interval.
+	minRemoteContent = 100 * time.Millisecond
+	maxRemoteContent = time.Second
 )
 
 // viewCache caches the view of the other instances.
@@ -33,15 +35,20 @@
 	// local lists the addresses of the other live instances of the data centre.
 	local []netip.AddrPort
 	// relays are the relays of the data centre, possibly including this instance.
-	relays []Member
+	relays []presence
+	// relaying is set if this instance is one of them.
+	relaying bool
 	// interval and remoteInterval are the times between two datagrams to the own
 	// data centre and to each other one.
 	interval, remoteInterval time.Duration
+	// remoteContent is the time between two readings of a server in other data
+	// centres.
+	remoteContent time.Duration
 }
 
-// large reports whether the data centre has too many instances for each to send to all
+// relayed reports whether the data centre has too many instances for each to send to all
 // others directly.
-func (v view) large() bool { return len(v.local) >= maxAtBaseInterval }
+func (v view) relayed() bool { return len(v.local) >= maxAtBaseInterval && len(v.relays) > 0 }
 
 // currentView returns the view of the other instances, at most baseInterval old.
 func (e *Exchange) currentView(now time.Time) view {
@@ -50,102 +57,157 @@
 	if since := now.Sub(e.viewCache.at); 0 <= since && since < baseInterval {
 		return e.viewCache.last
 	}
-	self := presence{
-		Member:        Member{ID: e.opts.ID, DataCentre: e.opts.DataCentre, Address: e.opts.Address},
-		relayCapacity: e.opts.RelayCapacity,
-	}
 	v := view{
 		local:  e.members.liveAddresses(e.opts.DataCentre, now),
-		relays: e.members.localRelays(self, now),
+		relays: e.members.relays(e.opts.DataCentre, e.self(), now),
+	}
+	v.relaying = slices.ContainsFunc(v.relays, func(r presence) bool { return r.ID == e.opts.ID })
+	v.interval = sendInterval(len(v.local)+1, len(v.relays) > 0)
+	v.remoteInterval = sendInterval(e.members.countAlive(now)+1, len(v.relays) > 0)
+	if v.relayed() {
+		v.remoteInterval = centreHeartbeat
 	}
-	relayed := len(v.relays) > 0
-	v.interval = sendInterval(len(v.local)+1, relayed)
-	v.remoteInterval = sendInterval(e.members.countAlive(now)+1, relayed)
+	v.remoteContent = min(max(time.Duration(e.Known())*remotePerInstance, minRemoteContent), maxRemoteContent)
 	e.viewCache.at, e.viewCache.last = now, v
 	return v
 }
 
-// bundles holds the datagrams to relay with the next bundle. It is safe for concurrent
-// use.
-type bundles struct {
-	mu   sync.Mutex
-	held []heldDatagram
+// self returns the presence of this instance.
+func (e *Exchange) self() presence {
+	return presence{
+		Member:        Member{ID: e.opts.ID, DataCentre: e.opts.DataCentre, Address: e.opts.Address},
+		leaving:       e.leaving.Load(),
+		relayCapacity: e.opts.RelayCapacity,
+	}
 }
 
-type heldDatagram struct {
-	data []byte
-	at   time.Time
+// sendAsRelay sends what the instances of the data centre recorded: to all of them, and to
+// the relays of the other data centres.
+func (e *Exchange) sendAsRelay(v view, fraction float64, now time.Time) {
+	if fraction == 0 || e.localUpdates.due(now, scale(fraction, v.interval), false) {
+		e.sendDigest(v, now)
+	}
+	if fraction == 0 || now.Sub(e.remoteUpdates.sent) >= centreHeartbeat {
+		e.sendToCentres(v, now)
+	}
 }
 
-func (b *bundles) add(data []byte, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.held = append(b.held, heldDatagram{data: data, at: now})
+// sendDigest sends the pending updates, the backlogs of the fleet and, at intervals, the
+// roster to all instances of the data centre.
+func (e *Exchange) sendDigest(v view, now time.Time) {
+	msg := e.updateDatagram(now)
+	e.localUpdates.take(msg, now)
+	msg.Scope = gossippb.Scope_SCOPE_FLEET
+	msg.Known = uint32(e.Known())
+	msg.Backlogs = encodeBacklogs(e.opts.Backlogs.Fleet(now))
+	if v.relays[0].ID == e.opts.ID && now.Sub(e.rosterSent) >= rosterInterval {
+		e.rosterSent = now
+		msg.Roster = e.completeRoster(now)
+	}
+	e.sendTo(msg, append(e.members.silent(now, e.probedByOthers(v)), v.local...))
 }
 
-// take removes and returns the held datagrams if the oldest has been held for at least
-// the given time, otherwise nil.
-func (b *bundles) take(now time.Time, hold time.Duration) []heldDatagram {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.held) == 0 || now.Sub(b.held[0].at) < hold {
-		return nil
+// sendToCentres sends to the relays of each other data centre. One of them, in turn, gets
+// the readings too, if they are due, and passes them on.
+func (e *Exchange) sendToCentres(v view, now time.Time) {
+	msg := e.updateDatagram(now)
+	msg.Scope = gossippb.Scope_SCOPE_DATA_CENTRE
+	msg.Known = uint32(e.members.countIn(e.opts.DataCentre) + 1)
+	msg.Backlogs = encodeBacklogs(e.opts.Backlogs.DataCentre(now))
+	e.remoteTurn++
+	var chosen, others []netip.AddrPort
+	for _, centre := range e.members.dataCentres(now) {
+		if centre == e.opts.DataCentre {
+			continue
+		}
+		targets := e.members.remoteTargets(centre, now)
+		for i, address := range targets {
+			if i == e.remoteTurn%len(targets) {
+				chosen = append(chosen, address)
+			} else if i < maxRelays {
+				others = append(others, address)
+			}
+		}
+	}
+	e.sendTo(msg, others)
+	// All relays of the data centre send its readings in turn.
+	if interval := v.remoteContent * time.Duration(len(v.relays)); now.Sub(e.remoteUpdates.contentSent) >= interval {
+		e.remoteUpdates.take(msg, now)
 	}
-	held := b.held
-	b.held = nil
-	return held
+	e.remoteUpdates.sent = now
+	msg.PassOn = true
+	e.sendTo(msg, chosen)
 }
 
-// relay sends a datagram of another instance to the instances of this data centre. In
-// a large data centre, the datagram is held for the next bundle.
-func (e *Exchange) relay(msg *gossippb.Datagram, now time.Time) {
-	if current := e.currentView(now); !current.large() {
-		e.sendTo(msg, current.local)
-		return
+// sendToRelay sends the pending updates to one relay of the data centre, in turn.
+func (e *Exchange) sendToRelay(v view, now time.Time) {
+	msg := e.updateDatagram(now)
+	e.localUpdates.take(msg, now)
+	msg.Backlogs = encodeBacklogs(e.opts.Backlogs.Own())
+	msg.PassOn = true
+	e.localTurn++
+	e.sendTo(msg, []netip.AddrPort{v.relays[e.localTurn%len(v.relays)].Address})
+	if silent := e.members.silent(now, e.probedByOthers(v)); len(silent) > 0 {
+		msg.PassOn = false
+		e.sendTo(msg, silent)
 	}
-	e.hold(msg, now)
 }
 
-// hold adds a datagram to the next bundle.
-func (e *Exchange) hold(msg *gossippb.Datagram, now time.Time) {
-	data, err := proto.Marshal(msg)
-	if err != nil {
-		e.opts.Logger.Error("encoding a datagram failed", "error", err)
+// probedByOthers returns a function that reports whether this instance leaves it to others
+// to send datagrams to an instance that is silent. In a large data centre, relays do so in
+// the data centre, and other instances send only to those that could be relays.
+func (e *Exchange) probedByOthers(v view) func(presence) bool {
+	weakest := v.relays[len(v.relays)-1].relayCapacity
+	return func(p presence) bool {
+		if v.relaying && p.DataCentre == e.opts.DataCentre {
+			return false
+		}
+		return p.relayCapacity < weakest
+	}
+}
+
+// passOn passes on what another instance asked to be passed on. In a small data centre, the
+// datagram is sent to the others as it is. In a large one, its content goes along with what
+// this instance recorded itself.
+func (e *Exchange) passOn(msg *gossippb.Datagram, now time.Time) {
+	v := e.currentView(now)
+	if !v.relayed() {
+		e.sendTo(msg, v.local)
 		return
 	}
-	e.bundles.add(data, now)
+	e.collect(msg, now)
 }
 
-// sendBundles sends the held datagrams in bundles once the hold time has passed.
-func (e *Exchange) sendBundles(now time.Time) {
-	current := e.currentView(now)
-	// Half a tick less than the hold time, so that the bundles are sent at the tick
-	// nearest to its end.
-	held := e.bundles.take(now, scale(holdFraction, current.interval)-baseInterval/2)
-	for len(held) > 0 {
-		msg := e.newDatagram()
-		size := 0
-		for len(held) > 0 && (size == 0 || size+len(held[0].data) <= maxBundle) {
-			msg.Bundle = append(msg.Bundle, &gossippb.Held{Datagram: held[0].data, HeldMs: milliseconds(now.Sub(held[0].at))})
-			size += len(held[0].data)
-			held = held[1:]
-		}
-		e.sendTo(msg, current.local)
+// collect adds the readings and results of a datagram to the pending updates.
+func (e *Exchange) collect(msg *gossippb.Datagram, now time.Time) {
+	e.sending.Lock()
+	defer e.sending.Unlock()
+	groups := []*pendingUpdates{e.localUpdates}
+	if msg.GetDataCentre() == e.opts.DataCentre {
+		groups = append(groups, e.remoteUpdates)
+	}
+	for _, pending := range groups {
+		e.logInvalid(msg, unpackReadings(msg.GetReadings(), now, pending.addReceived))
+		e.logInvalid(msg, unpackResults(msg.GetResults(), pending.addResults))
 	}
 }
 
-// receiveBundle handles the datagrams of a bundle.
-func (e *Exchange) receiveBundle(bundle []*gossippb.Held, from netip.AddrPort, now time.Time) {
-	for _, held := range bundle {
-		msg := &gossippb.Datagram{}
-		if err := proto.Unmarshal(held.GetDatagram(), msg); err != nil {
-			e.opts.Logger.Warn("datagram in a bundle is invalid", "from", from, "error", err)
-			continue
-		}
-		if len(msg.GetBundle()) > 0 || msg.GetPassOn() {
-			e.opts.Logger.Warn("datagram in a bundle is invalid", "from", from, "reason", "nested bundle or relay request")
-			continue
-		}
-		e.receive(msg, from, now.Add(-time.Duration(held.GetHeldMs())*time.Millisecond))
+func (e *Exchange) logInvalid(msg *gossippb.Datagram, err error) {
+	if err != nil {
+		e.opts.Logger.Warn("received datagram is invalid", "from", msg.GetInstance(), "error", err)
 	}
 }
+
+// receiveUpdates records the readings and results of a datagram.
+func (e *Exchange) receiveUpdates(msg *gossippb.Datagram, now time.Time) {
+	e.logInvalid(msg, unpackReadings(msg.GetReadings(), now, e.opts.Board.Receive))
+	fromFleet := msg.GetScope() == gossippb.Scope_SCOPE_FLEET
+	e.sending.Lock()
+	defer e.sending.Unlock()
+	e.logInvalid(msg, unpackResults(msg.GetResults(), func(r readings.Results) {
+		if fromFleet {
+			r = e.ownResults.subtract(r, now)
+		}
+		e.opts.Board.ReceiveResults(r, now)
+	}))
+}
--- a/gossip/updates.go
+++ b/gossip/updates.go
@@ -7,17 +7,25 @@
 	"github.com/pomelolock/pomelolock/readings"
 )
 
+// maxDatagramContent bounds the packed readings and results of one datagram, in bytes. A
+// datagram is lost if any of the frames that carry it is lost, so long ones are lost more
+// often.
+const maxDatagramContent = 8 << 10
+
 // pendingUpdates holds the readings and results recorded since the last datagram to a
 // group of instances.
 type pendingUpdates struct {
-	readings map[string]readings.Reading
-	results  map[string]readings.Results
-	// sent is when the last datagram was sent.
-	sent time.Time
+	readings map[readings.ServerKey]readings.Reading
+	results  map[readings.ServerKey]readings.Results
+	// sent is when the last datagram was sent, contentSent when the last one with
+	// readings and results was.
+	sent, contentSent time.Time
 }
 
 func newPendingUpdates() *pendingUpdates {
-	return &pendingUpdates{readings: make(map[string]readings.Reading), results: make(map[string]readings.Results)}
+	return &pendingUpdates{
+		readings: make(map[readings.ServerKey]readings.Reading), results: make(map[readings.ServerKey]readings.Results),
+	}
 }
 
 // add merges new readings and results into the pending ones.
@@ -26,9 +34,30 @@
 		p.readings[r.Server] = r
 	}
 	for _, r := range results {
-		sum := p.results[r.Server]
-		p.results[r.Server] = readings.Results{Server: r.Server, Good: sum.Good + r.Good, Failed: sum.Failed + r.Failed}
+		p.addResults(r)
+	}
+}
+
+// addReceived merges a reading of another instance into the pending ones: its newer report
+// and its newer check.
+func (p *pendingUpdates) addReceived(r readings.Reading) {
+	pending, ok := p.readings[r.Server]
+	if !ok {
+		p.readings[r.Server] = r
+		return
 	}
+	if r.HasReport && r.At.After(pending.At) {
+		pending.Report, pending.HasReport, pending.At = r.Report, true, r.At
+	}
+	if r.HealthAt.After(pending.HealthAt) {
+		pending.Health, pending.HealthAt = r.Health, r.HealthAt
+	}
+	p.readings[r.Server] = pending
+}
+
+func (p *pendingUpdates) addResults(r readings.Results) {
+	sum := p.results[r.Server]
+	p.results[r.Server] = readings.Results{Server: r.Server, Good: sum.Good + r.Good, Failed: sum.Failed + r.Failed}
 }
 
 // due reports whether a datagram has to be sent. minInterval must have passed since the
@@ -40,15 +69,63 @@
 
 func (p *pendingUpdates) empty() bool { return len(p.readings) == 0 && len(p.results) == 0 }
 
-// take moves the pending updates into a datagram.
+// take moves pending updates into a datagram, as many as fit.
 func (p *pendingUpdates) take(msg *gossippb.Datagram, now time.Time) {
-	for _, r := range p.readings {
-		msg.Readings = append(msg.Readings, encodeReading(r, now))
+	for key, r := range p.readings {
+		if len(msg.Readings)+readingBytes > maxDatagramContent/2 {
+			break
+		}
+		msg.Readings = appendReading(msg.Readings, r, now)
+		delete(p.readings, key)
+	}
+	for key, r := range p.results {
+		if len(msg.Results)+resultsBytes > maxDatagramContent/2 {
+			break
+		}
+		msg.Results = appendResults(msg.Results, r)
+		delete(p.results, key)
 	}
-	for _, r := range p.results {
-		msg.Results = append(msg.Results, &gossippb.Results{Server: r.Server, Good: uint32(r.Good), Failed: uint32(r.Failed)})
+	p.sent, p.contentSent = now, now
+}
+
+// ownResults subtracts the results of this instance from those that relays return as part
+// of the sum of all instances. It is not safe for concurrent use.
+type ownResults struct {
+	recent, older map[readings.ServerKey]readings.Results
+	turned        time.Time
+}
+
+// ownResultsTTL is the time within which relays return the results of an instance.
+const ownResultsTTL = time.Second
+
+// add records results that this instance sent to a relay.
+func (o *ownResults) add(results []readings.Results, now time.Time) {
+	o.turn(now)
+	for _, r := range results {
+		sum := o.recent[r.Server]
+		o.recent[r.Server] = readings.Results{Server: r.Server, Good: sum.Good + r.Good, Failed: sum.Failed + r.Failed}
+	}
+}
+
+// subtract returns the results without those that this instance sent.
+func (o *ownResults) subtract(r readings.Results, now time.Time) readings.Results {
+	o.turn(now)
+	for _, sent := range []map[readings.ServerKey]readings.Results{o.older, o.recent} {
+		own, ok := sent[r.Server]
+		if !ok {
+			continue
+		}
+		good, failed := min(own.Good, r.Good), min(own.Failed, r.Failed)
+		r.Good, r.Failed = r.Good-good, r.Failed-failed
+		sent[r.Server] = readings.Results{Server: r.Server, Good: own.Good - good, Failed: own.Failed - failed}
+	}
+	return r
+}
+
+// turn drops what was sent longer ago than ownResultsTTL.
+func (o *ownResults) turn(now time.Time) {
+	if now.Sub(o.turned) < ownResultsTTL && o.recent != nil {
+		return
 	}
-	clear(p.readings)
-	clear(p.results)
-	p.sent = now
+	o.older, o.recent, o.turned = o.recent, make(map[readings.ServerKey]readings.Results), now
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -31,10 +31,10 @@
 )
 
 const (
-	// assumedInstances is the assumed size of the fleet until the store has been
-	// read. It is high, so that the shares of the retry budget don't add up to
+	// assumedInstances is the assumed size of the fleet until other instances are
+	// known. It is high, so that the shares of the retry budget don't add up to
 	// more than the budget.
-	assumedInstances = 64
+	assumedInstances = 512
 	// checkShare is the fraction of the allowed status checks that is used. The
 	// rest covers instances that check the same server because they don't receive
 	// each other's datagrams.
@@ -61,6 +61,8 @@
 	// Join registers the instance and returns all registered instances.
 	// firstStart is set if the whole fleet starts for the first time.
 	Join(ctx context.Context, self gossip.Member, firstStart bool) ([]gossip.Member, error)
+	// Register registers the instance.
+	Register(ctx context.Context, self gossip.Member) error
 	// Remove deletes the registration of an instance.
 	Remove(ctx context.Context, id string) error
 }
@@ -160,19 +162,28 @@
 	}
 	d.exchange, err = gossip.New(gossip.Options{
 		Conn: conn, Address: d.self.Address, ID: d.self.ID, DataCentre: d.self.DataCentre, Board: d.board,
-		Backlogs: d.backlogs, RelayCapacity: d.opts.Settings.relayCapacity(), Logger: d.logger.With("part", "gossip"),
+		Backlogs: d.backlogs, RelayCapacity: d.opts.Settings.relayCapacity(), Seeds: d.seeds, Logger: d.logger.With("part", "gossip"),
 	})
 	if err != nil {
 		return err
 	}
 	d.feed = feed.New(feed.Options{
 		ID: d.self.ID, Store: d.opts.Store, Directory: d.directory, Current: d.current, Exchange: d.exchange,
-		FirstStart: d.opts.Settings.FirstStart, Logger: d.logger.With("part", "feed"),
+		FirstStart: d.opts.Settings.FirstStart, PeersFirst: d.hasOtherSeeds(), Logger: d.logger.With("part", "feed"),
 	})
 	d.exchange.Follow(d.feed)
 	return nil
 }
 
+// seeds returns the addresses of the seeds in the current settings.
+func (d *Daemon) seeds() []netip.AddrPort { return d.settings.Load().seeds() }
+
+// hasOtherSeeds reports whether there are seeds and this instance is none of them.
+func (d *Daemon) hasOtherSeeds() bool {
+	seeds := d.seeds()
+	return len(seeds) > 0 && !slices.Contains(seeds, d.self.Address)
+}
+
 func (d *Daemon) wireRequests() {
 	d.checks = readings.NewChecks(readings.CheckOptions{
 		Board: d.board, Pool: d.pool, Checker: d.opts.Protocol, Targets: d.checkTargets,
@@ -338,12 +349,12 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			addresses, ids := make(map[string]bool), make(map[string]bool)
+			addresses, keys := make(map[string]bool), make(map[readings.ServerKey]bool)
 			for _, server := range d.directory.All() {
-				addresses[server.Address], ids[server.ID] = true, true
+				addresses[server.Address], keys[readings.KeyOf(server.ID)] = true, true
 			}
 			d.pool.Sweep(now, func(address string) bool { return addresses[address] })
-			d.board.Retain(func(id string) bool { return ids[id] })
+			d.board.Retain(func(key readings.ServerKey) bool { return keys[key] })
 		}
 	}
 }
--- a/internal/entry/daemon_test.go
+++ b/internal/entry/daemon_test.go
@@ -66,6 +66,8 @@
 
 func (s *store) Remove(context.Context, string) error { return nil }
 
+func (s *store) Register(context.Context, gossip.Member) error { return nil }
+
 func (s *store) Join(_ context.Context, self gossip.Member, _ bool) ([]gossip.Member, error) {
 	return []gossip.Member{self}, nil
 }
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -2,17 +2,23 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pomelolock/pomelolock/membership"
 )
 
 const (
-	// joinRetryInterval is the time between two attempts to register.
+	// joinPatience is the time for which an instance waits for datagrams of others
+	// before it looks for them in the store.
+	joinPatience = 1200 * time.Millisecond
+	// joinRetryInterval is the time between two checks whether to register.
 	joinRetryInterval = 500 * time.Millisecond
-	// joinInterval is the time between two checks whether the instance is still
-	// registered. Peers remove an instance 10 minutes after they last received a
-	// datagram from it.
+	// lonelyInterval is the time between two searches in the store of an instance that
+	// knows no other.
+	lonelyInterval = 5 * time.Second
+	// joinInterval is the time between two registrations. Peers remove an instance
+	// 10 minutes after they last received a datagram from it.
 	joinInterval = 10 * time.Minute
 	// removeInterval is the time between two deletions of the registrations of
 	// removed instances.
@@ -21,22 +27,59 @@
 	joinTimeout = 1500 * time.Millisecond
 )
 
-// join registers the instance, adds the registered peers to the gossip and repeats
-// both periodically, since peers remove an instance that was partitioned for long.
+// join makes the instance known to the others. With seeds, it learns of them by datagrams;
+// if it knows nobody after joinPatience, or without seeds, it registers in the store and
+// reads who else has. The relays of each data centre are registered, so that others find
+// them if no seed is alive.
 func (d *Daemon) join(ctx context.Context) error {
 	firstStart := d.opts.Settings.FirstStart
+	if len(d.seeds()) > 0 && !sleep(ctx, joinPatience) {
+		return nil
+	}
+	var registered, cleaned time.Time
 	for {
-		pause := joinRetryInterval
-		if d.register(ctx, firstStart) {
-			firstStart = false
-			pause = joinInterval
+		switch since := time.Since(registered); {
+		case d.exchange.Known() == 1 && since >= lonelyInterval:
+			if d.register(ctx, firstStart) {
+				firstStart, registered = false, time.Now()
+			}
+		case since >= joinInterval && slices.Contains(d.exchange.Relays(), d.self.ID):
+			if d.announce(ctx) {
+				registered = time.Now()
+			}
 		}
-		if !d.removeRegistrations(ctx, pause) {
+		if time.Since(cleaned) >= removeInterval {
+			cleaned = time.Now()
+			d.removeRegistrations(ctx)
+		}
+		d.setBudget()
+		if !sleep(ctx, joinRetryInterval) {
 			return nil
 		}
 	}
 }
 
+// sleep waits and reports false if ctx ends before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// announce registers the instance and reports whether that succeeded.
+func (d *Daemon) announce(ctx context.Context) bool {
+	limited, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	err := d.opts.Store.Register(limited, d.self)
+	d.logger.Info("registered", "error", err)
+	return err == nil
+}
+
 // register registers the instance and reports whether that succeeded.
 func (d *Daemon) register(ctx context.Context, firstStart bool) bool {
 	limited, cancel := context.WithTimeout(ctx, joinTimeout)
@@ -50,35 +93,20 @@
 		d.exchange.Add(m)
 	}
 	d.logger.Info("joined", "instances", len(members))
-	d.setBudget()
 	return true
 }
 
 // removeRegistrations deletes from the store the registrations of instances that the gossip
-// removed, and returns true after the given time or false when ctx ends. For each removed
-// instance, one of the others is responsible.
-func (d *Daemon) removeRegistrations(ctx context.Context, during time.Duration) bool {
-	timer := time.NewTimer(during)
-	defer timer.Stop()
-	ticker := time.NewTicker(removeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-timer.C:
-			return true
-		case <-ticker.C:
-		}
-		for _, id := range d.exchange.TakeRemoved() {
-			if membership.Owner(id, d.exchange.Alive("")) != d.self.ID {
-				continue
-			}
-			limited, cancel := context.WithTimeout(ctx, joinTimeout)
-			err := d.opts.Store.Remove(limited, id)
-			cancel()
-			d.logger.Info("instance removed", "lost", id, "error", err)
+// removed. For each of them, one of the others is responsible.
+func (d *Daemon) removeRegistrations(ctx context.Context) {
+	for _, id := range d.exchange.TakeRemoved() {
+		if membership.Owner(id, d.exchange.Alive("")) != d.self.ID {
+			continue
 		}
+		limited, cancel := context.WithTimeout(ctx, joinTimeout)
+		err := d.opts.Store.Remove(limited, id)
+		cancel()
+		d.logger.Info("instance removed", "lost", id, "error", err)
 	}
 }
 
--- a/internal/entry/reload.go
+++ b/internal/entry/reload.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 )
@@ -47,7 +48,7 @@
 		return
 	}
 	before := d.settings.Swap(next)
-	if *before != *next {
+	if !reflect.DeepEqual(before, next) {
 		d.logger.Info("settings reloaded", "retry_ratio", next.Retries.Ratio, "retry_burst", next.Retries.Burst, "grace", next.Grace)
 	}
 }
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -19,6 +19,8 @@
 	Caller, Ready, Metrics string
 	// Peer is the address for datagrams from other instances.
 	Peer string
+	// Seeds are the addresses of a few other instances, which may be stale.
+	Seeds []string
 	// Store is the address of the platform's store.
 	Store string
 	// Retries limits the retries of the whole fleet.
@@ -37,17 +39,32 @@
 	ProcessorShare, LinkMbps float64
 }
 
-// minRelayLinkMbps is the minimum link speed of a relay, in Mbit/s. A relay for 45 instances
-// sends up to 60 Mbit/s.
-const minRelayLinkMbps = 100
+// relayLinkUnits converts the speed of a link in Mbit/s to units of relay capacity. A relay
+// that uses a whole core sends about 100 Mbit/s.
+const relayLinkUnits = 10
 
-// relayCapacity returns the processor capacity with which the instance can relay
-// datagrams for peers, in thousandths of a core; 0 if its link is too slow.
+// relayCapacity returns the capacity with which the instance can relay datagrams for peers,
+// in thousandths of a core: that of its processor or of its link, whichever is less.
 func (s *Settings) relayCapacity() uint32 {
-	if s.LinkMbps < minRelayLinkMbps {
-		return 0
+	capacity := 1000 * s.ProcessorShare
+	if s.ProcessorShare == 0 {
+		capacity = 1000
 	}
-	return uint32(1000 * s.ProcessorShare)
+	if s.LinkMbps > 0 {
+		capacity = min(capacity, relayLinkUnits*s.LinkMbps)
+	}
+	return uint32(max(capacity, 1))
+}
+
+// seeds returns the valid addresses of seeds.
+func (s *Settings) seeds() []netip.AddrPort {
+	var seeds []netip.AddrPort
+	for _, text := range s.Seeds {
+		if seed, err := netip.ParseAddrPort(text); err == nil {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds
 }
 
 // SettingError reports an invalid setting.
@@ -81,6 +98,11 @@
 			return &SettingError{Name: a.name, Value: a.value, Err: err}
 		}
 	}
+	for _, seed := range s.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			return &SettingError{Name: "seed address", Value: seed, Err: err}
+		}
+	}
 	if s.Retries.Ratio < 0 || s.Retries.Burst < 0 {
 		return &SettingError{Name: "retry limits", Value: fmt.Sprint(s.Retries)}
 	}
--- a/readings/board.go
+++ b/readings/board.go
@@ -18,6 +18,24 @@
 	HealthUnreachable
 )
 
+// ServerKey identifies a server by a hash of its ID. Datagrams carry it in place of the
+// ID, which is several times as long. Two of 1,000 servers have the same key in one of two
+// million fleets; each then gets the readings of both.
+type ServerKey uint64
+
+// keyBits is the number of bits of a [ServerKey].
+const keyBits = 40
+
+// KeyOf returns the key of the server with the given ID.
+func KeyOf(id string) ServerKey {
+	const offset, prime = 14695981039346656037, 1099511628211
+	h := uint64(offset)
+	for i := range len(id) {
+		h = (h ^ uint64(id[i])) * prime
+	}
+	return ServerKey((h ^ h>>keyBits) & (1<<keyBits - 1))
+}
+
 // NormalSlowdownPercent is the slowdown, in percent, of a machine without other load.
 const NormalSlowdownPercent = 100
 
@@ -45,7 +63,7 @@
 // Reading is the observed state of a server: its health and, if HasReport is set, its
 // load report. Times are on the local monotonic clock.
 type Reading struct {
-	Server string
+	Server ServerKey
 	Report
 	// HasReport reports whether Report is set, and At is when the report arrived.
 	HasReport bool
@@ -66,7 +84,7 @@
 
 // Results counts the attempts at one server by outcome.
 type Results struct {
-	Server       string
+	Server       ServerKey
 	Good, Failed int
 }
 
@@ -115,16 +133,16 @@
 // Board holds the load and health of all servers. It is safe for concurrent use.
 type Board struct {
 	mu      sync.Mutex
-	servers map[string]*state
+	servers map[ServerKey]*state
 	// shareQueue lists the servers with readings or results that may still have
 	// to be sent to other instances.
-	shareQueue []string
+	shareQueue []ServerKey
 }
 
 // NewBoard returns an empty board.
-func NewBoard() *Board { return &Board{servers: make(map[string]*state)} }
+func NewBoard() *Board { return &Board{servers: make(map[ServerKey]*state)} }
 
-func (b *Board) stateLocked(server string) *state {
+func (b *Board) stateLocked(server ServerKey) *state {
 	s := b.servers[server]
 	if s == nil {
 		s = &state{}
@@ -135,7 +153,7 @@
 
 // queueLocked queues a server whose reading or results have to be sent to other
 // instances.
-func (b *Board) queueLocked(server string, s *state) {
+func (b *Board) queueLocked(server ServerKey, s *state) {
 	if !s.queued {
 		s.queued = true
 		b.shareQueue = append(b.shareQueue, server)
@@ -180,7 +198,7 @@
 func (b *Board) addEvent(server string, now time.Time, delta int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.stateLocked(server)
+	s := b.stateLocked(KeyOf(server))
 	s.ownInFlight += delta
 	if len(s.events) == maxEvents {
 		s.events = append(s.events[:0], s.events[1:]...)
@@ -193,8 +211,9 @@
 func (b *Board) Result(server string, failed bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.stateLocked(server)
-	b.queueLocked(server, s)
+	key := KeyOf(server)
+	s := b.stateLocked(key)
+	b.queueLocked(key, s)
 	s.decay(now)
 	if failed {
 		s.failed++
@@ -229,7 +248,7 @@
 func (b *Board) Load(server string, now time.Time) Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.servers[server]
+	s := b.servers[KeyOf(server)]
 	if s == nil {
 		return Load{}
 	}
@@ -282,7 +301,7 @@
 func (b *Board) LastReading(server string) time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s := b.servers[server]; s != nil {
+	if s := b.servers[KeyOf(server)]; s != nil {
 		return s.reading.newest()
 	}
 	return time.Time{}
@@ -290,7 +309,7 @@
 
 // Retain removes the servers for which keep returns false, except those with
 // in-flight requests of this instance.
-func (b *Board) Retain(keep func(server string) bool) {
+func (b *Board) Retain(keep func(server ServerKey) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for server, s := range b.servers {
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -146,7 +146,7 @@
 
 // sendCheck makes one status check.
 func (c *Checks) sendCheck(ctx context.Context, target Target) Reading {
-	reading := Reading{Server: target.Server, Health: HealthUnreachable}
+	reading := Reading{Server: KeyOf(target.Server), Health: HealthUnreachable}
 	conn, err := c.opts.Pool.Get(ctx, target.Address, target.Connections)
 	if err != nil {
 		c.opts.Logger.Debug("status check failed", "server", target.Server, "error", err)
