Servers that say they leave, servers that want quiet, a store back from a copy

- Server-Leaving in any answer, also of a check: the server, bound to its id and start, is out of use here at once and at all others by a datagram, whatever discovery says, until it has started again.
- 503 with Retry-After: no request and no check goes to that server from this instance until then; a request whose time ends before any server wants one is refused at once with that time.
Not shared: the server speaks of this instance only.
Found on the way: a check of an idle connection could be turned away and the request sent on.
- Store-Era: a version is the era and the number, in one integer, so that everything that compares or passes on versions stays as it is.
An older era's late answer is dropped; changes since a version of another era are read anew.
A server known as gone or draining stays so until it has written more than the copy has; live servers that the copy lacks stay in use for the grace period; relays register again.
The first state that a process takes from a peer is whole, so that it learns who left.

Ways weighed for the era: a session id of our own (says nothing of what was lost), ignoring versions and reading all each time (bytes grow with servers).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -33,6 +33,8 @@
 	// Born is the start time of the server in Unix milliseconds; 0 if unknown. A
 	// server may restart under the same ID.
 	Born int64
+	// Seq counts what the server wrote about itself since its start.
+	Seq int64
 	// WarmUntil is the time at which the server's warm-up ends.
 	WarmUntil time.Time
 }
@@ -42,15 +44,25 @@
 	Server
 	// Version is the store version of the change.
 	Version uint64
-	// Removed reports whether the entry was removed. Only the ID of Server is set then.
+	// Removed reports whether the entry was removed. Only the ID and, if known, Born of
+	// Server are set then.
 	Removed bool
+	// Leaving reports whether the server said in an answer that it leaves.
+	Leaving bool
 }
 
+// gone reports whether the server has left or is leaving.
+func (c Change) gone() bool { return c.Removed || c.Draining || c.Leaving }
+
 type entry struct {
 	Change
 	// lastVersion is the version of the last change received, including those
 	// that repeat the entry.
 	lastVersion uint64
+	// copiedSeq is the Seq of the entry in the copy from which the store was restored
+	// in copiedEra, if the copy contradicts what was known before.
+	copiedSeq int64
+	copiedEra uint64
 	// heldUntil is the end of the grace period of a removed entry that is still in
 	// use, otherwise the zero time.
 	heldUntil time.Time
@@ -153,7 +165,7 @@
 	}
 	for id, e := range d.entries {
 		if !present[id] && !e.Removed && e.Version <= version {
-			all = append(all, Change{Server: Server{ID: id}, Version: version, Removed: true})
+			all = append(all, Change{Server: Server{ID: id, Born: e.Born}, Version: version, Removed: true})
 		}
 	}
 	applied := d.applyLocked(all, holdUntil)
@@ -168,15 +180,23 @@
 	now := time.Now()
 	for _, change := range changes {
 		old := d.entries[change.ID]
-		if old != nil && change.Version <= old.lastVersion {
-			continue
-		}
-		if old != nil && old.equal(change) {
-			old.lastVersion = change.Version
-			continue
+		if old != nil {
+			if change.Version < old.lastVersion || change.Version == old.lastVersion && (old.gone() || !change.gone()) {
+				continue
+			}
+			change = change.after(old.Change)
+			if old.equal(change) {
+				old.lastVersion = change.Version
+				if EraOf(change.Version) > EraOf(old.Version) {
+					old.Version = change.Version
+				}
+				continue
+			}
 		}
 		next := &entry{Change: change, lastVersion: change.Version}
-		if change.Removed && old != nil && !old.Removed && now.Before(holdUntil) {
+		// A removal of the same version is older news than the outage or restore: the
+		// entry is from a copy of the store.
+		if change.Removed && old != nil && !old.Removed && now.Before(holdUntil) && change.Version > old.lastVersion {
 			next.Server = old.Server
 			next.heldUntil = holdUntil
 		}
@@ -187,14 +207,51 @@
 	return applied
 }
 
+// after completes a change with what is known of the server: its start if it is removed,
+// and that it leaves unless it has started again.
+func (c Change) after(old Change) Change {
+	if c.Removed && c.Born == 0 {
+		c.Born = old.Born
+	}
+	c.Leaving = c.Leaving || old.Leaving && c.Born == old.Born
+	return c
+}
+
+// Screen returns changes that were read from the store, with those replaced that only show
+// an old copy from which the store was restored: a server that is known to have left or to
+// drain is not in use again because the copy lists it, only once it has written again.
+func (d *Directory) Screen(changes []Change) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	screened := make([]Change, len(changes))
+	for i, change := range changes {
+		screened[i] = change
+		old := d.entries[change.ID]
+		if old == nil || change.gone() || !old.Removed && !old.Draining || change.Born != old.Born {
+			continue
+		}
+		era := EraOf(change.Version)
+		if era > EraOf(old.lastVersion) {
+			old.copiedEra, old.copiedSeq = era, change.Seq
+		}
+		if old.copiedEra > 0 && old.copiedEra == era && change.Seq <= old.copiedSeq {
+			kept := old.Change
+			kept.Version = change.Version
+			screened[i] = kept
+		}
+	}
+	return screened
+}
+
 // equal reports whether a change leaves the entry as it is. The end of the warm-up is
 // not compared, since it is computed anew from the remaining time at each read.
 func (e *entry) equal(change Change) bool {
-	if e.Removed || change.Removed {
-		return e.Removed == change.Removed
+	if e.Removed || change.Removed || e.Leaving != change.Leaving {
+		return e.Removed == change.Removed && e.Leaving == change.Leaving
 	}
 	a, b := e.Server, change.Server
 	a.WarmUntil, b.WarmUntil = time.Time{}, time.Time{}
+	a.Seq, b.Seq = 0, 0
 	return a == b
 }
 
@@ -224,7 +281,7 @@
 	for id, e := range d.entries {
 		if !e.heldUntil.IsZero() && !now.Before(e.heldUntil) {
 			e.heldUntil = time.Time{}
-			e.Server = Server{ID: id}
+			e.Server = Server{ID: id, Born: e.Born}
 			expired = append(expired, id)
 		}
 	}
@@ -234,8 +291,23 @@
 	return expired
 }
 
+// Leave records that a server, since the given start, said in an answer that it leaves. It
+// is out of use then, whatever the store says of it, until it has started again. Leave
+// returns the change for other instances, and false if there is nothing new.
+func (d *Directory) Leave(id string, born int64) (Change, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.entries[id]
+	if e == nil || e.Leaving || e.Born != born {
+		return Change{}, false
+	}
+	e.Leaving = true
+	d.rebuildLocked(time.Now())
+	return e.Change, true
+}
+
 // Retire takes a server out of use without a change of its entry in the store, because
-// the server announced that it is leaving or another server responds at its address. It
+// another server responds at its address. It
 // returns false and changes nothing if the entry is missing, draining or removed. A newer
 // entry puts the server back into use.
 func (d *Directory) Retire(id string) bool {
@@ -266,7 +338,7 @@
 // inUse reports whether the server accepts new requests. A removed one still counts as
 // in use during its grace period.
 func (e *entry) inUse(now time.Time) bool {
-	return !e.Draining && (!e.Removed || now.Before(e.heldUntil))
+	return !e.Draining && !e.Leaving && (!e.Removed || now.Before(e.heldUntil))
 }
 
 // rebuildLocked rebuilds the index by service.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -122,3 +122,60 @@
 		}
 	})
 }
+
+// written returns a change as a server that was born at the given time writes it.
+func written(id string, era, number uint64, born, seq int64) Change {
+	c := change(id, MakeVersion(era, number))
+	c.Born, c.Seq = born, seq
+	return c
+}
+
+// restore applies the copy of a store in a new era, as a reader does.
+func restore(d *Directory, hold time.Time, version uint64, all ...Change) {
+	d.Replace(d.Screen(all), version, hold)
+}
+
+// TestServerThatLeftStaysGoneAfterARestore restores the store from a copy that still lists
+// a server that has left and one that drains, and lacks a live one.
+func TestServerThatLeftStaysGoneAfterARestore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := New()
+	draining := written("draining", 1, 12, 7, 5)
+	draining.Draining = true
+	d.Apply([]Change{
+		written("left", 1, 10, 7, 4), removed("left", MakeVersion(1, 20)), draining,
+		written("live", 1, 13, 7, 1), written("new", 1, 30, 7, 1),
+	}, 0, MakeVersion(1, 30), time.Time{})
+	hold := time.Now().Add(time.Minute)
+	copied := []Change{written("left", 2, 10, 7, 4), written("draining", 2, 12, 7, 4), written("live", 2, 13, 7, 1)}
+	restore(d, hold, MakeVersion(2, 14), copied...)
+	restore(d, hold, MakeVersion(2, 14), copied...)
+	g.Expect(ids(d.Servers("orders"))).To(gomega.Equal([]string{"live", "new"}))
+
+	newcomer := New()
+	restore(newcomer, hold, MakeVersion(2, 14), copied...)
+	newcomer.Apply(d.Since(0), 0, d.Version(), hold)
+	g.Expect(ids(newcomer.Servers("orders"))).To(gomega.Equal([]string{"live"}), "a process that starts after the restore hears of it")
+
+	d.Apply(d.Screen([]Change{written("left", 2, 40, 7, 5)}), d.Version(), MakeVersion(2, 40), hold)
+	g.Expect(ids(d.Servers("orders"))).To(gomega.Equal([]string{"left", "live", "new"}), "it wrote again")
+	d.Expire(hold)
+	g.Expect(ids(d.Servers("orders"))).To(gomega.Equal([]string{"left", "live"}), "not written again in time")
+}
+
+func TestLeavingServerReturnsOnlyWithANewStart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := New()
+	d.Apply([]Change{written("a", 0, 1, 7, 1)}, 0, 1, time.Time{})
+	_, changed := d.Leave("a", 6)
+	g.Expect(changed).To(gomega.BeFalse(), "an answer of an earlier start")
+	_, changed = d.Leave("a", 7)
+	g.Expect(changed).To(gomega.BeTrue())
+	g.Expect(d.Servers("orders")).To(gomega.BeEmpty())
+	d.Apply([]Change{written("a", 0, 2, 7, 2)}, 1, 2, time.Time{})
+	g.Expect(d.Servers("orders")).To(gomega.BeEmpty(), "discovery still says that it is ready")
+	d.Apply([]Change{removed("a", 3), written("a", 0, 4, 7, 3)}, 2, 4, time.Time{})
+	g.Expect(d.Servers("orders")).To(gomega.BeEmpty(), "its entry lapsed and is back")
+	d.Apply([]Change{written("a", 0, 5, 9, 1)}, 4, 5, time.Time{})
+	g.Expect(ids(d.Servers("orders"))).To(gomega.Equal([]string{"a"}))
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -124,6 +124,11 @@
 	process   uint32
 	// readCount counts the successful reads of this process.
 	readCount uint64
+	// era is how often the store was restored from a copy, as far as this process or a
+	// peer knows.
+	era uint64
+	// heardState is set once a peer has sent its state.
+	heardState bool
 	// table is the active table, encoded as JSON.
 	table []byte
 	// holdUntil is the time until which removed entries stay in use after an
@@ -146,6 +151,14 @@
 	return f
 }
 
+// Era returns how often the store was restored from a copy, as far as this instance or a
+// peer knows.
+func (f *Feed) Era() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
 // Run follows the store until ctx ends. It always returns nil.
 func (f *Feed) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
@@ -254,7 +267,8 @@
 		f.recordFailure(began, err)
 		return after, err
 	}
-	hold := f.recordSuccess(began)
+	hold := f.recordSuccess(began, directory.EraOf(version))
+	changes = f.opts.Directory.Screen(changes)
 	base := f.opts.Directory.Version()
 	first := !f.opts.Directory.Synced()
 	var applied []directory.Change
@@ -289,9 +303,9 @@
 	}
 }
 
-// recordSuccess records that the view is current as of the given time. It returns the
-// time until which removed entries stay in use.
-func (f *Feed) recordSuccess(at time.Time) time.Time {
+// recordSuccess records that the view is current as of the given time, in an era of the
+// store. It returns the time until which removed entries stay in use.
+func (f *Feed) recordSuccess(at time.Time, era uint64) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
@@ -303,6 +317,14 @@
 		f.failingSince = time.Time{}
 		f.opts.Logger.Info("store readable", "outage", lasted)
 	}
+	if era > f.era {
+		if f.readCount > 0 || f.heardState {
+			// The copy may lack live servers, which register again.
+			f.holdUntil = now.Add(directory.RemovalGracePeriod)
+		}
+		f.opts.Logger.Info("store restored from a copy", "era", era, "era_before", f.era)
+		f.era = era
+	}
 	f.readCount++
 	if at.After(f.freshAt) {
 		f.freshAt, f.read = at, gossip.Read{Process: f.process, Number: f.readCount}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -57,6 +59,30 @@
 	s.changed = make(chan struct{})
 }
 
+// copy returns a copy of the store.
+func (s *store) copy() *store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &store{version: s.version, entries: maps.Clone(s.entries), table: s.table, tableAt: s.tableAt}
+}
+
+// restore replaces the content of the store by that of a copy, in the next era.
+func (s *store) restore(from *store) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := func(version uint64) uint64 {
+		return directory.MakeVersion(directory.EraOf(s.version)+1, directory.NumberOf(version))
+	}
+	s.entries = make(map[string]directory.Change)
+	for id, c := range from.entries {
+		c.Version = next(c.Version)
+		s.entries[id] = c
+	}
+	s.table, s.tableAt = from.table, next(from.tableAt)
+	s.version = next(from.version)
+	s.historyFrom = s.version
+}
+
 // access is the connection of one instance to the store. It can be made to fail and
 // counts its calls.
 type access struct {
@@ -353,6 +379,8 @@
 
 func (ignoringFollower) Freshness() gossip.Freshness                    { return gossip.Freshness{} }
 func (ignoringFollower) ReceiveFreshness(string, gossip.Freshness) bool { return false }
+func (ignoringFollower) Wanted() (uint64, uint64)                       { return 0, 0 }
+func (ignoringFollower) ReceiveDeparture(string, string, int64)         {}
 func (ignoringFollower) ReceiveState(string, *gossippb.State)           {}
 func (ignoringFollower) State(uint64, uint64) *gossippb.State           { return nil }
 
@@ -446,6 +474,48 @@
 	g.Eventually(one.servers).WithTimeout(propagationLimit).Should(gomega.Equal([]string{"a"}))
 }
 
+// TestRestoredStoreBringsNoServerBack restores the store from a copy in which a server that
+// left is still listed and one that came is missing, and an older table is active.
+func TestRestoredStoreBringsNoServerBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newStore()
+	left := server("left")
+	s.put(left)
+	s.put(server("stays"))
+	s.setTable(3)
+	instances := fleet(t, s, 3)
+	for _, i := range instances {
+		g.Eventually(i.servers).WithTimeout(propagationLimit).Should(gomega.HaveLen(2))
+	}
+	copied := s.copy()
+	s.put(removed("left"))
+	s.put(server("came"))
+	s.setTable(9)
+	for _, i := range instances {
+		g.Eventually(i.servers).WithTimeout(propagationLimit).Should(gomega.Equal([]string{"came", "stays"}))
+		g.Eventually(i.tableVersion).WithTimeout(propagationLimit).Should(gomega.Equal(uint64(9)))
+	}
+	s.restore(copied)
+	g.Consistently(func() []string {
+		for _, i := range instances {
+			if got := i.servers(); !slices.Equal(got, []string{"came", "stays"}) || i.tableVersion() != 9 {
+				return got
+			}
+		}
+		return nil
+	}).WithTimeout(time.Second).Should(gomega.BeNil())
+	came := server("came")
+	came.Seq = 1
+	s.put(came)
+	s.setTable(11)
+	time.Sleep(directory.RemovalGracePeriod)
+	for _, i := range instances {
+		g.Expect(i.servers()).To(gomega.Equal([]string{"came", "stays"}))
+		g.Expect(i.tableVersion()).To(gomega.Equal(uint64(11)))
+		g.Expect(i.feed.Era()).To(gomega.Equal(uint64(1)))
+	}
+}
+
 func TestTableNeverGoesBack(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newStore()
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -19,6 +19,25 @@
 		TableVersion:   f.tableVersion(),
 		At:             f.freshAt,
 		Read:           f.read,
+		Era:            f.era,
+	}
+}
+
+// Wanted implements [gossip.Follower]. The first state of a process has to be whole: after a
+// restore of the store, peers know of servers that left and that the copy still lists.
+func (f *Feed) Wanted() (serversVersion, tableVersion uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.heardState {
+		return 0, f.tableVersion()
+	}
+	return f.opts.Directory.Version(), f.tableVersion()
+}
+
+// ReceiveDeparture implements [gossip.Follower].
+func (f *Feed) ReceiveDeparture(from, server string, born int64) {
+	if _, changed := f.opts.Directory.Leave(server, born); changed {
+		f.opts.Logger.Info("server leaving", "server", server, "born", born, "source", from)
 	}
 }
 
@@ -34,6 +53,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	servers, tableVersion := f.opts.Directory.Version(), f.tableVersion()
+	f.era = max(f.era, theirs.Era)
+	if !f.heardState && theirs.ServersVersion > 0 && !f.opts.FirstStart {
+		return true
+	}
 	if theirs.ServersVersion > servers || theirs.TableVersion > tableVersion {
 		return true
 	}
@@ -62,6 +85,7 @@
 // ReceiveState implements [gossip.Follower].
 func (f *Feed) ReceiveState(from string, state *gossippb.State) {
 	f.mu.Lock()
+	f.heardState = f.heardState || state.GetBase() == 0
 	if hold := time.Now().Add(time.Duration(state.GetHoldMs()) * time.Millisecond); hold.After(f.holdUntil) && state.GetHoldMs() > 0 {
 		f.holdUntil = hold
 	}
@@ -112,6 +136,7 @@
 		encoded[i] = &gossippb.Server{
 			Id: c.ID, Version: c.Version, Gone: c.Removed, Service: c.Service, Address: c.Address,
 			DataCentre: c.DataCentre, Slots: uint32(c.Slots), Draining: c.Draining, BornMs: c.Born,
+			Leaving: c.Leaving, Seq: c.Seq,
 			WarmUpMs: uint32(max(c.WarmUntil.Sub(now).Milliseconds(), 0)),
 		}
 	}
@@ -125,11 +150,12 @@
 		changes[i] = directory.Change{
 			Server: directory.Server{
 				ID: s.GetId(), Service: s.GetService(), Address: s.GetAddress(), DataCentre: s.GetDataCentre(),
-				Slots: int(s.GetSlots()), Draining: s.GetDraining(), Born: s.GetBornMs(),
+				Slots: int(s.GetSlots()), Draining: s.GetDraining(), Born: s.GetBornMs(), Seq: s.GetSeq(),
 				WarmUntil: now.Add(time.Duration(s.GetWarmUpMs()) * time.Millisecond),
 			},
 			Version: s.GetVersion(),
 			Removed: s.GetGone(),
+			Leaving: s.GetLeaving(),
 		}
 	}
 	return changes
--- a/feed/follow_test.go
+++ b/feed/follow_test.go
@@ -16,7 +16,7 @@
 	g := gomega.NewWithT(t)
 	f := New(Options{Directory: directory.New(), Current: table.NewCurrent(), Logger: slog.New(slog.DiscardHandler)})
 	now := time.Now()
-	f.recordSuccess(now)
+	f.recordSuccess(now, 0)
 	own := f.Freshness()
 	own.At = now.Add(2 * time.Millisecond)
 	f.ReceiveFreshness("b", own)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -116,9 +116,18 @@
 			return conn, err
 		}
 		a.checkConn(ctx, conn)
+		if now := time.Now(); x.f.opts.Board.Load(a.reservation.server.ID, now).Quiet(now) {
+			return nil, &QuietError{Server: a.reservation.server.ID}
+		}
 	}
 }
 
+// QuietError reports that a request was not sent because the server wants nothing from this
+// instance for a time.
+type QuietError struct{ Server string }
+
+func (e *QuietError) Error() string { return "forward: " + e.Server + " wants quiet" }
+
 // checkConn sends a status check on an idle connection, which returns to the pool if
 // it is usable.
 func (a *attempt) checkConn(ctx context.Context, conn *serverconn.Conn) {
@@ -133,13 +142,22 @@
 		return
 	}
 	a.recordLoad(x.f.opts.Protocol.Report(resp.Header))
+	a.recordNotice(x.f.opts.Protocol.Notice(resp))
+}
+
+// recordNotice records what the server says about requests to come.
+func (a *attempt) recordNotice(notice readings.Notice) {
+	if notice != (readings.Notice{}) {
+		a.x.f.opts.OnNotice(a.reservation.server, notice)
+	}
 }
 
 // connectFailed records that the server can't be reached. It ignores attempts
-// that were cancelled or found all connections in use.
+// that were cancelled, found all connections in use or a server that wants quiet.
 func (a *attempt) connectFailed(ctx context.Context, err error) {
 	var full *serverconn.FullError
-	if ctx.Err() != nil || errors.As(err, &full) {
+	var quiet *QuietError
+	if ctx.Err() != nil || errors.As(err, &full) || errors.As(err, &quiet) {
 		return
 	}
 	a.x.f.opts.Board.Result(a.reservation.server.ID, true, time.Now())
@@ -202,6 +220,7 @@
 func (a *attempt) classify(ctx context.Context, resp *http.Response) result {
 	info := a.x.f.opts.Protocol.Response(resp)
 	a.recordLoad(info.Report)
+	a.recordNotice(info.Notice)
 	r := result{server: a.reservation.server}
 	switch {
 	case info.NotRun, info.Misdirected:
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -26,11 +26,13 @@
 
 func (q *queue) candidate(server directory.Server, now time.Time) placement.Candidate {
 	opts := q.f.opts
+	load := opts.Board.Load(server.ID, now)
 	return placement.Candidate{
-		Load:   opts.Board.Load(server.ID, now),
+		Load:   load,
 		Slots:  server.Slots,
 		Remote: server.DataCentre != opts.DataCentre,
 		Cold:   now.Before(server.WarmUntil),
+		Quiet:  load.Quiet(now),
 
 		Unconnected: !opts.Pool.Idle(server.Address),
 	}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -356,6 +356,11 @@
 
 // refusal returns the error for a request that no server can take now.
 func (x *exchange) refusal(code outcome.Code, detail string) *outcome.Error {
+	return x.refusalFor(code, detail, 0)
+}
+
+// refusalFor is like refusal if no server takes the request for at least the given time.
+func (x *exchange) refusalFor(code outcome.Code, detail string, least time.Duration) *outcome.Error {
 	if x.mayHaveRun {
 		return &outcome.Error{
 			Outcome: outcome.Unknown, Status: http.StatusBadGateway, Code: code, Detail: detail,
@@ -363,7 +368,7 @@
 	}
 	return &outcome.Error{
 		Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable, Code: code,
-		Detail: detail, RetryAfter: retryAfter(),
+		Detail: detail, RetryAfter: least + retryAfter(),
 	}
 }
 
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -190,6 +190,12 @@
 		Budget: f.budget, Pool: serverconn.NewPool(), Backlogs: admission.NewBacklogs(),
 		ConnLimit: func(*table.Service) int { return 0 }, Instances: func() int { return 1 }, DataCentre: "a",
 		Log: slog.New(slog.DiscardHandler), Observer: &observer{}, Quarantine: f.quarantine, ViewReady: f.viewReady, LoadsReady: f.loadsReady,
+		OnNotice: func(server directory.Server, notice readings.Notice) {
+			f.board.KeepQuiet(server.ID, time.Now().Add(notice.Quiet))
+			if notice.Leaving {
+				f.directory.Leave(server.ID, server.Born)
+			}
+		},
 	})
 	go func() { _ = f.forwarder.Run(t.Context()) }()
 	front := httptest.NewServer(f.forwarder)
@@ -519,6 +525,55 @@
 	g.Expect(s.arrivals()).To(gomega.BeZero())
 }
 
+// TestServerThatWantsQuietGetsNothing has a server that turns requests away for a time: it
+// gets none in that time while another server has room, and then again. A request that no
+// server takes in its time is refused at once, with a time after which one does.
+func TestServerThatWantsQuietGetsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	quiet := startServer(t, "s1", func(conn net.Conn, req *http.Request) {
+		respond(conn, req, http.StatusServiceUnavailable, "", "Not-Executed: 1", "Retry-After: 1")
+	})
+	f := newFixture(t, quiet)
+	resp, _ := f.call(t, http.MethodGet, "/order/", "")
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(quiet.arrivals()).To(gomega.Equal(1))
+	began := time.Now()
+	resp, _ = f.call(t, http.MethodGet, "/brief/", "")
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 60*time.Millisecond), "refused at once")
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(began.Add(time.Duration(after * float64(time.Second)))).To(gomega.BeTemporally(">", f.board.QuietUntil("s1").Add(-50*time.Millisecond)))
+
+	other := startServer(t, "s2", ok)
+	f.directory.Apply([]directory.Change{{Version: 9, Server: directory.Server{ID: "s2", Service: "main", Address: other.address, Slots: 6, DataCentre: "a"}}}, 1, 9, time.Time{})
+	for range 20 {
+		resp, _ = f.call(t, http.MethodGet, "/order/", "")
+		g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
+	}
+	g.Expect(quiet.arrivals()).To(gomega.Equal(1))
+	time.Sleep(time.Until(f.board.QuietUntil("s1")) + 50*time.Millisecond)
+	g.Eventually(func() int {
+		f.call(t, http.MethodGet, "/order/", "")
+		return quiet.arrivals()
+	}).WithTimeout(5 * time.Second).Should(gomega.Equal(2))
+}
+
+func TestServerThatSaysItLeavesGetsNothingMore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	leaving := startServer(t, "s1", func(conn net.Conn, req *http.Request) {
+		respond(conn, req, http.StatusOK, "whole", signed, "Server-Leaving: 1")
+	})
+	f := newFixture(t, leaving)
+	resp, body := f.call(t, http.MethodGet, "/order/", "")
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
+	g.Expect(body).To(gomega.Equal("whole"))
+	f.directory.Apply([]directory.Change{{Version: 9, Server: directory.Server{ID: "s1", Service: "main", Address: leaving.address, Slots: 6, DataCentre: "a", Seq: 2}}}, 1, 9, time.Time{})
+	resp, _ = f.call(t, http.MethodGet, "/order/", "")
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(leaving.arrivals()).To(gomega.Equal(1))
+}
+
 func TestRouteDeadlineIsEnforced(t *testing.T) {
 	g := gomega.NewWithT(t)
 	cancelled := make(chan struct{})
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -39,6 +39,9 @@
 	Observer Observer
 	// Quarantine refuses requests that crash servers.
 	Quarantine Quarantine
+	// OnNotice is called if a server says that it leaves or wants quiet. It must not
+	// block.
+	OnNotice func(server directory.Server, notice readings.Notice)
 	// ViewReady is closed when the table and the servers are known, or when startup
 	// stops waiting for them. LoadsReady is closed likewise for the loads of servers.
 	// Requests wait until both are closed.
--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -33,6 +33,8 @@
 	Encoded bool
 	// Report is the server's load report; nil if there is none.
 	Report *readings.Report
+	// Notice is what the server says about requests to come.
+	Notice readings.Notice
 }
 
 // Protocol reads and writes the headers of callers and backend servers.
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -279,6 +279,11 @@
 	if !slices.ContainsFunc(q.servers(), untried) {
 		return w.x.refusal(outcome.CodeNoServer, "the service has no usable server")
 	}
+	if until := q.quietUntil(w, now); until.After(now) && w.MissesDeadline(until, q.minServiceTime()) {
+		w.x.log("refused at once", slog.String("service", q.service), slog.String("reason", "all servers want quiet"),
+			slog.Duration("quiet_for", until.Sub(now)))
+		return w.x.refusalFor(outcome.CodeOverload, "all servers of the service want no requests", until.Sub(now))
+	}
 	late := w.Late(now, q.serviceTime)
 	ahead, rate := 0, q.rate
 	if late {
@@ -306,6 +311,25 @@
 	return nil
 }
 
+// quietUntil returns the earliest time at which a server that the request was not sent to
+// wants requests: now, unless all of them want quiet.
+func (q *queue) quietUntil(w *waiter, now time.Time) time.Time {
+	var earliest time.Time
+	for _, s := range q.servers() {
+		if slices.Contains(w.x.tried, s.ID) {
+			continue
+		}
+		until := q.f.opts.Board.QuietUntil(s.ID)
+		if !until.After(now) {
+			return now
+		}
+		if earliest.IsZero() || until.Before(earliest) {
+			earliest = until
+		}
+	}
+	return earliest
+}
+
 // openLocked starts sending. The send rate is not yet measured; it is initialised
 // with this instance's equal share of the servers' throughput.
 func (q *queue) openLocked(now time.Time) {
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -63,6 +63,8 @@
 	At time.Time
 	// Read identifies the read of the store that confirmed the view.
 	Read Read
+	// Era is how often the store was restored from a copy.
+	Era uint64
 }
 
 // Read identifies one read of the store.
@@ -81,6 +83,11 @@
 	// ReceiveFreshness records another instance's freshness and reports whether
 	// that instance has newer state, which the exchange then requests.
 	ReceiveFreshness(from string, f Freshness) (behind bool)
+	// Wanted returns the versions since which this instance wants the state.
+	Wanted() (serversVersion, tableVersion uint64)
+	// ReceiveDeparture records that a backend server, since the given start in Unix
+	// milliseconds, said that it leaves.
+	ReceiveDeparture(from, server string, born int64)
 	// ReceiveState applies state that another instance sent.
 	ReceiveState(from string, state *gossippb.State)
 	// State returns the state newer than the given versions, or nil if there is
@@ -326,6 +333,17 @@
 	}
 }
 
+// ShareDeparture tells all instances that a backend server, since the given start in Unix
+// milliseconds, said that it leaves.
+func (e *Exchange) ShareDeparture(server string, born int64) {
+	e.sending.Lock()
+	for _, pending := range []*pendingUpdates{e.localUpdates, e.remoteUpdates} {
+		pending.addDeparture(server, born)
+	}
+	e.sending.Unlock()
+	e.TriggerSend()
+}
+
 // Flush sends the local freshness and pending updates immediately.
 func (e *Exchange) Flush() { e.sendUpdates(time.Now(), 0) }
 
@@ -393,6 +411,7 @@
 		AgeMs:          milliseconds(now.Sub(f.At) + time.Millisecond),
 		Process:        f.Read.Process,
 		Read:           f.Read.Number,
+		Era:            f.Era,
 	}
 	return msg
 }
@@ -554,6 +573,9 @@
 		}
 	}
 	e.receiveUpdates(msg, now)
+	for _, d := range msg.GetDepartures() {
+		e.follower.ReceiveDeparture(id, d.GetServer(), d.GetBornMs())
+	}
 	if message := msg.GetMessage(); message != nil && e.handleMessage != nil {
 		e.handleMessage(id, message.GetKind(), message.GetPayload())
 	}
@@ -621,14 +643,15 @@
 		TableVersion:   f.GetTableVersion(),
 		At:             now.Add(-time.Duration(f.GetAgeMs()) * time.Millisecond),
 		Read:           Read{Process: f.GetProcess(), Number: f.GetRead()},
+		Era:            f.GetEra(),
 	})
 	if !behind || now.Sub(e.stateRequested) < stateRequestInterval {
 		return
 	}
 	e.stateRequested = now
-	own := e.follower.Freshness()
+	servers, table := e.follower.Wanted()
 	msg := e.newDatagram()
-	msg.Want = &gossippb.Want{ServersVersion: own.ServersVersion, TableVersion: own.TableVersion}
+	msg.Want = &gossippb.Want{ServersVersion: servers, TableVersion: table}
 	if address, ok := e.members.address(from); ok {
 		e.sendTo(msg, []netip.AddrPort{address})
 	}
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -23,6 +23,7 @@
 	mu       sync.Mutex
 	version  uint64
 	received []*gossippb.State
+	departed []string
 }
 
 func (f *follower) Freshness() Freshness {
@@ -37,6 +38,16 @@
 	return theirs.ServersVersion > f.version
 }
 
+func (f *follower) Wanted() (serversVersion, tableVersion uint64) {
+	return f.Freshness().ServersVersion, 0
+}
+
+func (f *follower) ReceiveDeparture(_, server string, born int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.departed = append(f.departed, fmt.Sprint(server, "@", born))
+}
+
 func (f *follower) ReceiveState(_ string, state *gossippb.State) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -131,6 +142,22 @@
 	}
 }
 
+func TestDeparturesReachAllDataCentres(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := fleet(t, "a", "a", "b", "b")
+	for _, n := range nodes {
+		g.Eventually(func() int { return len(n.exchange.Alive("")) }).WithTimeout(5 * time.Second).Should(gomega.Equal(len(nodes)))
+	}
+	nodes[0].exchange.ShareDeparture("s", 7)
+	for _, n := range nodes[1:] {
+		g.Eventually(func() []string {
+			n.follower.mu.Lock()
+			defer n.follower.mu.Unlock()
+			return n.follower.departed
+		}).WithTimeout(5 * time.Second).Should(gomega.ContainElement("s@7"))
+	}
+}
+
 func TestOutdatedInstanceRequestsState(t *testing.T) {
 	g := gomega.NewWithT(t)
 	nodes := fleet(t, "a", "b")
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -189,6 +189,9 @@
 	for _, pending := range groups {
 		e.logInvalid(msg, unpackReadings(msg.GetReadings(), now, pending.addReceived))
 		e.logInvalid(msg, unpackResults(msg.GetResults(), pending.addResults))
+		for _, d := range msg.GetDepartures() {
+			pending.addDeparture(d.GetServer(), d.GetBornMs())
+		}
 	}
 }
 
--- a/gossip/updates.go
+++ b/gossip/updates.go
@@ -17,17 +17,36 @@
 type pendingUpdates struct {
 	readings map[readings.ServerKey]readings.Reading
 	results  map[readings.ServerKey]readings.Results
+	// departures holds the backend servers that leave, by ID.
+	departures map[string]departure
 	// sent is when the last datagram was sent, contentSent when the last one with
 	// readings and results was.
 	sent, contentSent time.Time
 }
 
+// departure is a backend server that leaves.
+type departure struct {
+	born int64
+	// repeats is the number of datagrams that still have to carry it.
+	repeats int
+}
+
+// departureRepeats is the number of datagrams that carry a departure, since datagrams get
+// lost.
+const departureRepeats = 3
+
 func newPendingUpdates() *pendingUpdates {
 	return &pendingUpdates{
 		readings: make(map[readings.ServerKey]readings.Reading), results: make(map[readings.ServerKey]readings.Results),
+		departures: make(map[string]departure),
 	}
 }
 
+// addDeparture adds a backend server that leaves.
+func (p *pendingUpdates) addDeparture(server string, born int64) {
+	p.departures[server] = departure{born: born, repeats: departureRepeats}
+}
+
 // add merges new readings and results into the pending ones.
 func (p *pendingUpdates) add(observed []readings.Reading, results []readings.Results) {
 	for _, r := range observed {
@@ -67,7 +86,9 @@
 	return since >= minInterval && (otherContent || !p.empty() || since >= heartbeatInterval)
 }
 
-func (p *pendingUpdates) empty() bool { return len(p.readings) == 0 && len(p.results) == 0 }
+func (p *pendingUpdates) empty() bool {
+	return len(p.readings) == 0 && len(p.results) == 0 && len(p.departures) == 0
+}
 
 // take moves pending updates into a datagram, as many as fit.
 func (p *pendingUpdates) take(msg *gossippb.Datagram, now time.Time) {
@@ -85,6 +106,14 @@
 		msg.Results = appendResults(msg.Results, r)
 		delete(p.results, key)
 	}
+	for server, d := range p.departures {
+		msg.Departures = append(msg.Departures, &gossippb.Departure{Server: server, BornMs: d.born})
+		if d.repeats--; d.repeats == 0 {
+			delete(p.departures, server)
+		} else {
+			p.departures[server] = d
+		}
+	}
 	p.sent, p.contentSent = now, now
 }
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -193,6 +193,9 @@
 				d.logger.Info("server replaced", "server", server, "reason", "another server has its address")
 			}
 		},
+		OnNotice: func(target readings.Target, notice readings.Notice) {
+			d.recordNotice(target.Server, target.Born, notice)
+		},
 		Logger: d.logger.With("part", "checks"),
 	})
 	d.forwarder = forward.New(forward.Options{
@@ -200,9 +203,28 @@
 		Budget: d.budget, Pool: d.pool, Backlogs: d.backlogs, ConnLimit: d.connLimit, Instances: d.exchange.Known, DataCentre: d.self.DataCentre,
 		Log: d.logger.With("part", "forward"), Observer: d.observer, Quarantine: d.crashes,
 		ViewReady: d.viewReady, LoadsReady: d.loadsReady,
+		OnNotice: func(server directory.Server, notice readings.Notice) {
+			d.recordNotice(server.ID, server.Born, notice)
+		},
 	})
 }
 
+// recordNotice takes a server out of use that says that it leaves, at all instances, or that
+// wants quiet, at this one.
+func (d *Daemon) recordNotice(server string, born int64, notice readings.Notice) {
+	if notice.Quiet > 0 {
+		d.board.KeepQuiet(server, time.Now().Add(notice.Quiet))
+		d.logger.Info("server wants quiet", "server", server, "for", notice.Quiet)
+	}
+	if !notice.Leaving {
+		return
+	}
+	if change, changed := d.directory.Leave(server, born); changed {
+		d.logger.Info("server leaving", "server", server, "born", born, "version", change.Version, "source", "answer")
+		d.exchange.ShareDeparture(server, born)
+	}
+}
+
 // checkInterval returns the time between two checks of one server: the gossip
 // interval, since peers learn of the results no faster, or longer if the platform
 // allows fewer checks.
@@ -264,7 +286,7 @@
 		}
 		if owners.Of(server.ID) == d.self.ID {
 			targets = append(targets, readings.Target{
-				Server: server.ID, Address: server.Address, Path: service.HealthPath, Connections: d.connLimit(service),
+				Server: server.ID, Address: server.Address, Born: server.Born, Path: service.HealthPath, Connections: d.connLimit(service),
 			})
 		}
 	}
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -37,7 +37,12 @@
 		return nil
 	}
 	var registered, cleaned time.Time
+	var era uint64
 	for {
+		if current := d.feed.Era(); current != era {
+			// A store that is back from a copy may lack the registration.
+			era, registered = current, time.Time{}
+		}
 		switch since := time.Since(registered); {
 		case d.exchange.Known() == 1 && since >= lonelyInterval:
 			if d.register(ctx, firstStart) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -59,6 +59,8 @@
 	Unconnected bool
 	// Cold is set if the server has just started.
 	Cold bool
+	// Quiet is set if the server wants nothing from this instance now.
+	Quiet bool
 }
 
 // Assessment rates a candidate for one more request.
@@ -147,6 +149,9 @@
 // spareCapacity returns how many more requests the server accepts before it slows
 // down.
 func (c Candidate) spareCapacity() int {
+	if c.Quiet {
+		return 0
+	}
 	limit := max(int(nearlyFullShare*float64(c.slots())), 1)
 	return max(limit-c.inFlight(), 0)
 }
--- a/readings/board.go
+++ b/readings/board.go
@@ -82,6 +82,15 @@
 	return r.At
 }
 
+// Notice is what a server says in an answer about requests to come.
+type Notice struct {
+	// Leaving is set if the server leaves and wants no further requests.
+	Leaving bool
+	// Quiet is the time for which the server wants nothing from this instance; 0 if it
+	// asked for no such time.
+	Quiet time.Duration
+}
+
 // Results counts the attempts at one server by outcome.
 type Results struct {
 	Server       ServerKey
@@ -105,8 +114,13 @@
 	// FailureRate is the fraction, from 0 to 1, of the recent attempts at all
 	// instances that failed.
 	FailureRate float64
+	// QuietUntil is the time until which the server wants nothing from this instance.
+	QuietUntil time.Time
 }
 
+// Quiet reports whether the server wants nothing from this instance at the given time.
+func (l Load) Quiet(now time.Time) bool { return now.Before(l.QuietUntil) }
+
 // event is the start (delta 1) or end (delta -1) of a request of this instance.
 type event struct {
 	at    time.Time
@@ -120,6 +134,7 @@
 	readingUnshared bool
 	queued          bool
 	ownInFlight     int
+	quietUntil      time.Time
 	events          []event
 	good            float64
 	failed          float64
@@ -189,6 +204,26 @@
 	}
 }
 
+// KeepQuiet records that the server wants nothing from this instance until the given time.
+func (b *Board) KeepQuiet(server string, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.stateLocked(KeyOf(server)); until.After(s.quietUntil) {
+		s.quietUntil = until
+	}
+}
+
+// QuietUntil returns the time until which the server wants nothing from this instance, or
+// the zero time.
+func (b *Board) QuietUntil(server string) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.servers[KeyOf(server)]; s != nil {
+		return s.quietUntil
+	}
+	return time.Time{}
+}
+
 // Began records that this instance sent a request to the server.
 func (b *Board) Began(server string, now time.Time) { b.addEvent(server, now, 1) }
 
@@ -260,6 +295,7 @@
 		HasReport:   s.reading.HasReport,
 		Age:         now.Sub(s.reading.At),
 		OwnInFlight: s.ownInFlight,
+		QuietUntil:  s.quietUntil,
 		FailureRate: s.failed / (s.good + s.failed + failurePrior),
 	}
 	for _, e := range s.events {
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -34,12 +34,16 @@
 	ServerID(header http.Header) string
 	// Report returns the server's load report, or nil if there is none.
 	Report(header http.Header) *Report
+	// Notice returns what the server says about requests to come.
+	Notice(resp *http.Response) Notice
 }
 
 // Target is a server to check.
 type Target struct {
 	Server  string
 	Address string
+	// Born is the start time of the server in Unix milliseconds; 0 if unknown.
+	Born int64
 	// Path is the path of the status check.
 	Path string
 	// Connections limits the connections to the server; 0 selects the default of
@@ -62,7 +66,9 @@
 	// OnReplaced is called if a different server responds at the address of the
 	// given one.
 	OnReplaced func(server string)
-	Logger     *slog.Logger
+	// OnNotice is called if a server says that it leaves or wants quiet.
+	OnNotice func(target Target, notice Notice)
+	Logger   *slog.Logger
 }
 
 // Checks runs periodic status checks of backend servers and records the results on
@@ -113,7 +119,7 @@
 func (c *Checks) tryBegin(server string, interval time.Duration, now time.Time) bool {
 	// Half a tick less than the interval, so that the check is made at the tick
 	// nearest to its due time.
-	if now.Sub(c.opts.Board.LastReading(server)) < interval-checkInterval/2 {
+	if now.Sub(c.opts.Board.LastReading(server)) < interval-checkInterval/2 || now.Before(c.opts.Board.QuietUntil(server)) {
 		return false
 	}
 	c.mu.Lock()
@@ -164,6 +170,9 @@
 		c.opts.OnReplaced(target.Server)
 		return timestamped(reading)
 	}
+	if notice := c.opts.Checker.Notice(resp); notice != (Notice{}) {
+		c.opts.OnNotice(target, notice)
+	}
 	reading.Health = HealthBad
 	if resp.StatusCode == http.StatusOK {
 		reading.Health = HealthGood
