--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -7,11 +7,10 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
-	"net"
-	"net/netip"
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -20,6 +19,7 @@
 	"github.com/pomelolock/pomelolock/directory"
 	"github.com/pomelolock/pomelolock/gossip"
 	"github.com/pomelolock/pomelolock/gossip/gossippb"
+	"github.com/pomelolock/pomelolock/gossip/gossiptest"
 	"github.com/pomelolock/pomelolock/readings"
 	"github.com/pomelolock/pomelolock/table"
 )
@@ -206,35 +206,36 @@
 }
 
 // newInstance returns an instance that is not running yet.
-func newInstance(t *testing.T, s *store, n int) (*instance, gossip.Member) {
+func newInstance(t *testing.T, network *gossiptest.Network, s *store, n int) (*instance, gossip.Member) {
 	t.Helper()
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = conn.Close() })
+	conn := network.Listen()
 	i := &instance{
 		id: fmt.Sprint("entry-", n), access: &access{store: s}, directory: directory.New(),
 		current: table.NewCurrent(), done: make(chan struct{}),
 	}
-	address := netip.MustParseAddrPort(conn.LocalAddr().String())
+	var err error
 	i.exchange, err = gossip.New(gossip.Options{
-		Conn: conn, Address: address, ID: i.id, DataCentre: "a", Board: readings.NewBoard(),
+		Conn: conn, Address: conn.Address(), ID: i.id, DataCentre: "a", Board: readings.NewBoard(),
 		Backlogs: admission.NewBacklogs(), Logger: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return i, gossip.Member{ID: i.id, DataCentre: "a", Address: address}
+	return i, gossip.Member{ID: i.id, DataCentre: "a", Address: conn.Address()}
 }
 
 // fleet starts instances that share a store and are members of one gossip group.
 func fleet(t *testing.T, s *store, count int) []*instance {
+	t.Helper()
+	return fleetOn(t, gossiptest.NewNetwork(), s, count)
+}
+
+func fleetOn(t *testing.T, network *gossiptest.Network, s *store, count int) []*instance {
 	t.Helper()
 	var instances []*instance
 	var members []gossip.Member
 	for n := range count {
-		i, m := newInstance(t, s, n)
+		i, m := newInstance(t, network, s, n)
 		instances, members = append(instances, i), append(members, m)
 	}
 	for _, i := range instances {
@@ -298,29 +299,31 @@
 }
 
 func TestOneInstanceReadsForAll(t *testing.T) {
-	g := gomega.NewWithT(t)
-	s := newStore()
-	s.put(server("a"))
-	s.setTable(3)
-	instances := fleet(t, s, 4)
-	for _, i := range instances {
-		g.Eventually(i.tableVersion).WithTimeout(propagationLimit).Should(gomega.Equal(uint64(3)))
-		g.Eventually(i.servers).WithTimeout(propagationLimit).Should(gomega.Equal([]string{"a"}))
-	}
-	one := reader(t, instances)
-	before := make(map[*instance]int)
-	for _, i := range instances {
-		before[i] = i.access.callCount()
-	}
-	s.put(server("b"))
-	s.setTable(4)
-	for _, i := range instances {
-		g.Eventually(i.servers).WithTimeout(propagationLimit).Should(gomega.Equal([]string{"a", "b"}))
-		g.Eventually(i.tableVersion).WithTimeout(propagationLimit).Should(gomega.Equal(uint64(4)))
-		if i != one {
-			g.Expect(i.access.callCount()-before[i]).To(gomega.BeNumerically("<=", 1), "only one instance reads")
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		s := newStore()
+		s.put(server("a"))
+		s.setTable(3)
+		instances := fleet(t, s, 4)
+		for _, i := range instances {
+			g.Eventually(i.tableVersion).WithTimeout(propagationLimit).Should(gomega.Equal(uint64(3)))
+			g.Eventually(i.servers).WithTimeout(propagationLimit).Should(gomega.Equal([]string{"a"}))
 		}
-	}
+		one := reader(t, instances)
+		before := make(map[*instance]int)
+		for _, i := range instances {
+			before[i] = i.access.callCount()
+		}
+		s.put(server("b"))
+		s.setTable(4)
+		for _, i := range instances {
+			g.Eventually(i.servers).WithTimeout(propagationLimit).Should(gomega.Equal([]string{"a", "b"}))
+			g.Eventually(i.tableVersion).WithTimeout(propagationLimit).Should(gomega.Equal(uint64(4)))
+			if i != one {
+				g.Expect(i.access.callCount()-before[i]).To(gomega.BeNumerically("<=", 1), "only one instance reads")
+			}
+		}
+	})
 }
 
 func TestChangesAreKnownWhenTheReaderIsTurnedAway(t *testing.T) {
@@ -350,8 +353,9 @@
 		s.put(server(fmt.Sprintf("i-%016x", rand.Uint64())))
 	}
 	s.setTable(3)
-	newcomer, member := newInstance(t, s, 3)
-	for _, i := range fleet(t, s, 3) {
+	network := gossiptest.NewNetwork()
+	newcomer, member := newInstance(t, network, s, 3)
+	for _, i := range fleetOn(t, network, s, 3) {
 		i.exchange.Add(member)
 		g.Eventually(func() int { return len(i.servers()) }).WithTimeout(propagationLimit).Should(gomega.Equal(servers))
 	}
--- a/gossip/doc.go
+++ b/gossip/doc.go
@@ -7,9 +7,11 @@
 // makes up for them. An instance that sends nothing soon counts as not alive, and its
 // backlogs as unknown.
 //
-// In a data centre of more than 20 instances, up to three instances with fast links act
-// as relays. The others send each datagram to one relay, chosen round robin, which
-// collects datagrams for a short time and sends them to all instances as one bundle.
-// Every instance relays each datagram that requests it, so the instances need not agree
-// on the relays.
+// In a data centre of more than 20 instances, the three with the greatest capacity act as
+// relays. The others send to one relay, in turn; relays merge what arrives and send it to
+// all instances of the data centre and to the relays of the others. An instance then knows
+// those of its data centre, from the rosters of a relay, and the relays of the others. What
+// an instance receives thus grows with the number of servers, not with that of instances.
+//
+// New processes learn of the others from seeds, to which they send a hello.
 package gossip
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -95,9 +95,16 @@
 	State(serversVersion, tableVersion uint64) *gossippb.State
 }
 
+// Conn is a socket for datagrams, such as a [net.UDPConn].
+type Conn interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	SetReadDeadline(t time.Time) error
+}
+
 // Options configure an [Exchange]. All but Seeds are required.
 type Options struct {
-	Conn net.PacketConn
+	Conn Conn
 	// Address is the address at which other instances reach this one.
 	Address    netip.AddrPort
 	ID         string
@@ -116,7 +123,7 @@
 // Exchange sends and receives datagrams. It is safe for concurrent use.
 type Exchange struct {
 	opts          Options
-	conn          *net.UDPConn
+	conn          Conn
 	startedAt     time.Time
 	address       []byte
 	members       members
@@ -151,19 +158,9 @@
 	Sent, Received, SentBytes, ReceivedBytes atomic.Uint64
 }
 
-// ConnError reports a connection that is not a UDP socket.
-type ConnError struct{}
-
-func (*ConnError) Error() string { return "gossip: connection is not a UDP socket" }
-
-// New returns an exchange, which [Exchange.Run] starts. It fails with [ConnError] if
-// the connection is not a UDP socket.
+// New returns an exchange, which [Exchange.Run] starts.
 func New(opts Options) (*Exchange, error) {
-	conn, ok := opts.Conn.(*net.UDPConn)
-	if !ok {
-		return nil, &ConnError{}
-	}
-	e := &Exchange{opts: opts, conn: conn, startedAt: time.Now(), triggers: make(chan struct{}, 1), localUpdates: newPendingUpdates(), remoteUpdates: newPendingUpdates()}
+	e := &Exchange{opts: opts, conn: opts.Conn, startedAt: time.Now(), triggers: make(chan struct{}, 1), localUpdates: newPendingUpdates(), remoteUpdates: newPendingUpdates()}
 	e.members.byID = make(map[string]*member)
 	var err error
 	if e.address, err = opts.Address.MarshalBinary(); err != nil {
@@ -228,6 +225,9 @@
 	return max(e.members.count()+1, e.size.total(e.opts.DataCentre, e.members.countIn))
 }
 
+// ID returns the ID of this instance.
+func (e *Exchange) ID() string { return e.opts.ID }
+
 // Relays returns the IDs of the relays of the data centre of this instance.
 func (e *Exchange) Relays() []string { return ids(e.currentView(time.Now()).relays) }
 
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -69,7 +69,7 @@
 }
 
 type node struct {
-	conn     net.PacketConn
+	conn     *net.UDPConn
 	exchange *Exchange
 	follower *follower
 	board    *readings.Board
@@ -89,7 +89,7 @@
 	t.Helper()
 	var nodes []*node
 	for i, centre := range centres {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -347,7 +347,7 @@
 		f.Fatal(err)
 	}
 	f.Add(seed)
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -156,7 +156,7 @@
 }
 
 func (d *Daemon) wireExchange() error {
-	conn, err := net.ListenPacket("udp", d.opts.Settings.Peer)
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(d.self.Address))
 	if err != nil {
 		return &listen.Error{Address: d.opts.Settings.Peer, Err: err}
 	}
--- a/slot/grant.go
+++ b/slot/grant.go
@@ -291,7 +291,9 @@
 	grant := &slotpb.Grant{Ack: h.askSeq, Session: h.session, ConnectionDivisor: c.connectionDivisor()}
 	for _, id := range h.grants {
 		h.held[id] = h.grantSeq + 1
-		grant.Leases = append(grant.Leases, &slotpb.Lease{Id: uint64(id), Server: c.byID[id.server()].name})
+		server := c.byID[id.server()]
+		trial := server.quality.wantsTrial() && !c.failureIgnored(server)
+		grant.Leases = append(grant.Leases, &slotpb.Lease{Id: uint64(id), Server: server.name, Trial: trial})
 	}
 	for _, id := range slices.Sorted(maps.Keys(h.recall)) {
 		grant.Recall = append(grant.Recall, uint64(id))
--- a/slot/holder.go
+++ b/slot/holder.go
@@ -38,6 +38,9 @@
 	id     leaseID
 	server string
 	state  leaseState
+	// trial is set until the lease is used if it is the trial of a server whose window
+	// is closed.
+	trial bool
 	// session is the session in which the lease was granted.
 	session uint64
 	// recalled leases are returned as soon as they are idle.
@@ -149,7 +152,7 @@
 		}
 	}
 	if best != nil {
-		best.state, best.stateSince = leaseBusy, now
+		best.state, best.stateSince, best.trial = leaseBusy, now, false
 	}
 	return best
 }
@@ -167,8 +170,12 @@
 	return false
 }
 
-// score rates an idle lease; lower is better. Servers to avoid come last.
+// score rates an idle lease; lower is better. A trial comes first: its server has the worst
+// latency, and would get no request while other leases are idle. Servers to avoid come last.
 func (h *holder) score(l *lease, now time.Time) time.Duration {
+	if l.trial {
+		return -1
+	}
 	stats := h.stats[l.id.server()]
 	if stats == nil {
 		return 0
--- a/slot/receive.go
+++ b/slot/receive.go
@@ -65,7 +65,7 @@
 	for _, granted := range leases {
 		id := leaseID(granted.GetId())
 		if h.leases[id] == nil {
-			h.leases[id] = &lease{id: id, server: granted.GetServer(), session: h.session, stateSince: now}
+			h.leases[id] = &lease{id: id, server: granted.GetServer(), trial: granted.GetTrial(), session: h.session, stateSince: now}
 		}
 	}
 }
