--- a/admission/backlog.go
+++ b/admission/backlog.go
@@ -106,6 +106,14 @@
 	return b.sumLocked(true, now)[service].minus(b.own[service])
 }
 
+// Waiting reports whether requests for the service wait at any instance.
+func (b *Backlogs) Waiting(service string, now time.Time) bool {
+	b.mu.Lock()
+	own := b.own[service]
+	b.mu.Unlock()
+	return own != Counts{} || b.Others(service, now) != Counts{}
+}
+
 // Fleet returns the sums over all instances.
 func (b *Backlogs) Fleet(now time.Time) []Backlog {
 	b.mu.Lock()
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -54,12 +54,22 @@
 	if len(tried) == 0 {
 		return c
 	}
+	return c.filter(func(i int) bool { return !slices.Contains(tried, c.servers[i].ID) })
+}
+
+// filter returns the servers at the indices for which keep returns true.
+func (c candidateSet) filter(keep func(i int) bool) candidateSet {
 	var rest candidateSet
-	for i, server := range c.servers {
-		if !slices.Contains(tried, server.ID) {
-			rest.servers = append(rest.servers, server)
+	for i := range c.servers {
+		if keep(i) {
+			rest.servers = append(rest.servers, c.servers[i])
 			rest.assessed = append(rest.assessed, c.assessed[i])
 		}
 	}
 	return rest
 }
+
+// shortlist returns the indices of a few servers to choose from.
+func (c candidateSet) shortlist(maxTime float64) []int {
+	return placement.Shortlist(c.assessed, maxTime, refreshCount)
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -39,6 +39,9 @@
 	Observer Observer
 	// Quarantine refuses requests that crash servers.
 	Quarantine Quarantine
+	// Refresh reads the loads of servers anew, as far as that takes no longer than the
+	// given time. It is [readings.Checks.Refresh].
+	Refresh func(ctx context.Context, targets []readings.Target, wait time.Duration)
 	// OnNotice is called if a server says that it leaves or wants quiet. It must not
 	// block.
 	OnNotice func(server directory.Server, notice readings.Notice)
@@ -106,6 +109,10 @@
 	return q
 }
 
+// RequestRate returns the number of requests for the service that arrive at this instance
+// in a second, averaged over some seconds.
+func (f *Forwarder) RequestRate(service string) float64 { return f.queue(service).arrivalRate() }
+
 // started reports whether requests no longer wait for the loads of servers.
 func (f *Forwarder) started() bool {
 	select {
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -72,6 +72,10 @@
 	// sent per second; sent and sentLate count those of the present interval.
 	rate, lateRate float64
 	sent, sentLate int
+	// arriving is the smoothed number of requests that arrive in a second, arrived the
+	// number in the present interval.
+	arriving float64
+	arrived  int
 }
 
 // waiter is an attempt that waits for spare capacity.
@@ -159,12 +163,15 @@
 		x:       x,
 		granted: make(chan grant, 1),
 	}
+	fresh := q.refresh(ctx, w)
+	now = time.Now()
 	q.mu.Lock()
+	q.arrived++
 	if !q.open && q.f.started() {
 		q.openLocked(now)
 	}
 	if q.open && len(q.waiters) == 0 {
-		if r, ok := q.tryReserveLocked(w, now); ok {
+		if r, ok := q.tryReserveLocked(w, fresh, now); ok {
 			q.mu.Unlock()
 			return r, nil
 		}
@@ -207,13 +214,16 @@
 }
 
 // tryReserveLocked reserves capacity for one request if this instance's share of the
-// spare capacity allows it.
-func (q *queue) tryReserveLocked(w *waiter, now time.Time) (reservation, bool) {
+// spare capacity allows it. It prefers the servers whose loads are fresh.
+func (q *queue) tryReserveLocked(w *waiter, fresh []string, now time.Time) (reservation, bool) {
 	candidates := q.assess(q.servers(), now).excluding(w.x.tried)
 	own := counts([]*waiter{w}, now, q.serviceTime)
 	if admission.Shares(placement.SpareCapacity(candidates.assessed, q.maxTime(w, now)), own, q.f.opts.Backlogs.Others(q.service, now)) != own {
 		return reservation{}, false
 	}
+	if r, ok := q.reserveLocked(w, candidates.promising(fresh), now); ok {
+		return r, true
+	}
 	return q.reserveLocked(w, candidates, now)
 }
 
@@ -354,7 +364,8 @@
 	q.dispatchLocked(now)
 	q.rate += rateSmoothing * (float64(q.sent)/dispatchInterval.Seconds() - q.rate)
 	q.lateRate += rateSmoothing * (float64(q.sentLate)/dispatchInterval.Seconds() - q.lateRate)
-	q.sent, q.sentLate = 0, 0
+	q.arriving += arrivalSmoothing * (float64(q.arrived)/dispatchInterval.Seconds() - q.arriving)
+	q.sent, q.sentLate, q.arrived = 0, 0, 0
 }
 
 // capacityFreed gives the capacity released by an attempt of this instance to the
--- /dev/null
+++ b/forward/refresh.go
@@ -0,0 +1,90 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pomelolock/pomelolock/readings"
+)
+
+const (
+	// refreshCount is the number of servers whose loads are known to be fresh when a
+	// request chooses one. One in four is slowed down by other work on its machine at
+	// any time; of three, all are in one of 64 cases.
+	refreshCount = 3
+	// freshAge is the age up to which a load counts as fresh. Slowdowns last some
+	// hundred milliseconds.
+	freshAge = 20 * time.Millisecond
+	// refreshWait bounds the time for which a request waits for fresh loads. It is some
+	// round trips between data centres.
+	refreshWait = 12 * time.Millisecond
+	// arrivalSmoothing is the weight of the last dispatch interval in the rate of
+	// arriving requests, which is averaged over about five seconds.
+	arrivalSmoothing = 0.005
+)
+
+// refresh reads the loads of a few servers that the request may be sent to, unless they are
+// fresh, and returns the IDs of those servers. It is for moderate load, when a request is
+// sent at once: what matters then is which servers other work slows down at this moment.
+// Under overload, requests wait for capacity, and the loads that responses carry suffice.
+func (q *queue) refresh(ctx context.Context, w *waiter) []string {
+	x, now := w.x, time.Now()
+	if x.service.HealthPath == "" || !q.sendsAtOnce() {
+		return nil
+	}
+	candidates := q.assess(q.servers(), now).excluding(x.tried)
+	connected := candidates.connected(q.f.opts.Pool.Idle)
+	var fresh []string
+	var stale []readings.Target
+	for _, i := range connected.shortlist(q.estimatedMaxTime(w, now)) {
+		server := connected.servers[i]
+		load := q.f.opts.Board.Load(server.ID, now)
+		if !load.HasReport {
+			continue
+		}
+		fresh = append(fresh, server.ID)
+		if load.Age > freshAge {
+			stale = append(stale, readings.Target{
+				Server: server.ID, Service: q.service, Address: server.Address, Born: server.Born, Path: x.service.HealthPath,
+			})
+		}
+	}
+	if len(stale) > 0 {
+		q.f.opts.Refresh(ctx, stale, refreshWait)
+	}
+	return fresh
+}
+
+// sendsAtOnce reports whether requests don't wait for capacity.
+func (q *queue) sendsAtOnce() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.open && len(q.waiters) == 0
+}
+
+func (q *queue) estimatedMaxTime(w *waiter, now time.Time) float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.maxTime(w, now)
+}
+
+// arrivalRate returns the smoothed number of requests that arrive in a second.
+func (q *queue) arrivalRate() float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.arriving
+}
+
+// promising returns the servers of the set that are among the given ones and are expected to
+// be no slower than one of which nothing is known.
+func (c candidateSet) promising(among []string) candidateSet {
+	return c.filter(func(i int) bool {
+		return c.assessed[i].Promising() && slices.Contains(among, c.servers[i].ID)
+	})
+}
+
+// connected returns the servers of the set to which there is an idle connection.
+func (c candidateSet) connected(idle func(address string) bool) candidateSet {
+	return c.filter(func(i int) bool { return idle(c.servers[i].Address) })
+}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -39,6 +39,12 @@
 	// rest covers instances that check the same server because they don't receive
 	// each other's datagrams.
 	checkShare = 0.7
+	// checksPerRequest is the number of periodic checks for each request of a service
+	// while no request waits.
+	checksPerRequest = 1.0
+	// idleCheckInterval is the time between two checks of a server that gets hardly any
+	// requests: it finds servers that are down before a request meets them.
+	idleCheckInterval = 500 * time.Millisecond
 	// targetsTTL is how long the list of servers to check is cached.
 	targetsTTL = 150 * time.Millisecond
 	// sweepInterval is the time between two removals of the state of servers that
@@ -203,6 +209,7 @@
 		Budget: d.budget, Pool: d.pool, Backlogs: d.backlogs, ConnLimit: d.connLimit, Instances: d.exchange.Known, DataCentre: d.self.DataCentre,
 		Log: d.logger.With("part", "forward"), Observer: d.observer, Quarantine: d.crashes,
 		ViewReady: d.viewReady, LoadsReady: d.loadsReady,
+		Refresh: d.checks.Refresh,
 		OnNotice: func(server directory.Server, notice readings.Notice) {
 			d.recordNotice(server.ID, server.Born, notice)
 		},
@@ -225,15 +232,24 @@
 	}
 }
 
-// checkInterval returns the time between two checks of one server: the gossip
-// interval, since peers learn of the results no faster, or longer if the platform
-// allows fewer checks.
-func (d *Daemon) checkInterval() time.Duration {
+// checkInterval returns the time between two checks of a server of the service: the gossip
+// interval, since peers learn of the results no faster, or longer if the platform allows
+// fewer checks. While no request waits, requests read the loads that they need, and checks
+// are made in proportion to the requests.
+func (d *Daemon) checkInterval(service string) time.Duration {
 	interval := d.exchange.SendInterval()
 	if limit := d.settings.Load().ChecksPerSecond * checkShare; limit > 0 {
 		interval = max(interval, time.Duration(float64(time.Second)/limit))
 	}
-	return interval
+	if d.backlogs.Waiting(service, time.Now()) {
+		return interval
+	}
+	servers := float64(len(d.directory.Servers(service)))
+	checks := checksPerRequest * d.forwarder.RequestRate(service) * float64(d.exchange.Known())
+	if checks*idleCheckInterval.Seconds() <= servers {
+		return idleCheckInterval
+	}
+	return max(interval, time.Duration(servers/checks*float64(time.Second)))
 }
 
 // checkTargets returns the servers that this instance checks, from the cache if the
@@ -286,7 +302,7 @@
 		}
 		if owners.Of(server.ID) == d.self.ID {
 			targets = append(targets, readings.Target{
-				Server: server.ID, Address: server.Address, Born: server.Born, Path: service.HealthPath, Connections: d.connLimit(service),
+				Server: server.ID, Service: server.Service, Address: server.Address, Born: server.Born, Path: service.HealthPath, Connections: d.connLimit(service),
 			})
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pomelolock/pomelolock/readings"
@@ -133,6 +134,26 @@
 	return chosen
 }
 
+// Shortlist returns the indices of up to n servers that [Choose] may return, drawn by the
+// same weights.
+func Shortlist(assessed []Assessment, maxTime float64, n int) []int {
+	rest := slices.Clone(assessed)
+	var chosen []int
+	for len(chosen) < n {
+		i := Choose(rest, maxTime)
+		if i < 0 {
+			break
+		}
+		chosen = append(chosen, i)
+		rest[i].SpareCapacity = 0
+	}
+	return chosen
+}
+
+// Promising reports whether the server is expected to be no slower than one of which
+// nothing is known.
+func (a Assessment) Promising() bool { return a.Time <= defaultSlowdown }
+
 func (a Assessment) eligible(maxTime float64, anyHealthy bool) bool {
 	return a.Time <= maxTime && (a.Healthy || !anyHealthy)
 }
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -41,6 +41,7 @@
 // Target is a server to check.
 type Target struct {
 	Server  string
+	Service string
 	Address string
 	// Born is the start time of the server in Unix milliseconds; 0 if unknown.
 	Born int64
@@ -58,8 +59,9 @@
 	Checker Checker
 	// Targets returns the servers that this instance currently has to check.
 	Targets func() []Target
-	// Interval returns the current interval between two checks of one server.
-	Interval func() time.Duration
+	// Interval returns the current interval between two checks of a server of the
+	// service.
+	Interval func(service string) time.Duration
 	// AfterRound is called after each round of checks, once most responses are
 	// expected to have arrived.
 	AfterRound func()
@@ -71,8 +73,8 @@
 	Logger   *slog.Logger
 }
 
-// Checks runs periodic status checks of backend servers and records the results on
-// a [Board].
+// Checks runs status checks of backend servers, periodically and on demand, and records the
+// results on a [Board].
 type Checks struct {
 	opts CheckOptions
 
@@ -101,8 +103,8 @@
 			return nil
 		case now := <-ticker.C:
 			started := false
-			interval := max(c.opts.Interval(), checkInterval)
 			for _, target := range c.opts.Targets() {
+				interval := max(c.opts.Interval(target.Service), checkInterval)
 				if c.tryBegin(target.Server, interval, now) {
 					started = true
 					wg.Go(func() { c.check(ctx, target) })
@@ -134,10 +136,69 @@
 	return true
 }
 
+// Refresh checks servers at once, over idle connections only, and returns when all have
+// responded or the time is over. Servers without an idle connection or with a check under
+// way are left out. A response that comes later is recorded too.
+func (c *Checks) Refresh(ctx context.Context, targets []Target, wait time.Duration) {
+	done := make(chan struct{}, len(targets))
+	started := 0
+	for _, target := range targets {
+		if !c.markRunning(target.Server) {
+			continue
+		}
+		conn := c.opts.Pool.GetIdle(target.Address)
+		if conn == nil {
+			c.mu.Lock()
+			delete(c.running, target.Server)
+			c.mu.Unlock()
+			continue
+		}
+		started++
+		go func() {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkTimeout)
+			defer cancel()
+			c.record(target, c.checkOn(ctx, conn, target))
+			done <- struct{}{}
+		}()
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for range started {
+		select {
+		case <-done:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// markRunning reports whether no check of the server is running and marks one as running.
+func (c *Checks) markRunning(server string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running[server] {
+		return false
+	}
+	c.running[server] = true
+	return true
+}
+
 func (c *Checks) check(ctx context.Context, target Target) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	reading := c.sendCheck(ctx, target)
+	conn, err := c.opts.Pool.Get(ctx, target.Address, target.Connections)
+	if err != nil {
+		c.opts.Logger.Debug("status check failed", "server", target.Server, "error", err)
+		c.record(target, timestamped(Reading{Server: KeyOf(target.Server), Health: HealthUnreachable}))
+		return
+	}
+	c.record(target, c.checkOn(ctx, conn, target))
+}
+
+// record records the result of a check.
+func (c *Checks) record(target Target, reading Reading) {
 	now := time.Now()
 	c.mu.Lock()
 	delete(c.running, target.Server)
@@ -150,14 +211,9 @@
 	c.opts.Board.Observe(reading)
 }
 
-// sendCheck makes one status check.
-func (c *Checks) sendCheck(ctx context.Context, target Target) Reading {
+// checkOn makes one status check on a connection.
+func (c *Checks) checkOn(ctx context.Context, conn *serverconn.Conn, target Target) Reading {
 	reading := Reading{Server: KeyOf(target.Server), Health: HealthUnreachable}
-	conn, err := c.opts.Pool.Get(ctx, target.Address, target.Connections)
-	if err != nil {
-		c.opts.Logger.Debug("status check failed", "server", target.Server, "error", err)
-		return timestamped(reading)
-	}
 	resp, err := conn.Check(ctx, target.Path, func(resp *http.Response) bool { return IsCheck(c.opts.Checker, resp) })
 	if err != nil {
 		c.opts.Logger.Debug("status check failed", "server", target.Server, "error", err)
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -112,14 +112,33 @@
 		if c == nil {
 			return p.dial(ctx, address)
 		}
-		if c.usable(time.Now()) {
-			c.Reused = true
-			c.IdleTime = time.Since(c.idleSince)
-			p.Reused.Add(1)
+		if c.reuse(time.Now()) {
 			return c, nil
 		}
+	}
+}
+
+// GetIdle returns an idle connection to the address, or nil if there is none.
+func (p *Pool) GetIdle(address string) *Conn {
+	for {
+		c, _ := p.takeIdle(address, 0)
+		if c == nil || c.reuse(time.Now()) {
+			return c
+		}
+	}
+}
+
+// reuse prepares an idle connection for its next use. It reports false and closes the
+// connection if it can't be used again.
+func (c *Conn) reuse(now time.Time) bool {
+	if !c.usable(now) {
 		c.Close()
+		return false
 	}
+	c.Reused = true
+	c.IdleTime = now.Sub(c.idleSince)
+	c.pool.Reused.Add(1)
+	return true
 }
 
 // Idle reports whether there is an idle connection to the address.
