--- a/forward/queue.go
+++ b/forward/queue.go
@@ -73,9 +73,10 @@
 	rate, lateRate float64
 	sent, sentLate int
 	// arriving is the smoothed number of requests that arrive in a second, arrived the
-	// number in the present interval.
-	arriving float64
-	arrived  int
+	// number in the present interval, intervals the number of intervals.
+	arriving  float64
+	arrived   int
+	intervals int
 }
 
 // waiter is an attempt that waits for spare capacity.
@@ -364,7 +365,8 @@
 	q.dispatchLocked(now)
 	q.rate += rateSmoothing * (float64(q.sent)/dispatchInterval.Seconds() - q.rate)
 	q.lateRate += rateSmoothing * (float64(q.sentLate)/dispatchInterval.Seconds() - q.lateRate)
-	q.arriving += arrivalSmoothing * (float64(q.arrived)/dispatchInterval.Seconds() - q.arriving)
+	q.intervals++
+	q.arriving += max(arrivalSmoothing, 1/float64(q.intervals)) * (float64(q.arrived)/dispatchInterval.Seconds() - q.arriving)
 	q.sent, q.sentLate, q.arrived = 0, 0, 0
 }
 
--- a/forward/refresh.go
+++ b/forward/refresh.go
@@ -13,6 +13,8 @@
 	// request chooses one. One in four is slowed down by other work on its machine at
 	// any time; of three, all are in one of 64 cases.
 	refreshCount = 3
+	// refreshRounds is the number of times that others are tried if these are slow.
+	refreshRounds = 2
 	// freshAge is the age up to which a load counts as fresh. Slowdowns last some
 	// hundred milliseconds.
 	freshAge = 20 * time.Millisecond
@@ -25,33 +27,46 @@
 )
 
 // refresh reads the loads of a few servers that the request may be sent to, unless they are
-// fresh, and returns the IDs of those servers. It is for moderate load, when a request is
-// sent at once: what matters then is which servers other work slows down at this moment.
-// Under overload, requests wait for capacity, and the loads that responses carry suffice.
+// fresh, and of a few others if none of these is promising. It returns the IDs of the servers
+// whose loads are fresh. It is for moderate load, when a request is sent at once: what
+// matters then is which servers other work slows down at this moment. Under overload,
+// requests wait for capacity, and the loads that responses carry suffice.
 func (q *queue) refresh(ctx context.Context, w *waiter) []string {
-	x, now := w.x, time.Now()
+	x := w.x
 	if x.service.HealthPath == "" || !q.sendsAtOnce() {
 		return nil
 	}
-	candidates := q.assess(q.servers(), now).excluding(x.tried)
-	connected := candidates.connected(q.f.opts.Pool.Idle)
 	var fresh []string
-	var stale []readings.Target
-	for _, i := range connected.shortlist(q.estimatedMaxTime(w, now)) {
-		server := connected.servers[i]
-		load := q.f.opts.Board.Load(server.ID, now)
-		if !load.HasReport {
-			continue
+	for range refreshRounds {
+		now := time.Now()
+		candidates := q.assess(q.servers(), now).excluding(x.tried)
+		if len(candidates.promising(fresh).servers) > 0 {
+			break
 		}
-		fresh = append(fresh, server.ID)
-		if load.Age > freshAge {
-			stale = append(stale, readings.Target{
-				Server: server.ID, Service: q.service, Address: server.Address, Born: server.Born, Path: x.service.HealthPath,
-			})
+		candidates = candidates.excluding(fresh)
+		// With few connections, which a new process has, others are opened.
+		connected := candidates.connected(q.f.opts.Pool.Idle)
+		if len(connected.servers) >= refreshCount {
+			candidates = connected
+		}
+		var stale []readings.Target
+		for _, i := range candidates.shortlist(q.estimatedMaxTime(w, now)) {
+			server := candidates.servers[i]
+			load := q.f.opts.Board.Load(server.ID, now)
+			if !load.HasReport {
+				continue
+			}
+			fresh = append(fresh, server.ID)
+			if load.Age > freshAge {
+				stale = append(stale, readings.Target{
+					Server: server.ID, Service: q.service, Address: server.Address, Born: server.Born, Path: x.service.HealthPath,
+					Connections: q.f.opts.ConnLimit(x.service),
+				})
+			}
+		}
+		if len(stale) > 0 {
+			q.f.opts.Refresh(ctx, stale, refreshWait)
 		}
-	}
-	if len(stale) > 0 {
-		q.f.opts.Refresh(ctx, stale, refreshWait)
 	}
 	return fresh
 }
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -136,9 +136,8 @@
 	return true
 }
 
-// Refresh checks servers at once, over idle connections only, and returns when all have
-// responded or the time is over. Servers without an idle connection or with a check under
-// way are left out. A response that comes later is recorded too.
+// Refresh checks servers at once and returns when all have responded or the time is over.
+// Servers with a check under way are left out. A response that comes later is recorded too.
 func (c *Checks) Refresh(ctx context.Context, targets []Target, wait time.Duration) {
 	done := make(chan struct{}, len(targets))
 	started := 0
@@ -146,18 +145,9 @@
 		if !c.markRunning(target.Server) {
 			continue
 		}
-		conn := c.opts.Pool.GetIdle(target.Address)
-		if conn == nil {
-			c.mu.Lock()
-			delete(c.running, target.Server)
-			c.mu.Unlock()
-			continue
-		}
 		started++
 		go func() {
-			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkTimeout)
-			defer cancel()
-			c.record(target, c.checkOn(ctx, conn, target))
+			c.check(context.WithoutCancel(ctx), target)
 			done <- struct{}{}
 		}()
 	}
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -118,16 +118,6 @@
 	}
 }
 
-// GetIdle returns an idle connection to the address, or nil if there is none.
-func (p *Pool) GetIdle(address string) *Conn {
-	for {
-		c, _ := p.takeIdle(address, 0)
-		if c == nil || c.reuse(time.Now()) {
-			return c
-		}
-	}
-}
-
 // reuse prepares an idle connection for its next use. It reports false and closes the
 // connection if it can't be used again.
 func (c *Conn) reuse(now time.Time) bool {
