--- a/feed/feed.go
+++ b/feed/feed.go
@@ -46,11 +46,6 @@
 	// discoveryTime is the time that instances which start together take to discover
 	// each other.
 	discoveryTime = 1500 * time.Millisecond
-	// peersFirst is the time for which a process that starts in a running fleet waits
-	// for the state of its peers before it reads the store; up to peersFirstSpread is
-	// added at random, so that processes that start together don't all read.
-	peersFirst       = 200 * time.Millisecond
-	peersFirstSpread = 250 * time.Millisecond
 	// firstReadDelay is the additional delay, at the first start of the fleet, of
 	// instances that are not the first reader.
 	firstReadDelay = time.Second
@@ -90,7 +85,7 @@
 	TableChange(ctx context.Context, after uint64, wait time.Duration) (doc *table.Document, version uint64, err error)
 }
 
-// Options configure a [Feed]. All are required.
+// Options configure a [Feed]. All but ReadDelay are required.
 type Options struct {
 	ID        string
 	Store     Store
@@ -100,10 +95,10 @@
 	// FirstStart is set when the whole fleet starts, before any traffic. The
 	// instances then discover each other before one of them reads the store.
 	FirstStart bool
-	// PeersFirst is set if a process that starts later waits a moment for the state of
+	// ReadDelay is the time for which a process that starts later waits for the state of
 	// its peers before it reads the store.
-	PeersFirst bool
-	Logger     *slog.Logger
+	ReadDelay time.Duration
+	Logger    *slog.Logger
 }
 
 // Feed keeps the local view up to date with the store. It implements
@@ -142,11 +137,9 @@
 // New returns a feed. [Feed.Run] starts it.
 func New(opts Options) *Feed {
 	f := &Feed{opts: opts, peerReads: make(map[uint32]uint64), process: rand.Uint32()}
-	switch {
-	case opts.FirstStart:
+	f.readNotBefore = time.Now().Add(opts.ReadDelay)
+	if opts.FirstStart {
 		f.readNotBefore = time.Now().Add(discoveryTime)
-	case opts.PeersFirst:
-		f.readNotBefore = time.Now().Add(peersFirst + rand.N(peersFirstSpread))
 	}
 	return f
 }
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -500,6 +500,22 @@
 	e.writeAll(packed, to)
 }
 
+// sendReadings sends the recent readings of all servers to an instance that has just started.
+func (e *Exchange) sendReadings(to netip.AddrPort, now time.Time) {
+	recent := newPendingUpdates()
+	recent.add(e.opts.Board.Recent(now, maxReadingAge), nil)
+	for !recent.empty() {
+		msg := e.newDatagram()
+		msg.Scope = gossippb.Scope_SCOPE_FLEET
+		recent.take(msg, now)
+		e.sendTo(msg, []netip.AddrPort{to})
+	}
+}
+
+// maxReadingAge is the age up to which a reading is of use to an instance that has just
+// started.
+const maxReadingAge = time.Second
+
 const (
 	// maxCachedStates bounds the encoded states kept.
 	maxCachedStates = 16
@@ -569,6 +585,9 @@
 	}
 	if want := msg.GetWant(); want != nil {
 		e.sendState(want, sender.Address)
+		if want.GetServersVersion() == 0 {
+			e.sendReadings(sender.Address, now)
+		}
 	}
 	if msg.GetRoster() != nil {
 		e.receiveRoster(msg, now)
--- a/gossip/roster.go
+++ b/gossip/roster.go
@@ -12,12 +12,15 @@
 const (
 	// rosterInterval is the time between two rosters of a relay to its data centre.
 	rosterInterval = 700 * time.Millisecond
-	// helloInterval is the time between two requests for a roster of an instance that
-	// hears no other instance of its data centre, in the first helloTime after the
-	// start; lateHelloInterval applies after that.
-	helloInterval     = 250 * time.Millisecond
-	lateHelloInterval = 2 * time.Second
-	helloTime         = 3 * time.Second
+	// firstHelloInterval, helloInterval and lateHelloInterval are the times between two
+	// requests for a roster of an instance that hears no other instance of its data
+	// centre: in the first firstHelloTime and helloTime after its start, and later. Seeds
+	// that start at the same time miss the first requests.
+	firstHelloInterval = 60 * time.Millisecond
+	firstHelloTime     = 500 * time.Millisecond
+	helloInterval      = 250 * time.Millisecond
+	helloTime          = 3 * time.Second
+	lateHelloInterval  = 2 * time.Second
 	// settledAfter is the time after the start at which an instance requests a roster
 	// once more, since the first one may have lacked instances that started later.
 	settledAfter = 600 * time.Millisecond
@@ -38,9 +41,12 @@
 		return
 	}
 	age := now.Sub(e.startedAt)
-	interval := helloInterval
-	if age > helloTime {
-		interval = lateHelloInterval
+	interval := lateHelloInterval
+	switch {
+	case age < firstHelloTime:
+		interval = firstHelloInterval
+	case age < helloTime:
+		interval = helloInterval
 	}
 	settled := age < settledAfter || e.helloSent.Sub(e.startedAt) >= settledAfter
 	if settled && (now.Sub(e.helloSent) < interval || !e.helloSent.IsZero() && len(e.members.heard(e.opts.DataCentre, now)) > 0) {
--- a/gossip/size.go
+++ b/gossip/size.go
@@ -22,6 +22,9 @@
 // count only after removeAfter, since a relay that has just started knows few instances.
 func (s *fleetSize) record(msg *gossippb.Datagram, now time.Time) {
 	known := int(msg.GetKnown())
+	if known == 0 {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch msg.GetScope() {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"iter"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -45,6 +46,15 @@
 	// idleCheckInterval is the time between two checks of a server that gets hardly any
 	// requests: it finds servers that are down before a request meets them.
 	idleCheckInterval = 500 * time.Millisecond
+	// fastReadDelay is the time in which a process that starts in a running fleet gets
+	// its state from a peer. fastReadSpread and slowReadSpread bound the random times
+	// for which instances with a fast and a slow link wait longer.
+	fastReadDelay  = 80 * time.Millisecond
+	fastReadSpread = 200 * time.Millisecond
+	slowReadSpread = 300 * time.Millisecond
+	// fastLinkMbps is the speed of a link, in Mbit/s, over which an instance can send
+	// its state to many others.
+	fastLinkMbps = 100
 	// targetsTTL is how long the list of servers to check is cached.
 	targetsTTL = 150 * time.Millisecond
 	// sweepInterval is the time between two removals of the state of servers that
@@ -174,7 +184,7 @@
 	}
 	d.feed = feed.New(feed.Options{
 		ID: d.self.ID, Store: d.opts.Store, Directory: d.directory, Current: d.current, Exchange: d.exchange,
-		FirstStart: d.opts.Settings.FirstStart, PeersFirst: d.hasOtherSeeds(), Logger: d.logger.With("part", "feed"),
+		FirstStart: d.opts.Settings.FirstStart, ReadDelay: d.readDelay(), Logger: d.logger.With("part", "feed"),
 	})
 	d.exchange.Follow(d.feed)
 	return nil
@@ -183,10 +193,19 @@
 // seeds returns the addresses of the seeds in the current settings.
 func (d *Daemon) seeds() []netip.AddrPort { return d.settings.Load().seeds() }
 
-// hasOtherSeeds reports whether there are seeds and this instance is none of them.
-func (d *Daemon) hasOtherSeeds() bool {
+// readDelay returns the time for which the instance waits for the state of its peers after a
+// start. Seeds, which all others ask, read the store at once; of the others, those with a
+// fast link read first, since they can pass the state on. The random part keeps instances
+// that start together from all reading.
+func (d *Daemon) readDelay() time.Duration {
 	seeds := d.seeds()
-	return len(seeds) > 0 && !slices.Contains(seeds, d.self.Address)
+	if len(seeds) == 0 || slices.Contains(seeds, d.self.Address) {
+		return 0
+	}
+	if link := d.opts.Settings.LinkMbps; 0 < link && link < fastLinkMbps {
+		return fastReadDelay + fastReadSpread + rand.N(slowReadSpread)
+	}
+	return fastReadDelay + rand.N(fastReadSpread)
 }
 
 func (d *Daemon) wireRequests() {
--- a/readings/board.go
+++ b/readings/board.go
@@ -332,6 +332,19 @@
 	return readings, results
 }
 
+// Recent returns the readings of all servers that are not older than the given age.
+func (b *Board) Recent(now time.Time, maxAge time.Duration) []Reading {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var recent []Reading
+	for _, s := range b.servers {
+		if now.Sub(s.reading.newest()) <= maxAge {
+			recent = append(recent, s.reading)
+		}
+	}
+	return recent
+}
+
 // LastReading returns the time of the server's last report or status check, or the zero
 // time if there is none.
 func (b *Board) LastReading(server string) time.Time {
