--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -46,12 +46,10 @@
 	// idleCheckInterval is the time between two checks of a server that gets hardly any
 	// requests: it finds servers that are down before a request meets them.
 	idleCheckInterval = 500 * time.Millisecond
-	// fastReadDelay is the time in which a process that starts in a running fleet gets
-	// its state from a peer. fastReadSpread and slowReadSpread bound the random times
-	// for which instances with a fast and a slow link wait longer.
-	fastReadDelay  = 80 * time.Millisecond
-	fastReadSpread = 200 * time.Millisecond
-	slowReadSpread = 300 * time.Millisecond
+	// minReadDelay is the time in which a process that starts in a running fleet gets its
+	// state from a peer. readDelaySpread bounds the random time for which it waits longer.
+	minReadDelay    = 150 * time.Millisecond
+	readDelaySpread = 350 * time.Millisecond
 	// fastLinkMbps is the speed of a link, in Mbit/s, over which an instance can send
 	// its state to many others.
 	fastLinkMbps = 100
@@ -194,18 +192,15 @@
 func (d *Daemon) seeds() []netip.AddrPort { return d.settings.Load().seeds() }
 
 // readDelay returns the time for which the instance waits for the state of its peers after a
-// start. Seeds, which all others ask, read the store at once; of the others, those with a
-// fast link read first, since they can pass the state on. The random part keeps instances
-// that start together from all reading.
+// start. Instances with a fast link read the store at once, since they can pass the state on,
+// and seeds do, since all others ask them. The random part keeps the others, if they start
+// together, from all reading.
 func (d *Daemon) readDelay() time.Duration {
-	seeds := d.seeds()
-	if len(seeds) == 0 || slices.Contains(seeds, d.self.Address) {
+	seeds, link := d.seeds(), d.opts.Settings.LinkMbps
+	if len(seeds) == 0 || slices.Contains(seeds, d.self.Address) || link == 0 || link >= fastLinkMbps {
 		return 0
 	}
-	if link := d.opts.Settings.LinkMbps; 0 < link && link < fastLinkMbps {
-		return fastReadDelay + fastReadSpread + rand.N(slowReadSpread)
-	}
-	return fastReadDelay + rand.N(fastReadSpread)
+	return minReadDelay + rand.N(readDelaySpread)
 }
 
 func (d *Daemon) wireRequests() {
