gossip, directory: the fleet's size is part of the cached view; nothing held, nothing to expire

perf of 120 instances on the large site (before the cached view): checks' targets 11%, ranks of readers 8%, collector 15 to 20%, Expire 3%, size of the fleet 3%.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -74,6 +74,8 @@
 	entries map[string]*entry
 	// version is the store version up to which no change is missing.
 	version uint64
+	// held is at least the number of removed entries that are still in use.
+	held int
 	// synced is set once the directory has had a complete view of the store.
 	synced    bool
 	byService atomic.Pointer[map[string][]Server]
@@ -199,6 +201,7 @@
 		if change.Removed && old != nil && !old.Removed && now.Before(holdUntil) && change.Version > old.lastVersion {
 			next.Server = old.Server
 			next.heldUntil = holdUntil
+			d.held++
 		}
 		d.entries[change.ID] = next
 		applied = append(applied, change)
@@ -277,12 +280,18 @@
 func (d *Directory) Expire(now time.Time) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.held == 0 {
+		return nil
+	}
 	var expired []string
+	d.held = 0
 	for id, e := range d.entries {
 		if !e.heldUntil.IsZero() && !now.Before(e.heldUntil) {
 			e.heldUntil = time.Time{}
 			e.Server = Server{ID: id, Born: e.Born}
 			expired = append(expired, id)
+		} else if !e.heldUntil.IsZero() {
+			d.held++
 		}
 	}
 	if len(expired) > 0 {
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -49,6 +49,8 @@
 	// remoteContent is the time between two readings of a server in other data
 	// centres.
 	remoteContent time.Duration
+	// known is the number of instances of the fleet.
+	known int
 	// readers are the IDs of the instances that read the store for all.
 	readers []string
 }
@@ -76,7 +78,8 @@
 	if v.relayed() {
 		v.remoteInterval = centreHeartbeat
 	}
-	v.remoteContent = min(max(time.Duration(e.Known())*remotePerInstance, minRemoteContent), maxRemoteContent)
+	v.known = max(e.members.count()+1, e.size.total(e.opts.DataCentre, e.members.countIn))
+	v.remoteContent = min(max(time.Duration(v.known)*remotePerInstance, minRemoteContent), maxRemoteContent)
 	v.readers = e.readers(v, now)
 	e.viewCache.at, e.viewCache.last, e.viewCache.returns = now, v, returns
 	return v
@@ -84,7 +87,7 @@
 
 // readers returns the IDs of the instances that read the store for all.
 func (e *Exchange) readers(v view, now time.Time) []string {
-	if e.Known() < largeFleetReaders || len(v.relays) == 0 {
+	if v.known < largeFleetReaders || len(v.relays) == 0 {
 		return e.Alive("")
 	}
 	readers := ids(v.relays)
@@ -122,7 +125,7 @@
 	msg := e.updateDatagram(now)
 	e.localUpdates.take(msg, now)
 	msg.Scope = gossippb.Scope_SCOPE_FLEET
-	msg.Known = uint32(e.Known())
+	msg.Known = uint32(v.known)
 	msg.Backlogs = encodeBacklogs(e.opts.Backlogs.Fleet(now))
 	if v.relays[0].ID == e.opts.ID && now.Sub(e.rosterSent) >= rosterInterval {
 		e.rosterSent = now
