--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -42,7 +42,7 @@
 	checkShare = 0.7
 	// checksPerRequest is the number of periodic checks for each request of a service
 	// while no request waits.
-	checksPerRequest = 1.0
+	checksPerRequest = 0.5
 	// idleCheckInterval is the time between two checks of a server that gets hardly any
 	// requests: it finds servers that are down before a request meets them.
 	idleCheckInterval = 500 * time.Millisecond
