--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -81,6 +82,9 @@
 	v.known = max(e.members.count()+1, e.size.total(e.opts.DataCentre, e.members.countIn))
 	v.remoteContent = min(max(time.Duration(v.known)*remotePerInstance, minRemoteContent), maxRemoteContent)
 	v.readers = e.readers(v, now)
+	if last := e.viewCache.last; v.relayed() && v.relaying != (last.relayed() && last.relaying) {
+		e.opts.Logger.Info("relaying", "relay", v.relaying, "relays", strings.Join(ids(v.relays), " "), "instances", len(v.local)+1)
+	}
 	e.viewCache.at, e.viewCache.last, e.viewCache.returns = now, v, returns
 	return v
 }
