--- a/forward/queue.go
+++ b/forward/queue.go
@@ -158,14 +158,13 @@
 // fails if the request can't be served in time. An exchange waits only while none
 // of its attempts is running.
 func (q *queue) acquire(ctx context.Context, x *exchange, wait bool) (reservation, *outcome.Error) {
-	now := time.Now()
 	w := &waiter{
 		Request: admission.Request{Priority: x.route.Priority, Target: x.firstSentAt.Add(x.target()), Deadline: x.deadline},
 		x:       x,
 		granted: make(chan grant, 1),
 	}
 	fresh := q.refresh(ctx, w)
-	now = time.Now()
+	now := time.Now()
 	q.mu.Lock()
 	q.arrived++
 	if !q.open && q.f.started() {
