forward: checks on demand keep probes_per_s, an equal share each instance

Services with many requests a server would have passed the limit: three checks a request and no bound. Half of the limit is for them, 0.2 for periodic checks while nobody waits. Test: 18 instances that always want three get no more than the share and the burst.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -190,7 +190,8 @@
 		Budget: f.budget, Pool: serverconn.NewPool(), Backlogs: admission.NewBacklogs(),
 		ConnLimit: func(*table.Service) int { return 0 }, Instances: func() int { return 1 }, DataCentre: "a",
 		Log: slog.New(slog.DiscardHandler), Observer: &observer{}, Quarantine: f.quarantine, ViewReady: f.viewReady, LoadsReady: f.loadsReady,
-		Refresh: func(context.Context, []readings.Target, time.Duration) {},
+		Refresh:   func(context.Context, []readings.Target, time.Duration) {},
+		CheckRate: func() float64 { return 0 },
 		OnNotice: func(server directory.Server, notice readings.Notice) {
 			f.board.KeepQuiet(server.ID, time.Now().Add(notice.Quiet))
 			if notice.Leaving {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -42,6 +42,9 @@
 	// Refresh reads the loads of servers anew, as far as that takes no longer than the
 	// given time. It is [readings.Checks.Refresh].
 	Refresh func(ctx context.Context, targets []readings.Target, wait time.Duration)
+	// CheckRate returns the number of checks by Refresh that each server may get in a
+	// second from all instances together; 0 if there is no limit.
+	CheckRate func() float64
 	// OnNotice is called if a server says that it leaves or wants quiet. It must not
 	// block.
 	OnNotice func(server directory.Server, notice readings.Notice)
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -77,6 +77,10 @@
 	arriving  float64
 	arrived   int
 	intervals int
+	// checks is the number of checks that this instance may make on demand, as of
+	// checksAt.
+	checks   float64
+	checksAt time.Time
 }
 
 // waiter is an attempt that waits for spare capacity.
--- a/forward/refresh.go
+++ b/forward/refresh.go
@@ -23,6 +23,8 @@
 	// refreshWait bounds the time for which a request waits for fresh loads. It is some
 	// round trips between data centres.
 	refreshWait = 12 * time.Millisecond
+	// checkBurst is the time in which the checks that an instance has not used add up.
+	checkBurst = 500 * time.Millisecond
 	// arrivalSmoothing is the weight of the last dispatch interval in the rate of
 	// arriving requests, which is averaged over about five seconds.
 	arrivalSmoothing = 0.005
@@ -60,13 +62,35 @@
 				})
 			}
 		}
-		if len(stale) > 0 {
-			q.f.opts.Refresh(ctx, stale, refreshWait)
+		if allowed := stale[:q.takeChecks(len(stale), now)]; len(allowed) > 0 {
+			q.f.opts.Refresh(ctx, allowed, refreshWait)
 		}
 	}
 	return fresh
 }
 
+// takeChecks returns how many of the wanted checks this instance may make now: an equal share
+// of the checks that the servers may get from all instances.
+func (q *queue) takeChecks(want int, now time.Time) int {
+	perServer := q.f.opts.CheckRate()
+	if perServer <= 0 {
+		return want
+	}
+	rate := perServer * float64(len(q.servers())) / float64(max(q.f.opts.Instances(), 1))
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	most := max(rate*checkBurst.Seconds(), refreshCount*refreshRounds)
+	if q.checksAt.IsZero() {
+		q.checks = most
+	} else {
+		q.checks = min(q.checks+rate*now.Sub(q.checksAt).Seconds(), most)
+	}
+	q.checksAt = now
+	allowed := min(want, int(q.checks))
+	q.checks -= float64(allowed)
+	return allowed
+}
+
 // refreshable returns the servers, except the given ones, to which there are idle
 // connections. With few of these, which a new process has, it returns all, so that others
 // are opened.
--- a/forward/refresh_test.go
+++ b/forward/refresh_test.go
@@ -114,6 +114,7 @@
 		}()
 		f := New(Options{
 			Directory: dir, Board: board, Pool: serverconn.NewPool(), Backlogs: admission.NewBacklogs(),
+			CheckRate: func() float64 { return 0 },
 			Instances: func() int { return 1 }, ConnLimit: func(*table.Service) int { return 0 }, LoadsReady: started,
 			Refresh: func(_ context.Context, targets []readings.Target, _ time.Duration) {
 				if !onDemand {
@@ -173,3 +174,27 @@
 	g.Expect(onDemand).To(gomega.BeNumerically(">=", periodic-maxLoss))
 	g.Expect(few).To(gomega.BeNumerically("<=", maxChecks))
 }
+
+// TestChecksOnDemandKeepTheLimit has all instances of a fleet want more checks than allowed.
+func TestChecksOnDemandKeepTheLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const instances, limit, seconds = 18, 30.0, 20
+	dir := directory.New()
+	var all []directory.Change
+	for i := range simServers {
+		all = append(all, directory.Change{Version: 1, Server: directory.Server{ID: fmt.Sprint("s", i), Service: "main", Slots: simSlots}})
+	}
+	dir.Replace(all, 1, time.Time{})
+	made := 0
+	for range instances {
+		q := New(Options{Directory: dir, CheckRate: func() float64 { return limit }, Instances: func() int { return instances }}).queue("main")
+		now := time.Now()
+		for range seconds * 100 {
+			made += q.takeChecks(refreshCount, now)
+			now = now.Add(10 * time.Millisecond)
+		}
+	}
+	burst := instances * max(limit*simServers/instances*checkBurst.Seconds(), refreshCount*refreshRounds)
+	g.Expect(made).To(gomega.BeNumerically("<=", limit*simServers*seconds+burst))
+	g.Expect(made).To(gomega.BeNumerically(">=", limit*simServers*(seconds-1)))
+}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -40,6 +40,10 @@
 	// rest covers instances that check the same server because they don't receive
 	// each other's datagrams.
 	checkShare = 0.7
+	// demandShare and quietShare are the parts of checkShare for checks on demand and
+	// for periodic checks while no request waits.
+	demandShare = 0.5
+	quietShare  = 0.2
 	// checksPerRequest is the number of periodic checks for each request of a service
 	// while no request waits.
 	checksPerRequest = 0.5
@@ -226,7 +230,8 @@
 		Budget: d.budget, Pool: d.pool, Backlogs: d.backlogs, ConnLimit: d.connLimit, Instances: d.exchange.Known, DataCentre: d.self.DataCentre,
 		Log: d.logger.With("part", "forward"), Observer: d.observer, Quarantine: d.crashes,
 		ViewReady: d.viewReady, LoadsReady: d.loadsReady,
-		Refresh: d.checks.Refresh,
+		Refresh:   d.checks.Refresh,
+		CheckRate: func() float64 { return d.settings.Load().ChecksPerSecond * demandShare },
 		OnNotice: func(server directory.Server, notice readings.Notice) {
 			d.recordNotice(server.ID, server.Born, notice)
 		},
@@ -261,6 +266,9 @@
 	if d.backlogs.Waiting(service, time.Now()) {
 		return interval
 	}
+	if limit := d.settings.Load().ChecksPerSecond * quietShare; limit > 0 {
+		interval = max(interval, time.Duration(float64(time.Second)/limit))
+	}
 	servers := float64(len(d.directory.Servers(service)))
 	checks := checksPerRequest * d.forwarder.RequestRate(service) * float64(d.exchange.Known())
 	if checks*idleCheckInterval.Seconds() <= servers {
