gossip: messages that all have to know go through the readers; the cached readers stay whole

SendStateAll removed its own ID from the list that the cached view holds. Periodic messages of the quarantine went from each instance to all it knows: 50,000 a second on the large site. An instance that is no relay drops what only relays send.

--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -221,9 +221,7 @@
 
 // Known returns the number of instances of the fleet, including this one: those that this
 // instance knows, or more if relays know of more.
-func (e *Exchange) Known() int {
-	return max(e.members.count()+1, e.size.total(e.opts.DataCentre, e.members.countIn))
-}
+func (e *Exchange) Known() int { return e.currentView(time.Now()).known }
 
 // ID returns the ID of this instance.
 func (e *Exchange) ID() string { return e.opts.ID }
@@ -234,7 +232,18 @@
 // Readers returns the IDs of the live instances that read the store for all: all instances
 // of a small fleet, and the relays of each data centre of a large one. They include this
 // instance, if it is one of them.
-func (e *Exchange) Readers() []string { return e.currentView(time.Now()).readers }
+func (e *Exchange) Readers() []string { return slices.Clone(e.currentView(time.Now()).readers) }
+
+// MessageTargets returns the IDs of the instances to which this one sends what all have to
+// know: the live ones that it knows or, if it is no relay in a large data centre, the readers,
+// who tell the others.
+func (e *Exchange) MessageTargets() []string {
+	targets := e.Alive("")
+	if v := e.currentView(time.Now()); v.relayed() && !v.relaying {
+		targets = slices.Clone(v.readers)
+	}
+	return slices.DeleteFunc(targets, func(id string) bool { return id == e.opts.ID })
+}
 
 func ids(members []presence) []string {
 	var list []string
@@ -349,6 +358,7 @@
 		e.remoteUpdates.add(observed, results)
 		e.sendAsRelay(v, fraction, now)
 	default:
+		e.remoteUpdates.clear()
 		e.ownResults.add(results, now)
 		if fraction == 0 || e.localUpdates.due(now, scale(fraction, v.interval), len(e.opts.Backlogs.Own()) > 0) {
 			e.sendToRelay(v, now)
--- a/gossip/updates.go
+++ b/gossip/updates.go
@@ -86,6 +86,13 @@
 	return since >= minInterval && (otherContent || !p.empty() || since >= heartbeatInterval)
 }
 
+// clear drops the pending updates.
+func (p *pendingUpdates) clear() {
+	clear(p.readings)
+	clear(p.results)
+	clear(p.departures)
+}
+
 func (p *pendingUpdates) empty() bool {
 	return len(p.readings) == 0 && len(p.results) == 0 && len(p.departures) == 0
 }
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -67,7 +66,7 @@
 func (d *Daemon) wireCrashes() {
 	d.crashes = &crashes{
 		Quarantine: quarantine.New(quarantine.Options{
-			Messenger: &messenger{exchange: d.exchange, self: d.self.ID, logger: d.logger.With("part", "quarantine")},
+			Messenger: &messenger{exchange: d.exchange, logger: d.logger.With("part", "quarantine")},
 			Logger:    d.logger.With("part", "quarantine"),
 			Losses:    crashLosses, ShareEvery: crashShareInterval,
 		}),
@@ -81,13 +80,12 @@
 // [quarantine.Messenger].
 type messenger struct {
 	exchange *gossip.Exchange
-	self     string
 	logger   *slog.Logger
 }
 
 // Connected implements [quarantine.Messenger].
 func (m *messenger) Connected() []string {
-	return slices.DeleteFunc(m.exchange.Alive(""), func(id string) bool { return id == m.self })
+	return m.exchange.MessageTargets()
 }
 
 // Send implements [quarantine.Messenger].
