placement: a server that fails is not promising

By reading: a fresh load made a server promising by its expected time alone, so that one with failed checks or recent failures was taken over healthy ones. Its cost counts too.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -151,8 +151,10 @@
 }
 
 // Promising reports whether the server is expected to be no slower than one of which
-// nothing is known.
-func (a Assessment) Promising() bool { return a.Time <= defaultSlowdown }
+// nothing is known, and not to fail: it costs no more than such a one in another data centre.
+func (a Assessment) Promising() bool {
+	return a.Time <= defaultSlowdown && a.Cost <= defaultSlowdown*remotePenalty
+}
 
 func (a Assessment) eligible(maxTime float64, anyHealthy bool) bool {
 	return a.Time <= maxTime && (a.Healthy || !anyHealthy)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -99,3 +99,36 @@
 	g.Expect(shares([]Candidate{candidate(0, 100), unconnected}, math.Inf(1))[0]).To(gomega.BeNumerically(">", 0.6))
 	g.Expect(shares([]Candidate{candidate(4, 100), unconnected}, math.Inf(1))[1]).To(gomega.BeNumerically("~", 1, 0.001))
 }
+
+// TestOnlyFastAndHealthyServersArePromising checks which servers are taken without a look at
+// the others.
+func TestOnlyFastAndHealthyServersArePromising(t *testing.T) {
+	with := func(change func(*Candidate)) Candidate {
+		c := candidate(1, 100)
+		change(&c)
+		return c
+	}
+	for name, c := range map[string]struct {
+		candidate Candidate
+		want      bool
+	}{
+		"fast":                   {candidate(1, 100), true},
+		"in another data centre": {with(func(c *Candidate) { c.Remote = true }), true},
+		"slowed down":            {candidate(1, 400), false},
+		"nearly full":            {candidate(5, 100), false},
+		"cold":                   {with(func(c *Candidate) { c.Cold = true }), false},
+		"failing":                {with(func(c *Candidate) { c.Load.FailureRate = 0.3 }), false},
+		"failed check":           {with(func(c *Candidate) { c.Load.Health = readings.HealthBad }), false},
+	} {
+		got := Assess([]Candidate{c.candidate})[0].Promising()
+		gomega.NewWithT(t).Expect(got).To(gomega.Equal(c.want), name)
+	}
+}
+
+func TestShortlistHasNoServerTwice(t *testing.T) {
+	g := gomega.NewWithT(t)
+	assessed := Assess([]Candidate{candidate(0, 100), candidate(1, 100), candidate(6, 100), candidate(0, 400)})
+	for range 100 {
+		g.Expect(Shortlist(assessed, math.Inf(1), 9)).To(gomega.ConsistOf(0, 1, 3))
+	}
+}
