--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 
 test: fmt lint
 	go test $(SKIP_RED) $$(go list ./... | grep -v -E 'internal/(cli|fleet|scenario|soak)$$')
-	go test $(SKIP_RED) -p 1 $(PROCESS_TESTS)
+	go test $(SKIP_RED) -count=1 -p 1 $(PROCESS_TESTS)
 	@if [ -n "$(RED)" ]; then echo "known red, not judged:"; cat KNOWN-RED.txt; \
 		go test -run '$(RED)' $(RED_PACKAGES) || true; fi
 
