--- a/directory/directory.go
+++ b/directory/directory.go
@@ -325,9 +325,8 @@
 }
 
 // Retire takes a server out of use without a change of its entry in the store, because
-// another server responds at its address. It
-// returns false and changes nothing if the entry is missing, draining or removed. A newer
-// entry puts the server back into use.
+// another server responds at its address. It returns false and changes nothing if the entry
+// is missing, draining or removed. A newer entry puts the server back into use.
 func (d *Directory) Retire(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/forward/refresh.go
+++ b/forward/refresh.go
@@ -12,8 +12,7 @@
 
 const (
 	// refreshCount is the number of servers whose loads are known to be fresh when a
-	// request chooses one. One in four is slowed down by other work on its machine at
-	// any time; of three, all are in one of 64 cases.
+	// request chooses one.
 	refreshCount = 3
 	// refreshRounds is the number of times that others are tried if these are slow.
 	refreshRounds = 2
