--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 GOBIN := $(CURDIR)/.bin
 BIN := $(CURDIR)/bin
 
-.PHONY: build test fmt lint gopls generate demo bench slopes prove prove-off fleet soak
+.PHONY: build test fmt lint gopls generate demo bench prove prove-off fleet soak
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -61,9 +61,6 @@
 prove-off:
 	go run ./cmd/prove off
 
-slopes: build
-	$(BIN)/slopes --bin $(BIN)
-
 # The users' bench and its site files are no part of this repository.
 FLEETBENCH ?=
 SITES ?=
