A limit that a server names is logged and counted; nothing acts on it yet

The logs and metrics could tell neither which limit an instance knew, from which kind of answer and since when, nor how many requests and status checks a limited server got.

- log: 'server names limit' with the limit, the one before, the kind of answer and the requests and checks of this instance while the one before held; 'tried' shows the limit of a server.
- metrics: limited_requests_total, limited_checks_total.
- An answer of another server than the addressed one says nothing about that one: its notices are no longer recorded.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -134,6 +134,7 @@
 	x := a.x
 	ctx, cancel := context.WithTimeout(ctx, idleCheckTimeout)
 	defer cancel()
+	x.f.opts.Board.BeganCheck(a.reservation.server.ID)
 	resp, err := conn.Check(ctx, x.service.HealthPath, func(resp *http.Response) bool {
 		return readings.IsCheck(x.f.opts.Protocol, resp)
 	})
@@ -147,9 +148,7 @@
 
 // recordNotice records what the server says about requests to come.
 func (a *attempt) recordNotice(notice readings.Notice) {
-	if notice != (readings.Notice{}) {
-		a.x.f.opts.OnNotice(a.reservation.server, notice)
-	}
+	a.x.f.opts.OnNotice(a.reservation.server, notice)
 }
 
 // connectFailed records that the server can't be reached. It ignores attempts
@@ -220,7 +219,9 @@
 func (a *attempt) classify(ctx context.Context, resp *http.Response) result {
 	info := a.x.f.opts.Protocol.Response(resp)
 	a.recordLoad(info.Report)
-	a.recordNotice(info.Notice)
+	if !info.Misdirected {
+		a.recordNotice(info.Notice)
+	}
 	r := result{server: a.reservation.server}
 	switch {
 	case info.NotRun, info.Misdirected:
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -45,8 +45,8 @@
 	// CheckRate returns the number of checks by Refresh that each server may get in a
 	// second from all instances together; 0 if there is no limit.
 	CheckRate func() float64
-	// OnNotice is called if a server says that it leaves or wants quiet. It must not
-	// block.
+	// OnNotice is called with what each answer of a server says about requests to come.
+	// It must not block.
 	OnNotice func(server directory.Server, notice readings.Notice)
 	// ViewReady is closed when the table and the servers are known, or when startup
 	// stops waiting for them. LoadsReady is closed likewise for the loads of servers.
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -108,8 +108,12 @@
 // String returns the server and the load on which the choice was based, for logs.
 func (r reservation) String() string {
 	l := r.load
-	return fmt.Sprintf("%s(running=%d waiting=%d unseen=%d slowness=%d age=%s failures=%.2f)",
-		r.server.ID, l.Running, l.Waiting, l.UnreportedInFlight, l.SlowdownPercent, l.Age.Round(time.Millisecond), l.FailureRate)
+	limit := ""
+	if l.Limit.Named {
+		limit = " limit=" + l.Limit.String()
+	}
+	return fmt.Sprintf("%s(running=%d waiting=%d unseen=%d slowness=%d age=%s failures=%.2f%s)",
+		r.server.ID, l.Running, l.Waiting, l.UnreportedInFlight, l.SlowdownPercent, l.Age.Round(time.Millisecond), l.FailureRate, limit)
 }
 
 // servers returns the servers of the service that accept new requests.
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -221,7 +221,7 @@
 			}
 		},
 		OnNotice: func(target readings.Target, notice readings.Notice) {
-			d.recordNotice(target.Server, target.Born, notice)
+			d.recordNotice(target.Server, target.Born, notice, "check")
 		},
 		Logger: d.logger.With("part", "checks"),
 	})
@@ -233,14 +233,17 @@
 		Refresh:   d.checks.Refresh,
 		CheckRate: func() float64 { return d.settings.Load().ChecksPerSecond * demandShare },
 		OnNotice: func(server directory.Server, notice readings.Notice) {
-			d.recordNotice(server.ID, server.Born, notice)
+			d.recordNotice(server.ID, server.Born, notice, "answer")
 		},
 	})
 }
 
 // recordNotice takes a server out of use that says that it leaves, at all instances, or that
-// wants quiet, at this one.
-func (d *Daemon) recordNotice(server string, born int64, notice readings.Notice) {
+// wants quiet, at this one, and records the limit that it names. source is the kind of answer.
+func (d *Daemon) recordNotice(server string, born int64, notice readings.Notice, source string) {
+	if change, changed := d.board.RecordLimit(server, notice.Limit, time.Now()); changed {
+		d.logLimit(server, change, source)
+	}
 	if notice.Quiet > 0 {
 		d.board.KeepQuiet(server, time.Now().Add(notice.Quiet))
 		d.logger.Info("server wants quiet", "server", server, "for", notice.Quiet)
@@ -254,6 +257,11 @@
 	}
 }
 
+func (d *Daemon) logLimit(server string, change readings.LimitChange, source string) {
+	d.logger.Info("server names limit", "server", server, "limit", change.Limit, "before", change.Before, "source", source,
+		"requests", change.Requests, "checks", change.Checks, "held", change.Held)
+}
+
 // checkInterval returns the time between two checks of a server of the service: the gossip
 // interval, since peers learn of the results no faster, or longer if the platform allows
 // fewer checks. While no request waits, requests read the loads that they need, and checks
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -74,6 +74,8 @@
 		{"server_connections_opened_total", "Connections opened to backend servers.", d.pool.Opened.Load},
 		{"server_connections_reused_total", "Uses of kept connections to backend servers.", d.pool.Reused.Load},
 		{"status_checks_total", "Status checks of backend servers.", d.pool.Checks.Load},
+		{"limited_requests_total", "Requests sent to backend servers that had named a limit.", func() uint64 { n, _ := d.board.LimitedSends(); return n }},
+		{"limited_checks_total", "Status checks of backend servers that had named a limit.", func() uint64 { _, n := d.board.LimitedSends(); return n }},
 		{"peer_sent_datagrams_total", "Datagrams sent to other instances.", d.exchange.Sent.Load},
 		{"peer_received_datagrams_total", "Datagrams received from other instances.", d.exchange.Received.Load},
 		{"peer_sent_bytes_total", "Bytes of datagrams sent to other instances.", d.exchange.SentBytes.Load},
--- a/readings/board.go
+++ b/readings/board.go
@@ -89,6 +89,8 @@
 	// Quiet is the time for which the server wants nothing from this instance; 0 if it
 	// asked for no such time.
 	Quiet time.Duration
+	// Limit is the rate of requests that the server takes from all instances.
+	Limit Limit
 }
 
 // Results counts the attempts at one server by outcome.
@@ -116,6 +118,8 @@
 	FailureRate float64
 	// QuietUntil is the time until which the server wants nothing from this instance.
 	QuietUntil time.Time
+	// Limit is the rate of requests that the server takes from all instances.
+	Limit Limit
 }
 
 // Quiet reports whether the server wants nothing from this instance at the given time.
@@ -135,6 +139,7 @@
 	queued          bool
 	ownInFlight     int
 	quietUntil      time.Time
+	limit           limitState
 	events          []event
 	good            float64
 	failed          float64
@@ -152,6 +157,8 @@
 	// shareQueue lists the servers with readings or results that may still have
 	// to be sent to other instances.
 	shareQueue []ServerKey
+	// limitedRequests and limitedChecks count what was sent to servers that named a limit.
+	limitedRequests, limitedChecks uint64
 }
 
 // NewBoard returns an empty board.
@@ -235,6 +242,10 @@
 	defer b.mu.Unlock()
 	s := b.stateLocked(KeyOf(server))
 	s.ownInFlight += delta
+	if delta > 0 && s.limit.Named {
+		s.limit.requests++
+		b.limitedRequests++
+	}
 	if len(s.events) == maxEvents {
 		s.events = append(s.events[:0], s.events[1:]...)
 	}
@@ -296,6 +307,7 @@
 		Age:         now.Sub(s.reading.At),
 		OwnInFlight: s.ownInFlight,
 		QuietUntil:  s.quietUntil,
+		Limit:       s.limit.Limit,
 		FailureRate: s.failed / (s.good + s.failed + failurePrior),
 	}
 	for _, e := range s.events {
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -66,7 +66,7 @@
 	// OnReplaced is called if a different server responds at the address of the
 	// given one.
 	OnReplaced func(server string)
-	// OnNotice is called if a server says that it leaves or wants quiet.
+	// OnNotice is called with what each answer says about requests to come.
 	OnNotice func(target Target, notice Notice)
 	Logger   *slog.Logger
 }
@@ -201,6 +201,7 @@
 // checkOn makes one status check on a connection.
 func (c *Checks) checkOn(ctx context.Context, conn *serverconn.Conn, target Target) Reading {
 	reading := Reading{Server: KeyOf(target.Server), Health: HealthUnreachable}
+	c.opts.Board.BeganCheck(target.Server)
 	resp, err := conn.Check(ctx, target.Path, func(resp *http.Response) bool { return IsCheck(c.opts.Checker, resp) })
 	if err != nil {
 		c.opts.Logger.Debug("status check failed", "server", target.Server, "error", err)
@@ -213,9 +214,7 @@
 		c.opts.OnReplaced(target.Server)
 		return timestamped(reading)
 	}
-	if notice := c.opts.Checker.Notice(resp); notice != (Notice{}) {
-		c.opts.OnNotice(target, notice)
-	}
+	c.opts.OnNotice(target, c.opts.Checker.Notice(resp))
 	reading.Health = HealthBad
 	if resp.StatusCode == http.StatusOK {
 		reading.Health = HealthGood
