--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -142,6 +142,8 @@
 	board      *readings.Board
 	budget     *retrybudget.Budget
 	url        string
+	// instances is the size of the fleet that the forwarder knows of.
+	instances int
 }
 
 // newFixture starts a forwarder whose startup is complete. Requests to /look/ and
@@ -157,8 +159,15 @@
 // newStartingFixture starts a forwarder whose requests wait until viewReady and
 // loadsReady are closed.
 func newStartingFixture(t *testing.T, servers ...*server) *fixture {
+	t.Helper()
+	return newMember(t, 1, servers...)
+}
+
+// newMember starts the forwarder of one of several instances.
+func newMember(t *testing.T, instances int, servers ...*server) *fixture {
 	t.Helper()
 	f := &fixture{
+		instances: instances,
 		directory: directory.New(), board: readings.NewBoard(), quarantine: &fakeQuarantine{}, viewReady: make(chan struct{}), loadsReady: make(chan struct{}),
 		budget: retrybudget.New(retrybudget.Limits{Ratio: 5, Burst: 100}, 1),
 	}
@@ -188,12 +197,13 @@
 	f.forwarder = forward.New(forward.Options{
 		Protocol: platform.Headers{}, Current: current, Directory: f.directory, Board: f.board,
 		Budget: f.budget, Pool: serverconn.NewPool(), Backlogs: admission.NewBacklogs(),
-		ConnLimit: func(*table.Service) int { return 0 }, Instances: func() int { return 1 }, DataCentre: "a",
+		ConnLimit: func(*table.Service) int { return 0 }, Instances: func() int { return f.instances }, DataCentre: "a",
 		Log: slog.New(slog.DiscardHandler), Observer: &observer{}, Quarantine: f.quarantine, ViewReady: f.viewReady, LoadsReady: f.loadsReady,
 		Refresh:   func(context.Context, []readings.Target, time.Duration) {},
 		CheckRate: func() float64 { return 0 },
 		OnNotice: func(server directory.Server, notice readings.Notice) {
 			f.board.KeepQuiet(server.ID, time.Now().Add(notice.Quiet))
+			f.board.RecordLimit(server.ID, notice.Limit, time.Now())
 			if notice.Leaving {
 				f.directory.Leave(server.ID, server.Born)
 			}
