readings: the fleet keeps the limit that a server names

The class: what a server takes from all instances together has to be shared among them. Equal shares rounded up to one request each don't do: 472 instances are 472 requests.

Change: each instance gets permits at random times, as many a second as its share (0.7 of the limit divided by the instances); an unused permit lapses after 400 ms. All together are a Poisson process below the limit, at any size of the fleet and whichever instances are late, cut off, frozen or new; no message is needed for it. What the others are known to have sent (the results that datagrams carry already) holds permits back, which cuts off chance bursts. A change of a limit goes to all instances by datagram, three times, and to newcomers with the readings. A limited server counts as this instance's own capacity in the shares of spare capacity.

An instance that does not know the fleet yet counts 512 instances, for retries, checks on demand and connections too: before, one that was cut off at its start took itself for the whole fleet.

Ruled out: one owner of a limited server (instances that own none of a service whose servers all name limits would serve nobody); token buckets of at least one request each (N requests after an idle time); slots of time (clocks jump).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -115,6 +115,11 @@
 		if err != nil || x.route.Repeatable || conn.IdleTime < maxUncheckedIdle || x.service.HealthPath == "" {
 			return conn, err
 		}
+		if a.reservation.load.Limit.Named {
+			// A check would count as a request.
+			conn.Close()
+			continue
+		}
 		a.checkConn(ctx, conn)
 		if now := time.Now(); x.f.opts.Board.Load(a.reservation.server.ID, now).Quiet(now) {
 			return nil, &QuietError{Server: a.reservation.server.ID}
@@ -134,7 +139,7 @@
 	x := a.x
 	ctx, cancel := context.WithTimeout(ctx, idleCheckTimeout)
 	defer cancel()
-	x.f.opts.Board.BeganCheck(a.reservation.server.ID)
+	x.f.opts.Board.BeganCheck(a.reservation.server.ID, time.Now())
 	resp, err := conn.Check(ctx, x.service.HealthPath, func(resp *http.Response) bool {
 		return readings.IsCheck(x.f.opts.Protocol, resp)
 	})
@@ -143,12 +148,7 @@
 		return
 	}
 	a.recordLoad(x.f.opts.Protocol.Report(resp.Header))
-	a.recordNotice(x.f.opts.Protocol.Notice(resp))
-}
-
-// recordNotice records what the server says about requests to come.
-func (a *attempt) recordNotice(notice readings.Notice) {
-	a.x.f.opts.OnNotice(a.reservation.server, notice)
+	x.f.opts.OnNotice(a.reservation.server, x.f.opts.Protocol.Notice(resp), true)
 }
 
 // connectFailed records that the server can't be reached. It ignores attempts
@@ -220,7 +220,7 @@
 	info := a.x.f.opts.Protocol.Response(resp)
 	a.recordLoad(info.Report)
 	if !info.Misdirected {
-		a.recordNotice(info.Notice)
+		a.x.f.opts.OnNotice(a.reservation.server, info.Notice, false)
 	}
 	r := result{server: a.reservation.server}
 	switch {
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -32,7 +32,7 @@
 		Slots:  server.Slots,
 		Remote: server.DataCentre != opts.DataCentre,
 		Cold:   now.Before(server.WarmUntil),
-		Quiet:  load.Quiet(now),
+		Quiet:  load.Quiet(now) || !load.Permitted,
 
 		Unconnected: !opts.Pool.Idle(server.Address),
 	}
@@ -57,6 +57,12 @@
 	return c.filter(func(i int) bool { return !slices.Contains(tried, c.servers[i].ID) })
 }
 
+// limited returns the servers with room under the limit that they name: this instance's own
+// part, which it need not share.
+func (c candidateSet) limited() candidateSet {
+	return c.filter(func(i int) bool { return c.assessed[i].Limited && c.assessed[i].SpareCapacity > 0 })
+}
+
 // filter returns the servers at the indices for which keep returns true.
 func (c candidateSet) filter(keep func(i int) bool) candidateSet {
 	var rest candidateSet
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -201,9 +201,9 @@
 		Log: slog.New(slog.DiscardHandler), Observer: &observer{}, Quarantine: f.quarantine, ViewReady: f.viewReady, LoadsReady: f.loadsReady,
 		Refresh:   func(context.Context, []readings.Target, time.Duration) {},
 		CheckRate: func() float64 { return 0 },
-		OnNotice: func(server directory.Server, notice readings.Notice) {
+		OnNotice: func(server directory.Server, notice readings.Notice, fromCheck bool) {
 			f.board.KeepQuiet(server.ID, time.Now().Add(notice.Quiet))
-			f.board.RecordLimit(server.ID, notice.Limit, time.Now())
+			f.board.RecordLimit(server.ID, notice.Limit, fromCheck, time.Now())
 			if notice.Leaving {
 				f.directory.Leave(server.ID, server.Born)
 			}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -28,7 +28,8 @@
 	// ConnLimit returns how many connections this instance may open to a
 	// server of the service; 0 means that no limit is known.
 	ConnLimit func(service *table.Service) int
-	// Instances returns the number of known instances, including this one.
+	// Instances returns the number of instances, including this one, among which what
+	// servers take from the whole fleet is shared.
 	Instances func() int
 	// DataCentre is the data centre of this instance.
 	DataCentre string
@@ -45,9 +46,9 @@
 	// CheckRate returns the number of checks by Refresh that each server may get in a
 	// second from all instances together; 0 if there is no limit.
 	CheckRate func() float64
-	// OnNotice is called with what each answer of a server says about requests to come.
-	// It must not block.
-	OnNotice func(server directory.Server, notice readings.Notice)
+	// OnNotice is called with what each answer of a server says about requests to come;
+	// fromCheck is set if it answered a status check. OnNotice must not block.
+	OnNotice func(server directory.Server, notice readings.Notice, fromCheck bool)
 	// ViewReady is closed when the table and the servers are known, or when startup
 	// stops waiting for them. LoadsReady is closed likewise for the loads of servers.
 	// Requests wait until both are closed.
@@ -97,6 +98,7 @@
 
 // New returns a Forwarder with the given options.
 func New(opts Options) *Forwarder {
+	opts.Board.ShareLimits(opts.Instances)
 	return &Forwarder{opts: opts, queues: make(map[string]*queue), timeouts: newTimeoutEstimator()}
 }
 
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -233,7 +233,7 @@
 	candidates := q.assess(q.servers(), now).excluding(w.x.tried)
 	own := counts([]*waiter{w}, now, q.serviceTime)
 	if admission.Shares(placement.SpareCapacity(candidates.assessed, q.maxTime(w, now)), own, others) != own {
-		return reservation{}, false
+		return q.reserveLocked(w, candidates.limited(), now)
 	}
 	if r, ok := q.reserveLocked(w, q.promising(fresh, now), now); ok {
 		return r, true
@@ -343,7 +343,7 @@
 		if slices.Contains(w.x.tried, s.ID) {
 			continue
 		}
-		until := q.f.opts.Board.QuietUntil(s.ID)
+		until := q.f.opts.Board.Load(s.ID, now).NoneUntil(now)
 		if !until.After(now) {
 			return now
 		}
@@ -429,15 +429,18 @@
 		if w.Late(now, q.serviceTime) {
 			allowed = &allowance.Late
 		}
+		untried := candidates.excluding(w.x.tried)
 		if *allowed <= 0 {
-			return false
+			untried = untried.limited()
 		}
-		r, ok := q.reserveLocked(w, candidates.excluding(w.x.tried), now)
+		r, ok := q.reserveLocked(w, untried, now)
 		if !ok {
 			return false
 		}
 		q.reassess(candidates, r.server, now)
-		*allowed--
+		if !r.load.Limit.Named {
+			*allowed--
+		}
 		w.granted <- grant{reservation: r}
 		return true
 	})
--- a/forward/refresh.go
+++ b/forward/refresh.go
@@ -54,7 +54,7 @@
 				continue
 			}
 			fresh = append(fresh, server.ID)
-			if load.Age > freshAge {
+			if load.Age > freshAge && !load.Limit.Named {
 				stale = append(stale, readings.Target{
 					Server: server.ID, Address: server.Address, Born: server.Born, Path: x.service.HealthPath,
 					Connections: q.f.opts.ConnLimit(x.service),
--- a/forward/refresh_test.go
+++ b/forward/refresh_test.go
@@ -187,7 +187,7 @@
 	dir.Replace(all, 1, time.Time{})
 	made := 0
 	for range instances {
-		q := New(Options{Directory: dir, CheckRate: func() float64 { return limit }, Instances: func() int { return instances }}).queue("main")
+		q := New(Options{Board: readings.NewBoard(), Directory: dir, CheckRate: func() float64 { return limit }, Instances: func() int { return instances }}).queue("main")
 		now := time.Now()
 		for range seconds * 100 {
 			made += q.takeChecks(refreshCount, now)
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -102,7 +102,7 @@
 	SetReadDeadline(t time.Time) error
 }
 
-// Options configure an [Exchange]. All but Seeds are required.
+// Options configure an [Exchange]. All but Seeds and OnLimit are required.
 type Options struct {
 	Conn Conn
 	// Address is the address at which other instances reach this one.
@@ -114,7 +114,10 @@
 	RelayCapacity uint32
 	// Seeds returns the addresses of instances that may be alive, from which a new
 	// process learns of the others; nil if there are none.
-	Seeds    func() []netip.AddrPort
+	Seeds func() []netip.AddrPort
+	// OnLimit is called if another instance says that a backend server names another
+	// limit. It must not block.
+	OnLimit  func(from string, change readings.LimitChange)
 	Board    *readings.Board
 	Backlogs *admission.Backlogs
 	Logger   *slog.Logger
@@ -338,6 +341,16 @@
 	e.TriggerSend()
 }
 
+// ShareLimit tells all instances that a backend server names a limit, or none any longer.
+func (e *Exchange) ShareLimit(server readings.ServerKey, limit readings.Limit, at time.Time) {
+	e.sending.Lock()
+	for _, pending := range []*pendingUpdates{e.localUpdates, e.remoteUpdates} {
+		pending.addLimit(server, limit, at)
+	}
+	e.sending.Unlock()
+	e.TriggerSend()
+}
+
 // Flush sends the local freshness and pending updates immediately.
 func (e *Exchange) Flush() { e.sendUpdates(time.Now(), 0) }
 
@@ -514,6 +527,9 @@
 func (e *Exchange) sendReadings(to netip.AddrPort, now time.Time) {
 	recent := newPendingUpdates()
 	recent.add(e.opts.Board.Recent(now, maxReadingAge), nil)
+	for _, l := range e.opts.Board.Limits() {
+		recent.addLimit(l.Server, l.Limit, l.At)
+	}
 	for !recent.empty() {
 		msg := e.newDatagram()
 		msg.Scope = gossippb.Scope_SCOPE_FLEET
@@ -587,6 +603,11 @@
 	for _, d := range msg.GetDepartures() {
 		e.follower.ReceiveDeparture(id, d.GetServer(), d.GetBornMs())
 	}
+	for _, encoded := range msg.GetLimits() {
+		if change, changed := e.opts.Board.ReceiveLimit(decodeLimit(encoded, now)); changed && e.opts.OnLimit != nil {
+			e.opts.OnLimit(id, change)
+		}
+	}
 	if message := msg.GetMessage(); message != nil && e.handleMessage != nil {
 		e.handleMessage(id, message.GetKind(), message.GetPayload())
 	}
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -114,8 +114,8 @@
 }
 
 // TestLargeFleetFormsFromOneSeed starts two large data centres that know one address, and
-// checks that all agree on the relays, know how many they are, learn of backlogs, departures
-// and changes in the other data centre, and send little.
+// checks that all agree on the relays, know how many they are, learn of backlogs, departures,
+// limits and changes in the other data centre, and send little.
 func TestLargeFleetFormsFromOneSeed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
@@ -138,6 +138,8 @@
 		g.Expect(first.MessageTargets()).To(gomega.ConsistOf(append(fleetIDs(fleet[0][42:]), fleetIDs(fleet[1][27:])...)))
 		g.Expect(fleet[0][44].MessageTargets()).To(gomega.HaveLen(44 + 3))
 		first.ShareDeparture("s", 7)
+		limit := readings.Limit{Named: true, PerSecond: 2.3}
+		first.ShareLimit(readings.KeyOf("limited"), limit, time.Now())
 		sent := first.Sent.Load()
 		time.Sleep(2 * time.Second)
 		g.Expect(first.Sent.Load()-sent).To(gomega.BeNumerically("<", 2*time.Second/(45*30*time.Millisecond/20*7/10)+10), "datagrams of an instance that is no relay")
@@ -151,6 +153,7 @@
 				g.Expect(p.backlogs.Others("orders", time.Now())).To(gomega.Equal(want))
 				g.Expect(p.view.Freshness().ServersVersion).To(gomega.Equal(uint64(2)))
 				if p != first {
+					g.Expect(p.board.Load("limited", time.Now()).Limit).To(gomega.Equal(limit))
 					g.Expect(p.view.departed).To(gomega.BeNumerically(">", 0))
 				}
 			}
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -223,6 +223,9 @@
 		for _, d := range msg.GetDepartures() {
 			pending.addDeparture(d.GetServer(), d.GetBornMs())
 		}
+		for _, encoded := range msg.GetLimits() {
+			pending.addLimit(decodeLimit(encoded, now))
+		}
 	}
 }
 
--- a/gossip/updates.go
+++ b/gossip/updates.go
@@ -19,6 +19,8 @@
 	results  map[readings.ServerKey]readings.Results
 	// departures holds the backend servers that leave, by ID.
 	departures map[string]departure
+	// limits holds the newest limits that backend servers named.
+	limits map[readings.ServerKey]pendingLimit
 	// sent is when the last datagram was sent, contentSent when the last one with
 	// readings and results was.
 	sent, contentSent time.Time
@@ -31,20 +33,40 @@
 	repeats int
 }
 
-// departureRepeats is the number of datagrams that carry a departure, since datagrams get
-// lost.
-const departureRepeats = 3
+// pendingLimit is a limit that a backend server named, or none any longer.
+type pendingLimit struct {
+	limit readings.Limit
+	at    time.Time
+	// repeats is the number of datagrams that still have to carry it.
+	repeats int
+}
+
+const (
+	// noticeRepeats is the number of datagrams that carry a departure or a limit, since
+	// datagrams get lost.
+	noticeRepeats = 3
+	// maxLimits bounds the limits in one datagram.
+	maxLimits = 100
+)
 
 func newPendingUpdates() *pendingUpdates {
 	return &pendingUpdates{
 		readings: make(map[readings.ServerKey]readings.Reading), results: make(map[readings.ServerKey]readings.Results),
-		departures: make(map[string]departure),
+		departures: make(map[string]departure), limits: make(map[readings.ServerKey]pendingLimit),
 	}
 }
 
 // addDeparture adds a backend server that leaves.
 func (p *pendingUpdates) addDeparture(server string, born int64) {
-	p.departures[server] = departure{born: born, repeats: departureRepeats}
+	p.departures[server] = departure{born: born, repeats: noticeRepeats}
+}
+
+// addLimit adds a limit that a backend server named at the given time.
+func (p *pendingUpdates) addLimit(server readings.ServerKey, limit readings.Limit, at time.Time) {
+	if pending, ok := p.limits[server]; ok && !at.After(pending.at) {
+		return
+	}
+	p.limits[server] = pendingLimit{limit: limit, at: at, repeats: noticeRepeats}
 }
 
 // add merges new readings and results into the pending ones.
@@ -91,10 +113,11 @@
 	clear(p.readings)
 	clear(p.results)
 	clear(p.departures)
+	clear(p.limits)
 }
 
 func (p *pendingUpdates) empty() bool {
-	return len(p.readings) == 0 && len(p.results) == 0 && len(p.departures) == 0
+	return len(p.readings) == 0 && len(p.results) == 0 && len(p.departures) == 0 && len(p.limits) == 0
 }
 
 // take moves pending updates into a datagram, as many as fit.
@@ -121,9 +144,35 @@
 			p.departures[server] = d
 		}
 	}
+	for server, pending := range p.limits {
+		if len(msg.Limits) == maxLimits {
+			break
+		}
+		msg.Limits = append(msg.Limits, encodeLimit(server, pending, now))
+		if pending.repeats--; pending.repeats == 0 {
+			delete(p.limits, server)
+		} else {
+			p.limits[server] = pending
+		}
+	}
 	p.sent, p.contentSent = now, now
 }
 
+func encodeLimit(server readings.ServerKey, pending pendingLimit, now time.Time) *gossippb.ServerLimit {
+	encoded := &gossippb.ServerLimit{Server: uint64(server), AgeMs: milliseconds(now.Sub(pending.at) + time.Millisecond)}
+	if pending.limit.Named {
+		encoded.PerSecond = &pending.limit.PerSecond
+	}
+	return encoded
+}
+
+// decodeLimit returns the limit in a datagram that arrived at the given time, and when the
+// answer arrived that named it.
+func decodeLimit(encoded *gossippb.ServerLimit, now time.Time) (server readings.ServerKey, limit readings.Limit, at time.Time) {
+	limit = readings.Limit{Named: encoded.PerSecond != nil, PerSecond: max(encoded.GetPerSecond(), 0)}
+	return readings.ServerKey(encoded.GetServer()), limit, now.Add(-time.Duration(encoded.GetAgeMs()) * time.Millisecond)
+}
+
 // ownResults subtracts the results of this instance from those that relays return as part
 // of the sum of all instances. It is not safe for concurrent use.
 type ownResults struct {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -136,6 +136,9 @@
 
 	hangup  chan os.Signal
 	leaving atomic.Bool
+	// joined is set once the instance has read in the store which others there are.
+	joined    atomic.Bool
+	startedAt time.Time
 }
 
 // New assembles an instance and opens its listeners. It fails with [SettingError] if
@@ -151,7 +154,7 @@
 		return nil, &SettingError{Name: "peer address", Value: set.Peer, Err: err}
 	}
 	d := &Daemon{
-		opts: opts, logger: opts.Logger,
+		opts: opts, logger: opts.Logger, startedAt: time.Now(),
 		self:       gossip.Member{ID: set.ID, DataCentre: set.DataCentre, Address: peer},
 		current:    table.NewCurrent(),
 		directory:  directory.New(),
@@ -184,6 +187,7 @@
 	d.exchange, err = gossip.New(gossip.Options{
 		Conn: conn, Address: d.self.Address, ID: d.self.ID, DataCentre: d.self.DataCentre, Board: d.board,
 		Backlogs: d.backlogs, RelayCapacity: d.opts.Settings.relayCapacity(), Seeds: d.seeds, Logger: d.logger.With("part", "gossip"),
+		OnLimit: func(from string, change readings.LimitChange) { d.logLimit(d.serverID(change.Server), change, from) },
 	})
 	if err != nil {
 		return err
@@ -221,28 +225,33 @@
 			}
 		},
 		OnNotice: func(target readings.Target, notice readings.Notice) {
-			d.recordNotice(target.Server, target.Born, notice, "check")
+			d.recordNotice(target.Server, target.Born, notice, true)
 		},
 		Logger: d.logger.With("part", "checks"),
 	})
 	d.forwarder = forward.New(forward.Options{
 		Protocol: d.opts.Protocol, Current: d.current, Directory: d.directory, Board: d.board,
-		Budget: d.budget, Pool: d.pool, Backlogs: d.backlogs, ConnLimit: d.connLimit, Instances: d.exchange.Known, DataCentre: d.self.DataCentre,
+		Budget: d.budget, Pool: d.pool, Backlogs: d.backlogs, ConnLimit: d.connLimit, Instances: d.sharers, DataCentre: d.self.DataCentre,
 		Log: d.logger.With("part", "forward"), Observer: d.observer, Quarantine: d.crashes,
 		ViewReady: d.viewReady, LoadsReady: d.loadsReady,
 		Refresh:   d.checks.Refresh,
 		CheckRate: func() float64 { return d.settings.Load().ChecksPerSecond * demandShare },
-		OnNotice: func(server directory.Server, notice readings.Notice) {
-			d.recordNotice(server.ID, server.Born, notice, "answer")
+		OnNotice: func(server directory.Server, notice readings.Notice, fromCheck bool) {
+			d.recordNotice(server.ID, server.Born, notice, fromCheck)
 		},
 	})
 }
 
 // recordNotice takes a server out of use that says that it leaves, at all instances, or that
-// wants quiet, at this one, and records the limit that it names. source is the kind of answer.
-func (d *Daemon) recordNotice(server string, born int64, notice readings.Notice, source string) {
-	if change, changed := d.board.RecordLimit(server, notice.Limit, time.Now()); changed {
+// wants quiet, at this one, and records the limit that it names, at all instances.
+func (d *Daemon) recordNotice(server string, born int64, notice readings.Notice, fromCheck bool) {
+	if change, changed := d.board.RecordLimit(server, notice.Limit, fromCheck, time.Now()); changed {
+		source := "answer"
+		if fromCheck {
+			source = "check"
+		}
 		d.logLimit(server, change, source)
+		d.exchange.ShareLimit(change.Server, change.Limit, change.At)
 	}
 	if notice.Quiet > 0 {
 		d.board.KeepQuiet(server, time.Now().Add(notice.Quiet))
@@ -257,11 +266,6 @@
 	}
 }
 
-func (d *Daemon) logLimit(server string, change readings.LimitChange, source string) {
-	d.logger.Info("server names limit", "server", server, "limit", change.Limit, "before", change.Before, "source", source,
-		"requests", change.Requests, "checks", change.Checks, "held", change.Held)
-}
-
 // checkInterval returns the time between two checks of a server of the service: the gossip
 // interval, since peers learn of the results no faster, or longer if the platform allows
 // fewer checks. While no request waits, requests read the loads that they need, and checks
@@ -356,7 +360,7 @@
 	if service.Connections == 0 {
 		return 0
 	}
-	return max(service.Connections/max(d.exchange.Known(), 1), minConnections)
+	return max(service.Connections/d.sharers(), minConnections)
 }
 
 // task is a background task that runs as long as the instance.
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -97,6 +97,7 @@
 	for _, m := range members {
 		d.exchange.Add(m)
 	}
+	d.joined.Store(true)
 	d.logger.Info("joined", "instances", len(members))
 	return true
 }
@@ -115,7 +116,7 @@
 	}
 }
 
-// setBudget sets the limits of the retry budget and the known size of the fleet.
+// setBudget sets the limits of the retry budget and the number of instances that share it.
 func (d *Daemon) setBudget() {
-	d.budget.SetLimits(d.settings.Load().Retries, d.exchange.Known())
+	d.budget.SetLimits(d.settings.Load().Retries, d.sharers())
 }
--- /dev/null
+++ b/internal/entry/limits.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/pomelolock/pomelolock/readings"
+)
+
+// settleTime is the time after the start within which an instance that reaches others has
+// learnt how many there are.
+const settleTime = 800 * time.Millisecond
+
+// sharers returns the number of instances among which this one shares what the whole fleet
+// may do: additional attempts, status checks, connections and the limits of servers. An
+// instance that does not know the fleet yet takes a share that is too small rather than one
+// that is too large.
+func (d *Daemon) sharers() int {
+	known := d.exchange.Known()
+	if d.joined.Load() || known > 1 && time.Since(d.startedAt) >= settleTime {
+		return known
+	}
+	return max(known, assumedInstances)
+}
+
+// serverID returns the ID of the server with the given key, for logs, or "" if no server of
+// the directory has it.
+func (d *Daemon) serverID(key readings.ServerKey) string {
+	for _, server := range d.directory.All() {
+		if readings.KeyOf(server.ID) == key {
+			return server.ID
+		}
+	}
+	return ""
+}
+
+// logLimit logs that a server names another limit. source is the kind of answer that named
+// it, or the instance that got the answer.
+func (d *Daemon) logLimit(server string, change readings.LimitChange, source string) {
+	d.logger.Info("server names limit", "server", server, "limit", change.Limit, "before", change.Before, "source", source,
+		"age", time.Since(change.At), "sharers", d.sharers(), "requests", change.Requests, "checks", change.Checks, "held", change.Held)
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -60,7 +60,8 @@
 	Unconnected bool
 	// Cold is set if the server has just started.
 	Cold bool
-	// Quiet is set if the server wants nothing from this instance now.
+	// Quiet is set if the server wants nothing from this instance now, or its limit leaves
+	// no room.
 	Quiet bool
 }
 
@@ -74,6 +75,9 @@
 	// SpareCapacity is the number of requests that it accepts without slowing
 	// down.
 	SpareCapacity int
+	// Limited is set if the server names a limit of requests. Its spare capacity is this
+	// instance's own part and not shared with others.
+	Limited bool
 	// Healthy is false if most recent attempts there failed. Status checks count
 	// in Cost instead.
 	Healthy bool
@@ -88,7 +92,7 @@
 			time *= coldFactor
 		}
 		assessed[i] = Assessment{
-			Time: time, Cost: time * c.penalty(), SpareCapacity: c.spareCapacity(), Healthy: c.Load.FailureRate < unhealthyFailureRate,
+			Time: time, Cost: time * c.penalty(), SpareCapacity: c.spareCapacity(), Limited: c.Load.Limit.Named, Healthy: c.Load.FailureRate < unhealthyFailureRate,
 		}
 	}
 	return assessed
@@ -96,12 +100,12 @@
 
 // SpareCapacity returns how many requests can run without slowdown on the servers
 // whose expected time is at most maxTime. Unhealthy servers count only if none is
-// healthy.
+// healthy, and those with a limit not at all.
 func SpareCapacity(assessed []Assessment, maxTime float64) int {
 	capacity := 0
 	healthy := anyHealthy(assessed)
 	for _, a := range assessed {
-		if a.eligible(maxTime, healthy) {
+		if a.eligible(maxTime, healthy) && !a.Limited {
 			capacity += a.SpareCapacity
 		}
 	}
@@ -176,7 +180,12 @@
 		return 0
 	}
 	limit := max(int(nearlyFullShare*float64(c.slots())), 1)
-	return max(limit-c.inFlight(), 0)
+	spare := max(limit-c.inFlight(), 0)
+	if c.Load.Limit.Named {
+		// One permit at a time.
+		return min(spare, 1)
+	}
+	return spare
 }
 
 func (c Candidate) slots() int {
--- a/readings/board.go
+++ b/readings/board.go
@@ -118,13 +118,24 @@
 	FailureRate float64
 	// QuietUntil is the time until which the server wants nothing from this instance.
 	QuietUntil time.Time
-	// Limit is the rate of requests that the server takes from all instances.
-	Limit Limit
+	// Limit is the rate of requests that the server takes from all instances. Permitted
+	// reports whether it leaves room for a request of this instance now.
+	Limit     Limit
+	Permitted bool
 }
 
 // Quiet reports whether the server wants nothing from this instance at the given time.
 func (l Load) Quiet(now time.Time) bool { return now.Before(l.QuietUntil) }
 
+// NoneUntil returns the time until which the server takes nothing from this instance, as far
+// as it is known, or a time that is not after now.
+func (l Load) NoneUntil(now time.Time) time.Time {
+	if l.Limit.Named && l.Limit.PerSecond == 0 {
+		return now.Add(maxLimitedCheckInterval)
+	}
+	return l.QuietUntil
+}
+
 // event is the start (delta 1) or end (delta -1) of a request of this instance.
 type event struct {
 	at    time.Time
@@ -157,12 +168,17 @@
 	// shareQueue lists the servers with readings or results that may still have
 	// to be sent to other instances.
 	shareQueue []ServerKey
+	// instances returns the number of instances among which the limits of servers are
+	// shared.
+	instances func() int
 	// limitedRequests and limitedChecks count what was sent to servers that named a limit.
 	limitedRequests, limitedChecks uint64
 }
 
 // NewBoard returns an empty board.
-func NewBoard() *Board { return &Board{servers: make(map[ServerKey]*state)} }
+func NewBoard() *Board {
+	return &Board{servers: make(map[ServerKey]*state), instances: func() int { return 1 }}
+}
 
 func (b *Board) stateLocked(server ServerKey) *state {
 	s := b.servers[server]
@@ -243,7 +259,7 @@
 	s := b.stateLocked(KeyOf(server))
 	s.ownInFlight += delta
 	if delta > 0 && s.limit.Named {
-		s.limit.requests++
+		s.limit.take(now)
 		b.limitedRequests++
 	}
 	if len(s.events) == maxEvents {
@@ -278,6 +294,9 @@
 	s.decay(now)
 	s.good += float64(r.Good)
 	s.failed += float64(r.Failed)
+	if s.limit.Named {
+		s.limit.countSent(r.Good+r.Failed, now)
+	}
 }
 
 func (s *state) decay(now time.Time) {
@@ -289,14 +308,14 @@
 	}
 }
 
-// Load returns the state of a server at the given time; the zero value if the server
-// is not known.
+// Load returns the state of a server at the given time. Of a server that is not known it
+// says only that requests are permitted.
 func (b *Board) Load(server string, now time.Time) Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.servers[KeyOf(server)]
 	if s == nil {
-		return Load{}
+		return Load{Permitted: true}
 	}
 	s.decay(now)
 	load := Load{
@@ -308,6 +327,7 @@
 		OwnInFlight: s.ownInFlight,
 		QuietUntil:  s.quietUntil,
 		Limit:       s.limit.Limit,
+		Permitted:   s.limit.permitted(b.instances(), now),
 		FailureRate: s.failed / (s.good + s.failed + failurePrior),
 	}
 	for _, e := range s.events {
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -116,6 +116,7 @@
 
 // tryBegin reports whether a check of the server is due and marks it as running.
 func (c *Checks) tryBegin(server string, interval time.Duration, now time.Time) bool {
+	interval = max(interval, c.opts.Board.CheckInterval(server))
 	// Half a tick less than the interval, so that the check is made at the tick
 	// nearest to its due time.
 	if now.Sub(c.opts.Board.LastReading(server)) < interval-checkInterval/2 || now.Before(c.opts.Board.QuietUntil(server)) {
@@ -201,7 +202,7 @@
 // checkOn makes one status check on a connection.
 func (c *Checks) checkOn(ctx context.Context, conn *serverconn.Conn, target Target) Reading {
 	reading := Reading{Server: KeyOf(target.Server), Health: HealthUnreachable}
-	c.opts.Board.BeganCheck(target.Server)
+	c.opts.Board.BeganCheck(target.Server, time.Now())
 	resp, err := conn.Check(ctx, target.Path, func(resp *http.Response) bool { return IsCheck(c.opts.Checker, resp) })
 	if err != nil {
 		c.opts.Logger.Debug("status check failed", "server", target.Server, "error", err)
--- a/readings/limits.go
+++ b/readings/limits.go
@@ -2,9 +2,30 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"time"
 )
 
+const (
+	// requestShare and checkShare are the shares of a server's limit that the requests
+	// and the periodic status checks of all instances use.
+	requestShare = 0.7
+	checkShare   = 0.15
+	// permitTTL is the time after which a permit lapses that was not used, so that
+	// instances without requests don't store up a burst.
+	permitTTL = 400 * time.Millisecond
+	// limitBurst is the time within which a server may get all requests that its limit
+	// allows in that time.
+	limitBurst = time.Second
+	// maxLimitedCheckInterval bounds the time between two status checks of a server
+	// with a low limit: it may name another one at any time.
+	maxLimitedCheckInterval = 5 * time.Second
+	// minLimitStep is the relative change of a limit from which the other instances are
+	// told.
+	minLimitStep = 0.05
+)
+
 // Limit is the rate of requests that a server takes from all instances together.
 type Limit struct {
 	// Named reports whether the server names a limit.
@@ -21,22 +42,46 @@
 	return fmt.Sprintf("%.3g/s", l.PerSecond)
 }
 
+// differs reports whether the change to another limit matters to other instances.
+func (l Limit) differs(other Limit) bool {
+	return l.Named != other.Named || math.Abs(l.PerSecond-other.PerSecond) > minLimitStep*l.PerSecond
+}
+
 // LimitChange reports that a server names another limit than before.
 type LimitChange struct {
+	Server        ServerKey
 	Limit, Before Limit
+	// At is when the answer with the limit arrived.
+	At time.Time
 	// Requests and Checks are the numbers of requests and of status checks that this
 	// instance sent to the server under the limit before, which was in force for Held.
 	Requests, Checks int
 	Held             time.Duration
 }
 
-// limitState is what this instance knows of the limit of one server.
+// limitState is what this instance knows of the limit of one server, and its share of it.
+//
+// Nothing is agreed on among the instances. Each gets permits at random times, as many a
+// second as its share of the limit; all together form a Poisson process whose rate stays
+// below the limit, whichever instances are late, cut off or frozen. What the others are
+// known to have sent holds permits back, which cuts off the bursts that chance would bring.
 type limitState struct {
 	Limit
 	// at is when the answer arrived from which the limit is known, since when the limit
 	// last changed.
 	at, since        time.Time
 	requests, checks int
+	// fromCheck is set if a status check named a limit. Otherwise, a check without a
+	// limit doesn't show that there is none.
+	fromCheck bool
+	// sent is the number of requests of all instances in excess of the limit, as of
+	// sentAt.
+	sent   float64
+	sentAt time.Time
+	// rate is the number of permits of this instance a second, next the time of its next
+	// permit.
+	rate float64
+	next time.Time
 }
 
 // record records the limit that an answer named. It returns the change, if there is one.
@@ -45,39 +90,144 @@
 		return LimitChange{}, false
 	}
 	s.at = at
-	if limit == s.Limit {
+	if !s.differs(limit) {
+		s.Limit = limit
 		return LimitChange{}, false
 	}
-	change := LimitChange{Limit: limit, Before: s.Limit, Requests: s.requests, Checks: s.checks, Held: at.Sub(s.since)}
-	if s.since.IsZero() {
-		change.Held = 0
+	change := LimitChange{Limit: limit, Before: s.Limit, At: at, Requests: s.requests, Checks: s.checks}
+	if s.Named {
+		change.Held = at.Sub(s.since)
+	}
+	if !limit.Named {
+		*s = limitState{at: at}
+		return change, true
 	}
 	s.Limit, s.since, s.requests, s.checks = limit, at, 0, 0
 	return change, true
 }
 
-// RecordLimit records the limit that an answer of the server named to this instance. It
-// reports the change, if the limit is another one than before.
-func (b *Board) RecordLimit(server string, limit Limit, now time.Time) (LimitChange, bool) {
+// countSent records that instances sent requests to the server.
+func (s *limitState) countSent(n int, now time.Time) {
+	s.leak(now)
+	s.sent += float64(n)
+}
+
+// leak subtracts the requests that the limit has allowed since the last call.
+func (s *limitState) leak(now time.Time) {
+	if elapsed := now.Sub(s.sentAt); elapsed > 0 {
+		s.sent = max(s.sent-s.PerSecond*elapsed.Seconds(), 0)
+		s.sentAt = now
+	}
+}
+
+// permitted reports whether this instance, one of the given number, may send a request now.
+func (s *limitState) permitted(instances int, now time.Time) bool {
+	if !s.Named {
+		return true
+	}
+	rate := requestShare * s.PerSecond / float64(max(instances, 1))
+	if rate <= 0 {
+		return false
+	}
+	// The time until the next permit does not depend on how long the last one is ago, so
+	// it can be drawn anew at any time.
+	if rate != s.rate {
+		s.rate = rate
+		s.next = now.Add(s.interval())
+	}
+	if now.Sub(s.next) > permitTTL {
+		s.next = now.Add(s.interval() - permitTTL)
+	}
+	s.leak(now)
+	return !now.Before(s.next) && s.sent+1 <= max(s.PerSecond*limitBurst.Seconds(), 1)
+}
+
+// take uses a permit.
+func (s *limitState) take(now time.Time) {
+	s.requests++
+	s.countSent(1, now)
+	if s.rate > 0 {
+		s.next = s.next.Add(s.interval())
+	}
+}
+
+// interval draws the time between two permits.
+func (s *limitState) interval() time.Duration {
+	seconds := rand.ExpFloat64() / s.rate
+	return time.Duration(min(seconds*float64(time.Second), math.MaxInt64/4))
+}
+
+// ShareLimits sets the number of instances among which the limits of servers are shared.
+func (b *Board) ShareLimits(instances func() int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.instances = instances
+}
+
+// RecordLimit records the limit that an answer of the server named to this instance, or none.
+// fromCheck is set if it was the answer to a status check. RecordLimit reports the change if
+// the other instances have to know of it.
+func (b *Board) RecordLimit(server string, limit Limit, fromCheck bool, now time.Time) (LimitChange, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	key := KeyOf(server)
-	if s := b.servers[key]; !limit.Named && (s == nil || !s.limit.Named) {
+	s := b.servers[key]
+	if !limit.Named && (s == nil || !s.limit.Named || fromCheck && !s.limit.fromCheck) {
 		return LimitChange{}, false
 	}
-	return b.stateLocked(key).limit.record(limit, now)
+	s = b.stateLocked(key)
+	s.limit.fromCheck = s.limit.fromCheck || fromCheck
+	change, changed := s.limit.record(limit, now)
+	change.Server = key
+	return change, changed
+}
+
+// ReceiveLimit records a limit that an answer to another instance named at the given time.
+func (b *Board) ReceiveLimit(server ServerKey, limit Limit, at time.Time) (LimitChange, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	change, changed := b.stateLocked(server).limit.record(limit, at)
+	change.Server = server
+	return change, changed
+}
+
+// Limits returns the limits that servers name now, as changes from none.
+func (b *Board) Limits() []LimitChange {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var limits []LimitChange
+	for server, s := range b.servers {
+		if s.limit.Named {
+			limits = append(limits, LimitChange{Server: server, Limit: s.limit.Limit, At: s.limit.at})
+		}
+	}
+	return limits
 }
 
 // BeganCheck records that this instance sends a status check to the server.
-func (b *Board) BeganCheck(server string) {
+func (b *Board) BeganCheck(server string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.servers[KeyOf(server)]; s != nil && s.limit.Named {
 		s.limit.checks++
+		s.limit.countSent(1, now)
 		b.limitedChecks++
 	}
 }
 
+// CheckInterval returns the minimum time between two status checks of the server that its
+// limit demands; 0 if it names none.
+func (b *Board) CheckInterval(server string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[KeyOf(server)]
+	if s == nil || !s.limit.Named {
+		return 0
+	}
+	seconds := 1 / (checkShare * s.limit.PerSecond)
+	return time.Duration(min(seconds, maxLimitedCheckInterval.Seconds()) * float64(time.Second))
+}
+
 // LimitedSends returns how many requests and status checks this instance has sent to servers
 // that named a limit.
 func (b *Board) LimitedSends() (requests, checks uint64) {
