retrybudget: a fleet larger than the burst stores no more than the burst

Each instance kept a reserve of at least one attempt for each service; 100 idle instances stored 100 where the burst allows 62.

Change: if the burst is smaller than the fleet, an attempt is earned whole, at random, and lapses after a second. Fleets within their burst (18 of 62, 472 of 630) are as before.

Tests: TestIdleFleetOfManyInstancesStoresNoMoreThanTheBurst failed with 100 of 62 before; TestLargeFleetHasItsRetries checks that the ratio is still served.

--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -5,7 +5,11 @@
 // starts with an empty reserve, so that restarts don't add attempts.
 package retrybudget
 
-import "sync"
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
 
 // Limits bound the additional attempts for one service across the fleet.
 type Limits struct {
@@ -25,6 +29,10 @@
 	reserveShare = 0.6
 )
 
+// lapseTime is the time after which an attempt lapses that an instance has earned and not
+// taken, if the burst is smaller than the fleet.
+const lapseTime = time.Second
+
 // Budget is the retry budget of one instance, kept for each service. It is safe
 // for concurrent use.
 type Budget struct {
@@ -32,13 +40,23 @@
 	limits Limits
 	// maxTokens is the largest reserve for one service.
 	maxTokens float64
-	// tokens is the number of available attempts by service.
-	tokens map[string]float64
+	// lapsing is set if the burst doesn't allow each instance a reserve of one attempt.
+	// Attempts are then earned whole, at random, and lapse if they are not taken soon.
+	lapsing  bool
+	reserves map[string]reserve
+}
+
+// reserve is the reserve for one service.
+type reserve struct {
+	// tokens is the number of available attempts, as of the last time one was earned or
+	// given back.
+	tokens float64
+	at     time.Time
 }
 
 // New returns an empty budget for one instance of a fleet of the given size.
 func New(limits Limits, instances int) *Budget {
-	b := &Budget{tokens: make(map[string]float64)}
+	b := &Budget{reserves: make(map[string]reserve)}
 	b.SetLimits(limits, instances)
 	return b
 }
@@ -49,6 +67,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.limits = limits
+	b.lapsing = limits.Burst < float64(instances)
 	b.maxTokens = max(limits.Burst*reserveShare/float64(max(instances, 1)), 1)
 }
 
@@ -56,7 +75,28 @@
 func (b *Budget) Earn(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens[service] = min(b.tokens[service]+b.limits.Ratio*earnedShare, b.maxTokens)
+	earned := b.limits.Ratio * earnedShare
+	if b.lapsing {
+		if rand.Float64() >= earned {
+			return
+		}
+		earned = 1
+	}
+	b.addLocked(service, earned)
+}
+
+func (b *Budget) addLocked(service string, tokens float64) {
+	now := time.Now()
+	b.reserves[service] = reserve{tokens: min(b.tokensLocked(service, now)+tokens, b.maxTokens), at: now}
+}
+
+// tokensLocked returns the number of available attempts.
+func (b *Budget) tokensLocked(service string, now time.Time) float64 {
+	r := b.reserves[service]
+	if b.lapsing && now.Sub(r.at) > lapseTime {
+		return 0
+	}
+	return r.tokens
 }
 
 // Take deducts one additional attempt for the service. It reports false, and
@@ -64,10 +104,13 @@
 func (b *Budget) Take(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens[service] < 1 {
+	tokens := b.tokensLocked(service, time.Now())
+	if tokens < 1 {
 		return false
 	}
-	b.tokens[service]--
+	r := b.reserves[service]
+	r.tokens = tokens - 1
+	b.reserves[service] = r
 	return true
 }
 
@@ -75,5 +118,5 @@
 func (b *Budget) Return(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens[service] = min(b.tokens[service]+1, b.maxTokens)
+	b.addLocked(service, 1)
 }
--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -49,6 +51,56 @@
 	})
 }
 
+// TestIdleFleetOfManyInstancesStoresNoMoreThanTheBurst guards against a reserve of one attempt
+// at each of more instances than the burst allows.
+func TestIdleFleetOfManyInstancesStoresNoMoreThanTheBurst(t *testing.T) {
+	limits := Limits{Ratio: 0.2, Burst: 62}
+	for _, instances := range []int{18, 100, 472, 1300} {
+		synctest.Test(t, func(t *testing.T) {
+			fleet := make([]*Budget, instances)
+			for i := range fleet {
+				fleet[i] = New(limits, instances)
+				for range 20 {
+					fleet[i].Earn("orders")
+				}
+			}
+			time.Sleep(time.Minute)
+			taken := 0
+			for _, b := range fleet {
+				for b.Take("orders") {
+					taken++
+				}
+			}
+			gomega.NewWithT(t).Expect(float64(taken)).To(gomega.BeNumerically("<=", limits.Burst))
+		})
+	}
+}
+
+// TestLargeFleetHasItsRetries guards against a share of the reserve below one attempt that no
+// instance can ever take.
+func TestLargeFleetHasItsRetries(t *testing.T) {
+	limits := Limits{Ratio: 0.2, Burst: 62}
+	const instances, seconds = 472, 20
+	synctest.Test(t, func(t *testing.T) {
+		fleet := make([]*Budget, instances)
+		for i := range fleet {
+			fleet[i] = New(limits, instances)
+		}
+		requests, taken := 0, 0
+		for range seconds {
+			for _, b := range fleet {
+				b.Earn("orders")
+				requests++
+				if b.Take("orders") {
+					taken++
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		gomega.NewWithT(t).Expect(float64(taken)).To(gomega.BeNumerically("~", limits.Ratio*earnedShare*float64(requests), 0.1*float64(requests)))
+	})
+}
+
 func TestNewBudgetIsEmpty(t *testing.T) {
 	gomega.NewWithT(t).Expect(New(Limits{Ratio: 0.2, Burst: 62}, 1).Take("orders")).To(gomega.BeFalse())
 }
