entry: parts of a fleet that are cut off share the status checks

An instance that hears no other of a data centre checked all its servers as often as the whole fleet may; 18 of them made 600 checks a second of a server where 60 are allowed.

Change: the checks of a data centre's servers are shared by those that are heard, in proportion to those that are known.

--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -212,12 +212,26 @@
 // unless it is leaving. An empty dataCentre selects all data centres.
 func (e *Exchange) Alive(dataCentre string) []string {
 	ids := e.members.alive(dataCentre, time.Now())
-	if !e.leaving.Load() && (dataCentre == "" || dataCentre == e.opts.DataCentre) {
+	if e.selfIn(dataCentre) > 0 {
 		ids = append(ids, e.opts.ID)
 	}
 	return ids
 }
 
+// Heard returns how many instances of a data centre are alive and how many are known, both
+// including this one if it belongs to it. An empty dataCentre selects all data centres.
+func (e *Exchange) Heard(dataCentre string) (alive, known int) {
+	return len(e.Alive(dataCentre)), e.members.countIn(dataCentre) + e.selfIn(dataCentre)
+}
+
+// selfIn returns 1 if this instance belongs to the data centre, and is not leaving, else 0.
+func (e *Exchange) selfIn(dataCentre string) int {
+	if !e.leaving.Load() && (dataCentre == "" || dataCentre == e.opts.DataCentre) {
+		return 1
+	}
+	return 0
+}
+
 // TakeRemoved returns the IDs of the instances that have been removed since the last
 // call, because nothing was received from them for 10 minutes.
 func (e *Exchange) TakeRemoved() []string { return e.members.takeRemoved() }
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -192,13 +192,14 @@
 	return found
 }
 
-// countIn returns the number of known instances of a data centre.
+// countIn returns the number of known instances of a data centre; an empty dataCentre selects
+// all data centres.
 func (m *members) countIn(dataCentre string) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	count := 0
 	for _, known := range m.byID {
-		if known.DataCentre == dataCentre {
+		if dataCentre == "" || known.DataCentre == dataCentre {
 			count++
 		}
 	}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -270,15 +270,16 @@
 // interval, since peers learn of the results no faster, or longer if the platform allows
 // fewer checks. While no request waits, requests read the loads that they need, and checks
 // are made in proportion to the requests.
-func (d *Daemon) checkInterval(service string) time.Duration {
+func (d *Daemon) checkInterval(service, dataCentre string) time.Duration {
 	interval := d.exchange.SendInterval()
-	if limit := d.settings.Load().ChecksPerSecond * checkShare; limit > 0 {
+	allowed := d.settings.Load().ChecksPerSecond * d.checkingShare(dataCentre)
+	if limit := allowed * checkShare; limit > 0 {
 		interval = max(interval, time.Duration(float64(time.Second)/limit))
 	}
 	if d.backlogs.Waiting(service, time.Now()) {
 		return interval
 	}
-	if limit := d.settings.Load().ChecksPerSecond * quietShare; limit > 0 {
+	if limit := allowed * quietShare; limit > 0 {
 		interval = max(interval, time.Duration(float64(time.Second)/limit))
 	}
 	servers := float64(len(d.directory.Servers(service)))
@@ -325,9 +326,9 @@
 	if d.leaving.Load() || snapshot == nil {
 		return nil
 	}
-	intervals := make(map[string]time.Duration)
 	var targets []readings.Target
 	for dataCentre, servers := range d.directory.InDataCentres() {
+		intervals := make(map[string]time.Duration)
 		ids := d.exchange.Alive(dataCentre)
 		if len(ids) == 0 {
 			ids = d.exchange.Alive("")
@@ -342,7 +343,7 @@
 				continue
 			}
 			if intervals[server.Service] == 0 {
-				intervals[server.Service] = d.checkInterval(server.Service)
+				intervals[server.Service] = d.checkInterval(server.Service, dataCentre)
 			}
 			targets = append(targets, readings.Target{
 				Server: server.ID, Address: server.Address, Born: server.Born,
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -15,11 +15,30 @@
 // instance that does not know the fleet yet takes a share that is too small rather than one
 // that is too large.
 func (d *Daemon) sharers() int {
-	known := d.exchange.Known()
-	if d.joined.Load() || known > 1 && time.Since(d.startedAt) >= settleTime {
-		return known
+	if d.knowsFleet() {
+		return d.exchange.Known()
 	}
-	return max(known, assumedInstances)
+	return max(d.exchange.Known(), assumedInstances)
+}
+
+// knowsFleet reports whether the instance knows how many others there are: from the store, or
+// from others that it has reached.
+func (d *Daemon) knowsFleet() bool {
+	return d.joined.Load() || d.exchange.Known() > 1 && time.Since(d.startedAt) >= settleTime
+}
+
+// checkingShare returns the share of the status checks of a data centre's servers that the
+// instances which this one hears may make, so that parts of a fleet that are cut off from
+// each other don't make more than the whole.
+func (d *Daemon) checkingShare(dataCentre string) float64 {
+	if !d.knowsFleet() && time.Since(d.startedAt) >= settleTime {
+		return 1.0 / assumedInstances
+	}
+	alive, known := d.exchange.Heard(dataCentre)
+	if alive == 0 {
+		alive, known = d.exchange.Heard("")
+	}
+	return float64(max(alive, 1)) / float64(max(known, 1))
 }
 
 // serverID returns the ID of the server with the given key, for logs, or "" if no server of
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"log/slog"
 	"testing"
 	"time"
@@ -13,6 +14,27 @@
 	"github.com/pomelolock/pomelolock/readings"
 )
 
+// TestInstancesThatAreCutOffShareTheChecks guards against instances that, each alone in its
+// view of the fleet, all check each server as often as the whole fleet may.
+func TestInstancesThatAreCutOffShareTheChecks(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const instances, allowed = 18, 60.0
+	conn := gossiptest.NewNetwork().Listen()
+	exchange, err := gossip.New(gossip.Options{
+		Conn: conn, Address: conn.Address(), ID: "entry-1", DataCentre: "a",
+		Board: readings.NewBoard(), Backlogs: admission.NewBacklogs(), Logger: slog.New(slog.DiscardHandler),
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for i := range instances - 1 {
+		exchange.Add(gossip.Member{ID: fmt.Sprint("other-", i), DataCentre: "a", Address: conn.Address()})
+	}
+	d := &Daemon{exchange: exchange, startedAt: time.Now().Add(-time.Minute), backlogs: admission.NewBacklogs()}
+	d.settings.Store(&Settings{ChecksPerSecond: allowed})
+	d.backlogs.Set("orders", admission.Counts{InTime: 1})
+	perInstance := 1 / d.checkInterval("orders", "a").Seconds()
+	g.Expect(perInstance * instances).To(gomega.BeNumerically("<=", allowed))
+}
+
 // TestInstanceThatKnowsNobodyTakesASmallShare guards against a new instance, cut off from the
 // others, that takes what the whole fleet may do for its own.
 func TestInstanceThatKnowsNobodyTakesASmallShare(t *testing.T) {
