--- a/readings/limits_test.go
+++ b/readings/limits_test.go
@@ -92,8 +92,11 @@
 func TestFleetOfAnySizeKeepsALimit(t *testing.T) {
 	for _, instances := range []int{1, 2, 18, 472} {
 		for name, play := range map[string]func(f *fleet){
-			"all busy":   func(f *fleet) { f.play(20*time.Second, 300*time.Millisecond, all) },
-			"after idle": func(f *fleet) { f.play(20*time.Second, 0, func(int) bool { return false }); f.play(8*time.Second, 300*time.Millisecond, all) },
+			"all busy": func(f *fleet) { f.play(20*time.Second, 300*time.Millisecond, all) },
+			"after idle": func(f *fleet) {
+				f.play(20*time.Second, 0, func(int) bool { return false })
+				f.play(8*time.Second, 300*time.Millisecond, all)
+			},
 			"half frozen": func(f *fleet) {
 				f.play(8*time.Second, 300*time.Millisecond, func(i int) bool { return i%2 == 0 })
 				f.play(8*time.Second, 300*time.Millisecond, all)
