An instance that reaches no backend server says so; nothing acts on it yet

Log lines told of single attempts; none told that an instance had lost its links to all servers, since when, or that it had them again, and the sum of results over the fleet hid it.

- readings.Links: servers that left this instance without an answer since any server last answered it.
- log: 'servers unreachable', 'servers reached again'.
- metric: servers_unreachable.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -159,7 +159,7 @@
 	if ctx.Err() != nil || errors.As(err, &full) || errors.As(err, &quiet) {
 		return
 	}
-	a.x.f.opts.Board.Result(a.reservation.server.ID, true, time.Now())
+	a.x.f.opts.Board.Unanswered(a.reservation.server.ID, time.Now())
 }
 
 func (a *attempt) request(left time.Duration) *http.Request {
@@ -211,13 +211,14 @@
 		// The server may have dropped its connections without a reset.
 		a.x.f.opts.Pool.Invalidate(a.reservation.server.Address)
 	}
-	a.x.f.opts.Board.Result(a.reservation.server.ID, true, time.Now())
+	a.x.f.opts.Board.Unanswered(a.reservation.server.ID, time.Now())
 	return r
 }
 
 // classify reads a response and decides whether it can be passed on.
 func (a *attempt) classify(ctx context.Context, resp *http.Response) result {
 	info := a.x.f.opts.Protocol.Response(resp)
+	a.x.f.opts.Board.Answered(time.Now())
 	a.recordLoad(info.Report)
 	if !info.Misdirected {
 		a.x.f.opts.OnNotice(a.reservation.server, info.Notice, false)
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -381,6 +381,7 @@
 		{"start", d.awaitLoads},
 		{"forward", d.forwarder.Run},
 		{"quarantine", d.crashes.Run},
+		{"links", d.watchLinks},
 		{"sweep", d.sweep},
 		{"settings", d.followSettings},
 	}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -95,6 +95,12 @@
 		{"table_version", "Version of the table in force; 0 if none is.", func() float64 { return float64(d.tableVersion()) }},
 		{"view_age_seconds", "Age of the view of the store, in seconds.", func() float64 { return d.feed.Age().Seconds() }},
 		{"instances_alive", "Instances heard lately, with this one.", func() float64 { return float64(len(d.exchange.Alive(""))) }},
+		{"servers_unreachable", "1 while no backend server answers this instance, else 0.", func() float64 {
+			if d.board.Links().Lost {
+				return 1
+			}
+			return 0
+		}},
 		{"goroutines", "Goroutines of the process.", func() float64 { return float64(runtime.NumGoroutine()) }},
 	} {
 		if err := d.metrics.Gauge(g.name, g.help, g.read); err != nil {
--- a/readings/board.go
+++ b/readings/board.go
@@ -171,6 +171,7 @@
 	// instances returns the number of instances among which the limits of servers are
 	// shared.
 	instances func() int
+	links     links
 	// limitedRequests and limitedChecks count what was sent to servers that named a limit.
 	limitedRequests, limitedChecks uint64
 }
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -197,6 +197,11 @@
 	}
 	c.mu.Unlock()
 	c.opts.Board.Observe(reading)
+	if reading.Health == HealthUnreachable {
+		c.opts.Board.Missed(target.Server, now)
+	} else {
+		c.opts.Board.Answered(now)
+	}
 }
 
 // checkOn makes one status check on a connection.
