forward: an instance without links to the servers delegates requests to peers

Cause: an instance had no way to a server but its own links, and took its links for the servers: results were summed over the fleet, so good results of peers hid that all of its own failed, and its failures (0.6 to 0.9 of all attempts) made the servers look bad at the others. The class: a fault of one's own is taken for one of the other side, and nobody does what one instance can't.

Change: - readings.Links: links count as lost once three servers in a row have left this instance without an answer and none has answered for 100 ms; requests that wait 300 ms while no server answers make it check one, then three. What a server failed to answer is told to others only after another server has answered. - An instance whose links are lost, or a request that could not reach two servers, goes to a peer that reaches servers, over TCP at the peer's gossip address, with the attempts and the time that are left. The peer serves it as its own and never delegates it again. It goes to another peer, three at most, only if the first certainly did not run it. Answers of the peer itself keep their outcome, code and Retry-After. Its requests wait in no queue of the instance, so they take no share of the spare capacity. - Datagrams and rosters tell who is cut off; those check no servers for others. - A loss counts as a crash of the server only after some server has answered. - When a server answers again, kept connections are closed.

Ruled out: turning unready (a balancer uses all instances of a data centre if fewer than half are ready; open connections stay); giving up the servers that failed only (fleet-wide results can't tell whose links are bad).

In the test, a cut that refuses new connections now closes the listener, as it says.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/pomelolock/pomelolock/directory"
 	"github.com/pomelolock/pomelolock/internal/hop"
+	"github.com/pomelolock/pomelolock/outcome"
 	"github.com/pomelolock/pomelolock/readings"
 	"github.com/pomelolock/pomelolock/serverconn"
 )
@@ -70,7 +71,13 @@
 	// connLost is set if the connection broke before a response, while the server may
 	// have been running the request.
 	connLost bool
-	err      error
+	// unreached is set if no connection to the server could be opened.
+	unreached bool
+	// peer is the ID of the peer that the request was delegated to, in place of a server;
+	// refusal is the error that it responded with itself.
+	peer    string
+	refusal *outcome.Error
+	err     error
 }
 
 // ResponseError reports a response that can't be passed on to the caller.
@@ -90,15 +97,14 @@
 	defer a.reservation.release()
 	conn, err := a.connect(ctx)
 	if err != nil {
-		a.connectFailed(ctx, err)
-		return result{server: a.reservation.server, notRun: true, unsent: true, err: err}
+		return result{server: a.reservation.server, notRun: true, unsent: true, unreached: a.connectFailed(ctx, err), err: err}
 	}
 	left := time.Until(x.deadline)
 	if left < minSendTime || ctx.Err() != nil {
 		conn.Close()
 		return result{server: a.reservation.server, notRun: true, unsent: true, err: context.DeadlineExceeded}
 	}
-	resp, err := conn.RoundTrip(ctx, a.request(left), a.matches)
+	resp, err := conn.RoundTrip(ctx, a.request(left), x.matches)
 	if err != nil {
 		return a.sendFailed(ctx, conn, err)
 	}
@@ -151,31 +157,22 @@
 	x.f.opts.OnNotice(a.reservation.server, x.f.opts.Protocol.Notice(resp), true)
 }
 
-// connectFailed records that the server can't be reached. It ignores attempts
-// that were cancelled, found all connections in use or a server that wants quiet.
-func (a *attempt) connectFailed(ctx context.Context, err error) {
+// connectFailed records that the server can't be reached, and reports whether that is so. It
+// ignores attempts that were cancelled, found all connections in use or a server that wants
+// quiet.
+func (a *attempt) connectFailed(ctx context.Context, err error) (unreached bool) {
 	var full *serverconn.FullError
 	var quiet *QuietError
 	if ctx.Err() != nil || errors.As(err, &full) || errors.As(err, &quiet) {
-		return
+		return false
 	}
 	a.x.f.opts.Board.Unanswered(a.reservation.server.ID, time.Now())
+	return true
 }
 
 func (a *attempt) request(left time.Duration) *http.Request {
-	in := a.x.in
-	out := &http.Request{
-		Method:     in.Method,
-		URL:        requestURL(in),
-		Host:       in.Host,
-		Header:     hop.EndToEnd(in.Header),
-		ProtoMajor: 1, ProtoMinor: 1,
-	}
+	out := a.x.outgoing()
 	a.x.f.opts.Protocol.Address(out.Header, a.reservation.server.ID, left)
-	if _, ok := out.Header["User-Agent"]; !ok {
-		out.Header.Set("User-Agent", "")
-	}
-	a.x.body.attach(out)
 	return out
 }
 
@@ -191,18 +188,15 @@
 
 // matches reports whether a response belongs to the request. Errors that a server
 // returns before it has read the request carry no ID.
-func (a *attempt) matches(resp *http.Response) bool {
-	id := a.x.f.opts.Protocol.Response(resp).RequestID
-	return id == a.x.caller.ID || id == "" && resp.StatusCode >= http.StatusBadRequest
+func (x *exchange) matches(resp *http.Response) bool {
+	id := x.f.opts.Protocol.Response(resp).RequestID
+	return id == x.caller.ID || id == "" && resp.StatusCode >= http.StatusBadRequest
 }
 
 // sendFailed returns the result of an attempt without any response.
 func (a *attempt) sendFailed(ctx context.Context, conn *serverconn.Conn, err error) result {
-	var sendErr *serverconn.SendError
-	r := result{server: a.reservation.server, err: err}
-	if errors.As(err, &sendErr) && sendErr.Unsent {
-		r.notRun, r.unsent = true, true
-	}
+	unsent := serverconn.Unsent(err)
+	r := result{server: a.reservation.server, notRun: unsent, unsent: unsent, err: err}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return r
 	}
@@ -241,7 +235,7 @@
 		_ = resp.Body.Close()
 		return a.fail(r, a.responseError(resp, "response is not signed or has a content encoding"))
 	}
-	out, err := a.bufferBody(resp)
+	out, err := bufferBody(a.reservation.server.ID, resp)
 	if err != nil {
 		if errors.Is(ctx.Err(), context.Canceled) {
 			r.err = err
@@ -291,8 +285,8 @@
 }
 
 // bufferBody buffers the body of a response up to maxBufferedResponse.
-func (a *attempt) bufferBody(resp *http.Response) (*response, error) {
-	out := &response{server: a.reservation.server.ID, status: resp.StatusCode, header: hop.EndToEnd(resp.Header), length: resp.ContentLength}
+func bufferBody(server string, resp *http.Response) (*response, error) {
+	out := &response{server: server, status: resp.StatusCode, header: hop.EndToEnd(resp.Header), length: resp.ContentLength}
 	var buf bytes.Buffer
 	if 0 < resp.ContentLength && resp.ContentLength <= maxBufferedResponse {
 		buf.Grow(int(resp.ContentLength) + bytes.MinRead)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -53,6 +53,8 @@
 	service  *table.Service
 	deadline time.Time
 	body     *requestBody
+	// delegation is set if a peer delegated the request.
+	delegation *delegation
 	// fingerprint identifies the content of the request.
 	fingerprint [32]byte
 
@@ -60,6 +62,10 @@
 	// capacity reserved there, with the loads on which the choices were based.
 	tried        []string
 	reservations []reservation
+	// peers lists the peers that the request was delegated to, unreached counts the servers
+	// to which no connection could be opened.
+	peers     []string
+	unreached int
 	// sent counts the attempts that reached a server or still may reach it.
 	sent int
 	// charged counts the additional attempts taken from the retry budget.
@@ -112,12 +118,18 @@
 		}
 	}
 	x.route = route
-	x.f.opts.Budget.Earn(x.service.Name)
 	x.deadline = x.receivedAt.Add(x.timeout())
 	x.firstSentAt = x.receivedAt
-	if x.caller.Timeout > 0 {
+	switch {
+	case x.delegation != nil:
+		// The delegating instance has earned the retries of the request.
+		x.firstSentAt = x.receivedAt.Add(-x.delegation.elapsed)
+	case x.caller.Timeout > 0:
 		x.firstSentAt = x.receivedAt.Add(-x.f.timeouts.elapsed(route.Host+route.PathPrefix, x.caller.Timeout))
 	}
+	if x.delegation == nil {
+		x.f.opts.Budget.Earn(x.service.Name)
+	}
 	if failed := x.readBody(); failed != nil {
 		return failed
 	}
@@ -201,11 +213,33 @@
 // further attempt is allowed.
 func (x *exchange) tryServers(ctx context.Context) (*response, *outcome.Error) {
 	ctx, cancel := context.WithCancel(ctx)
-	results := make(chan result, x.maxAttempts()+maxUnreachable)
+	results := make(chan result, x.maxAttempts()+maxUnreachable+maxPeers)
 	running := 0
+	delegate := func(unreached int) bool {
+		peer, ok := x.delegatee(unreached)
+		if !ok {
+			return false
+		}
+		attempts := max(x.maxAttempts()-x.sent, 1)
+		x.peers = append(x.peers, peer.ID)
+		x.f.delegated.Add(1)
+		x.sent++
+		running++
+		go func() { results <- x.delegate(ctx, peer, attempts) }()
+		return true
+	}
 	launch := func() *outcome.Error {
+		if delegate(maxUnreached) {
+			return nil
+		}
+		if x.delegation != nil && x.f.opts.Board.LinksLost() {
+			return x.refusal(outcome.CodeServerUnreached, "this instance reaches no server")
+		}
 		reservation, failed := x.f.queue(x.service.Name).acquire(ctx, x, running == 0)
 		if failed != nil {
+			if delegate(1) {
+				return nil
+			}
 			return failed
 		}
 		x.tried = append(x.tried, reservation.server.ID)
@@ -268,10 +302,14 @@
 }
 
 func (x *exchange) maxAttempts() int {
+	attempts := defaultAttempts
 	if x.route.Attempts > 0 {
-		return x.route.Attempts
+		attempts = x.route.Attempts
 	}
-	return defaultAttempts
+	if x.delegation != nil {
+		attempts = min(attempts, x.delegation.attempts)
+	}
+	return attempts
 }
 
 // hedgeTimer returns a timer that fires when a hedge may be sent. For requests that
@@ -329,6 +367,13 @@
 	if !r.notRun && !x.route.Repeatable {
 		return false
 	}
+	if r.peer != "" && (!r.notRun || len(x.peers) >= maxPeers) {
+		// How many attempts the peer has made is not known.
+		return false
+	}
+	if r.refusal != nil && r.refusal.Status != http.StatusServiceUnavailable {
+		return false
+	}
 	if r.connLost && x.checkQuarantine() != nil {
 		return false
 	}
@@ -343,14 +388,21 @@
 	if !r.notRun {
 		x.mayHaveRun = true
 	}
-	if r.unsent {
+	if r.unsent || r.peer != "" && r.notRun {
 		x.sent--
 		x.refund()
 	}
+	if r.unreached {
+		x.unreached++
+	}
 	if r.connLost {
 		x.f.opts.Quarantine.ReportLoss(x.fingerprint, r.server.ID)
 	}
-	x.log("attempt failed", slog.String("server", r.server.ID), slog.Bool("sent", !r.unsent), slog.Bool("not_run", r.notRun),
+	to := slog.String("server", r.server.ID)
+	if r.peer != "" {
+		to = slog.String("peer", r.peer)
+	}
+	x.log("attempt failed", to, slog.Bool("sent", !r.unsent), slog.Bool("not_run", r.notRun),
 		slog.Duration("left", time.Until(x.deadline)), slog.Any("error", r.err))
 }
 
@@ -379,6 +431,9 @@
 	if last.resp != nil {
 		return last.resp, nil
 	}
+	if last.refusal != nil && (last.refusal.Outcome != outcome.NotRun || !x.mayHaveRun) {
+		return nil, last.refusal
+	}
 	if !x.mayHaveRun {
 		return nil, x.refusal(outcome.CodeServerUnreached, "no server took the request")
 	}
@@ -409,6 +464,9 @@
 	x.log("request not served", slog.String("code", string(failed.Code)), slog.Int("status", failed.Status),
 		slog.String("service", service), slog.Any("tried", x.reservations), slog.Duration("took", took),
 		slog.Duration("retry_after", failed.RetryAfter), slog.Any("error", failed.Err))
+	if x.delegation != nil {
+		writePeerError(x.w.Header(), failed)
+	}
 	x.f.opts.Observer.Refused(service, string(failed.Code), took)
 	if err := x.f.opts.Protocol.WriteError(x.w, failed, x.caller.ID); err != nil {
 		x.log("answer not written", slog.Any("error", err))
@@ -422,6 +480,9 @@
 		return
 	}
 	attrs = append([]slog.Attr{slog.String("request", x.caller.ID), slog.Uint64("table", x.tableVersion())}, attrs...)
+	if x.delegation != nil {
+		attrs = append(attrs, slog.String("delegated_by", x.delegation.by))
+	}
 	x.f.opts.Log.LogAttrs(ctx, slog.LevelInfo, event, attrs...)
 }
 
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -31,8 +31,8 @@
 	// Instances returns the number of instances, including this one, among which what
 	// servers take from the whole fleet is shared.
 	Instances func() int
-	// DataCentre is the data centre of this instance.
-	DataCentre string
+	// ID and DataCentre are the ID and the data centre of this instance.
+	ID, DataCentre string
 	// Log receives one record for each decision on a request.
 	Log *slog.Logger
 	// Observer is called for each request whose response was sent completely or
@@ -40,6 +40,10 @@
 	Observer Observer
 	// Quarantine refuses requests that crash servers.
 	Quarantine Quarantine
+	// Peer returns a peer that reaches servers, other than the given ones; false if none is
+	// known. PeerPool holds the connections to peers.
+	Peer     func(except []string) (Peer, bool)
+	PeerPool *serverconn.Pool
 	// Refresh reads the loads of servers anew, as far as that takes no longer than the
 	// given time. It is [readings.Checks.Refresh].
 	Refresh func(ctx context.Context, targets []readings.Target, wait time.Duration)
@@ -80,6 +84,9 @@
 type Stats struct {
 	// Requests counts received requests, Retries and Hedges additional attempts.
 	Requests, Retries, Hedges uint64
+	// Delegated counts the requests delegated to peers, ForPeers those that peers delegated
+	// to this instance.
+	Delegated, ForPeers uint64
 	// InFlight is the number of requests being served now.
 	InFlight int64
 }
@@ -89,6 +96,7 @@
 type Forwarder struct {
 	opts                      Options
 	requests, retries, hedges atomic.Uint64
+	delegated, forPeers       atomic.Uint64
 	inFlight                  atomic.Int64
 
 	mu       sync.Mutex
@@ -154,6 +162,7 @@
 func (f *Forwarder) Stats() Stats {
 	return Stats{
 		Requests: f.requests.Load(), Retries: f.retries.Load(), Hedges: f.hedges.Load(),
+		Delegated: f.delegated.Load(), ForPeers: f.forPeers.Load(),
 		InFlight: f.inFlight.Load(),
 	}
 }
@@ -161,8 +170,16 @@
 // ServeHTTP implements [http.Handler].
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.requests.Add(1)
+	f.serve(w, r, nil)
+}
+
+// serve serves a request. d is set if a peer delegated it.
+func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request, d *delegation) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	x := &exchange{f: f, w: w, in: r, receivedAt: time.Now(), caller: f.opts.Protocol.Caller(r.Header)}
+	x := &exchange{f: f, w: w, in: r, receivedAt: time.Now(), caller: f.opts.Protocol.Caller(r.Header), delegation: d}
+	if d != nil {
+		x.caller.Timeout = d.timeout
+	}
 	x.serve()
 }
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -91,6 +91,7 @@
 	granted chan grant
 }
 
+// grant is the end of a wait: a reservation, or an error.
 type grant struct {
 	reservation reservation
 	failed      *outcome.Error
@@ -369,6 +370,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.refuseExpiredLocked(now)
+	if len(q.waiters) > 0 && q.f.opts.Board.LinksLost() {
+		q.releaseLocked(now)
+	}
 	if !q.open {
 		if !q.f.started() {
 			return
@@ -447,6 +451,19 @@
 	q.publishBacklogLocked(now)
 }
 
+// releaseLocked ends the wait of all requests, because this instance has lost its links to the
+// servers, if a peer can serve them.
+func (q *queue) releaseLocked(now time.Time) {
+	if _, ok := q.f.opts.Peer(nil); !ok {
+		return
+	}
+	for _, w := range q.waiters {
+		w.granted <- grant{failed: w.x.refusal(outcome.CodeServerUnreached, "this instance reaches no server")}
+	}
+	q.waiters = nil
+	q.publishBacklogLocked(now)
+}
+
 // sharesLocked returns how many waiting requests this instance may send now. The
 // first waiter determines which servers are fast enough for those in time.
 func (q *queue) sharesLocked(candidates candidateSet, now time.Time) admission.Counts {
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -134,6 +134,7 @@
 	follower      Follower
 	handleMessage func(from string, kind uint32, payload []byte)
 	leaving       atomic.Bool
+	cutOff        atomic.Bool
 	transfer      atomic.Uint64
 	triggers      chan struct{}
 
@@ -292,6 +293,19 @@
 // assign no tasks to it.
 func (e *Exchange) Leave() { e.leaving.Store(true) }
 
+// SetCutOff says in all further datagrams whether this instance reaches no backend server, so
+// that the others do for it what it can't.
+func (e *Exchange) SetCutOff(cutOff bool) {
+	e.cutOff.Store(cutOff)
+	e.Flush()
+}
+
+// Serving returns the other live instances of a data centre that reach backend servers, in no
+// particular order. An empty dataCentre selects all data centres that this instance knows.
+func (e *Exchange) Serving(dataCentre string) []Member {
+	return e.members.serving(dataCentre, time.Now())
+}
+
 // Run sends and receives datagrams until ctx ends or the connection is closed.
 func (e *Exchange) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = e.conn.SetReadDeadline(time.Unix(1, 0)) })
@@ -479,6 +493,7 @@
 		Started:    e.startedAt.UnixNano(),
 		DataCentre: e.opts.DataCentre,
 		Leaving:    e.leaving.Load(),
+		CutOff:     e.cutOff.Load(),
 		Address:    e.address,
 
 		RelayCapacity: e.opts.RelayCapacity,
@@ -594,7 +609,7 @@
 	}
 	sender := presence{
 		Member:  Member{ID: id, DataCentre: msg.GetDataCentre()},
-		started: msg.GetStarted(), leaving: msg.GetLeaving(), relayCapacity: msg.GetRelayCapacity(),
+		started: msg.GetStarted(), leaving: msg.GetLeaving(), cutOff: msg.GetCutOff(), relayCapacity: msg.GetRelayCapacity(),
 	}
 	if err := sender.Address.UnmarshalBinary(msg.GetAddress()); err != nil {
 		e.opts.Logger.Warn("received datagram has an invalid sender address", "from", from, "error", err)
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -45,6 +45,8 @@
 	// started is the start time of its process in Unix nanoseconds.
 	started int64
 	leaving bool
+	// cutOff is set if it reaches no backend server.
+	cutOff bool
 	// relayCapacity is its capacity for relaying; 0 if it can't relay.
 	relayCapacity uint32
 }
@@ -161,7 +163,7 @@
 			known = &member{presence: found, added: now}
 			m.byID[found.ID] = known
 		}
-		if !m.aliveLocked(known, now) {
+		if !m.heardLocked(known, now) {
 			found.started = known.started
 			known.presence = found
 		}
@@ -224,6 +226,23 @@
 	return ids
 }
 
+// serving returns the live instances of a data centre that are not leaving and reach backend
+// servers. An empty dataCentre selects all data centres.
+func (m *members) serving(dataCentre string, now time.Time) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var found []Member
+	for _, known := range m.byID {
+		if known.leaving || known.cutOff || !m.aliveLocked(known, now) {
+			continue
+		}
+		if dataCentre == "" || known.DataCentre == dataCentre {
+			found = append(found, known.Member)
+		}
+	}
+	return found
+}
+
 // liveAddresses returns the addresses of the live instances of a data centre.
 func (m *members) liveAddresses(dataCentre string, now time.Time) []netip.AddrPort {
 	m.mu.Lock()
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -108,6 +108,7 @@
 	return presence{
 		Member:        Member{ID: e.opts.ID, DataCentre: e.opts.DataCentre, Address: e.opts.Address},
 		leaving:       e.leaving.Load(),
+		cutOff:        e.cutOff.Load(),
 		relayCapacity: e.opts.RelayCapacity,
 	}
 }
--- a/gossip/roster.go
+++ b/gossip/roster.go
@@ -132,7 +132,7 @@
 			return nil, err
 		}
 		list.Members = append(list.Members, &gossippb.RosterMember{
-			Instance: p.ID, DataCentre: p.DataCentre, Address: address, RelayCapacity: p.relayCapacity,
+			Instance: p.ID, DataCentre: p.DataCentre, Address: address, RelayCapacity: p.relayCapacity, CutOff: p.cutOff,
 		})
 	}
 	packed, err := compress(list)
@@ -151,7 +151,7 @@
 	}
 	var listed []presence
 	for _, m := range list.GetMembers() {
-		p := presence{Member: Member{ID: m.GetInstance(), DataCentre: m.GetDataCentre()}, relayCapacity: m.GetRelayCapacity()}
+		p := presence{Member: Member{ID: m.GetInstance(), DataCentre: m.GetDataCentre()}, relayCapacity: m.GetRelayCapacity(), cutOff: m.GetCutOff()}
 		if err := p.Address.UnmarshalBinary(m.GetAddress()); err != nil {
 			e.logInvalid(msg, err)
 			return
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -50,15 +50,20 @@
 // no status check of the server has ended since the loss.
 func (c *crashes) judgeLater(fp [32]byte, server string, lostAt time.Time) {
 	time.AfterFunc(crashDetectionTime, func() {
-		load := c.board.Load(server, time.Now())
-		switch checked := load.HealthAt.After(lostAt); {
-		case c.removed(server), checked && load.Health == readings.HealthUnreachable:
+		now := time.Now()
+		load, links := c.board.Load(server, now), c.board.Links(now)
+		checked, waited := load.HealthAt.After(lostAt), now.Sub(lostAt) >= crashJudgeTimeout
+		down := checked && load.Health == readings.HealthUnreachable
+		// Until a server answers, the fault may lie in this instance's own links.
+		linked := !links.Lost && (waited || links.AnsweredAt.After(lostAt))
+		switch {
+		case c.removed(server), down && linked:
 			c.Quarantine.ReportLoss(fp, server)
-		case checked:
-		case time.Since(lostAt) < crashJudgeTimeout:
+		case checked && !down:
+		case !waited:
 			c.judgeLater(fp, server, lostAt)
 		default:
-			c.logger.Info("loss not judged", "server", server, "reason", "no status check since")
+			c.logger.Info("loss not judged", "server", server, "links_lost", links.Lost, "checked", checked)
 		}
 	})
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -111,6 +111,7 @@
 	backlogs  *admission.Backlogs
 	budget    *retrybudget.Budget
 	pool      *serverconn.Pool
+	peerPool  *serverconn.Pool
 	exchange  *gossip.Exchange
 	feed      *feed.Feed
 	checks    *readings.Checks
@@ -119,11 +120,13 @@
 	observer  *observer
 	metrics   *metrics.Registry
 
-	callers       *callerconn.Server
+	callers *callerconn.Server
+	// delegates serves the connections of peers that delegate requests to this instance.
+	delegates     *callerconn.Server
 	readyServer   *http.Server
 	metricsServer *http.Server
 
-	callerListener, readyListener, metricsListener net.Listener
+	callerListener, peerListener, readyListener, metricsListener net.Listener
 
 	// targets are the servers to check, determined at targetsAt. Only the status checks
 	// use them.
@@ -162,6 +165,7 @@
 		backlogs:   admission.NewBacklogs(),
 		budget:     retrybudget.New(set.Retries, assumedInstances),
 		pool:       serverconn.NewPool(),
+		peerPool:   serverconn.NewPool(),
 		observer:   newObserver(),
 		hangup:     catchHangup(),
 		viewReady:  make(chan struct{}),
@@ -231,7 +235,8 @@
 	})
 	d.forwarder = forward.New(forward.Options{
 		Protocol: d.opts.Protocol, Current: d.current, Directory: d.directory, Board: d.board,
-		Budget: d.budget, Pool: d.pool, Backlogs: d.backlogs, ConnLimit: d.connLimit, Instances: d.sharers, DataCentre: d.self.DataCentre,
+		Budget: d.budget, Pool: d.pool, Backlogs: d.backlogs, ConnLimit: d.connLimit, Instances: d.sharers, ID: d.self.ID, DataCentre: d.self.DataCentre,
+		Peer: d.peer, PeerPool: d.peerPool,
 		Log: d.logger.With("part", "forward"), Observer: d.observer, Quarantine: d.crashes,
 		ViewReady: d.viewReady, LoadsReady: d.loadsReady,
 		Refresh:   d.checks.Refresh,
@@ -329,9 +334,9 @@
 	var targets []readings.Target
 	for dataCentre, servers := range d.directory.InDataCentres() {
 		intervals := make(map[string]time.Duration)
-		ids := d.exchange.Alive(dataCentre)
+		ids := d.checkers(dataCentre)
 		if len(ids) == 0 {
-			ids = d.exchange.Alive("")
+			ids = d.checkers("")
 		}
 		if !slices.Contains(ids, d.self.ID) {
 			continue
@@ -354,6 +359,20 @@
 	return targets
 }
 
+// checkers returns the IDs of the live instances of a data centre that reach backend servers.
+// An empty dataCentre selects all data centres.
+func (d *Daemon) checkers(dataCentre string) []string {
+	var ids []string
+	for _, m := range d.exchange.Serving(dataCentre) {
+		ids = append(ids, m.ID)
+	}
+	if !d.board.LinksLost() && (dataCentre == "" || dataCentre == d.self.DataCentre) {
+		ids = append(ids, d.self.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // connLimit returns how many connections this instance may open to each server of the
 // service: its share of the limit for the fleet, or 0, which selects the default of the
 // pool, if the table sets no limit.
@@ -373,6 +392,7 @@
 func (d *Daemon) tasks() []task {
 	tasks := []task{
 		{"callers", func(context.Context) error { return d.callers.Serve(d.callerListener) }},
+		{"peers", func(context.Context) error { return d.delegates.Serve(d.peerListener) }},
 		{"readiness", func(context.Context) error { return listen.Serve(d.readyServer, d.readyListener) }},
 		{"gossip", d.exchange.Run},
 		{"feed", d.feed.Run},
@@ -416,6 +436,7 @@
 	}
 	endTasks()
 	d.callers.Close()
+	d.delegates.Close()
 	_ = d.readyServer.Close()
 	_ = d.metricsServer.Close()
 	wg.Wait()
@@ -438,6 +459,7 @@
 				addresses[server.Address], keys[readings.KeyOf(server.ID)] = true, true
 			}
 			d.pool.Sweep(now, func(address string) bool { return addresses[address] })
+			d.peerPool.Sweep(now, func(string) bool { return true })
 			d.board.Retain(func(key readings.ServerKey) bool { return keys[key] })
 		}
 	}
--- a/internal/entry/delegate_test.go
+++ b/internal/entry/delegate_test.go
@@ -58,9 +58,6 @@
 	l.conns = append(l.conns, conn)
 	l.mu.Unlock()
 	if l.cut.Load() {
-		if l.how != "silent" {
-			conn.Close()
-		}
 		return
 	}
 	server, err := net.Dial("tcp", l.target)
@@ -91,6 +88,9 @@
 
 func (l *link) doCut() {
 	l.cut.Store(true)
+	if l.how != "silent" {
+		l.listener.Close()
+	}
 	if l.how != "refused" {
 		return
 	}
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -2,28 +2,97 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
+
+	"github.com/pomelolock/pomelolock/forward"
+	"github.com/pomelolock/pomelolock/gossip"
+	"github.com/pomelolock/pomelolock/readings"
 )
 
-// linksInterval is the time between two looks at this instance's links to the servers.
-const linksInterval = 100 * time.Millisecond
+const (
+	// linksInterval is the time between two looks at this instance's links to the backend
+	// servers, probeInterval the time between two trials of links that are lost or
+	// suspected, and probeCount the number of servers that are tried.
+	linksInterval = 100 * time.Millisecond
+	probeInterval = 250 * time.Millisecond
+	probeCount    = 3
+	// minLocalPeers is the number of peers of the own data centre from which only these
+	// serve the requests of an instance that reaches no server.
+	minLocalPeers = 3
+)
 
-// watchLinks logs when this instance loses its links to all backend servers, and when it has
-// them again.
+// watchLinks tries the links of this instance to the backend servers while they are suspected
+// or lost, and tells the other instances whether they are.
 func (d *Daemon) watchLinks(ctx context.Context) error {
 	lost := false
+	var probed time.Time
 	for sleep(ctx, linksInterval) {
-		links := d.board.Links()
-		if links.Lost == lost {
-			continue
+		now := time.Now()
+		links := d.board.Links(now)
+		if links.Lost != lost {
+			lost = links.Lost
+			d.linksChanged(links, now)
 		}
-		lost = links.Lost
-		if lost {
-			d.logger.Warn("servers unreachable", "since", links.Since, "unanswered", links.Unanswered,
-				"answered", time.Since(links.AnsweredAt), "alive", len(d.exchange.Alive("")))
-		} else {
-			d.logger.Info("servers reached again", "after", time.Since(links.Since))
+		if (links.Lost || links.Suspect) && now.Sub(probed) >= probeInterval {
+			probed = now
+			d.probeLinks(ctx, links)
 		}
 	}
 	return nil
 }
+
+func (d *Daemon) linksChanged(links readings.Links, now time.Time) {
+	d.exchange.SetCutOff(links.Lost)
+	if links.Lost {
+		d.logger.Warn("servers unreachable", "since", links.Since, "unanswered", links.Unanswered,
+			"answered", now.Sub(links.AnsweredAt), "alive", len(d.exchange.Alive("")), "serving", len(d.exchange.Serving("")))
+		return
+	}
+	// Connections that were open before may have gone silent for good.
+	d.pool.InvalidateAll()
+	d.logger.Info("servers reached again", "after", now.Sub(links.Since))
+}
+
+// probeLinks checks some servers drawn at random: one if the links are only suspected and no
+// check has failed yet.
+func (d *Daemon) probeLinks(ctx context.Context, links readings.Links) {
+	snapshot := d.current.Load()
+	if snapshot == nil {
+		return
+	}
+	count := probeCount
+	if !links.Lost && links.Unanswered == 0 {
+		count = 1
+	}
+	all := d.directory.All()
+	var targets []readings.Target
+	for _, i := range rand.Perm(len(all)) {
+		service := snapshot.Service(all[i].Service)
+		if service == nil || service.HealthPath == "" || d.board.CheckInterval(all[i].ID) > 0 {
+			continue
+		}
+		targets = append(targets, readings.Target{
+			Server: all[i].ID, Address: all[i].Address, Born: all[i].Born, Path: service.HealthPath, Connections: d.connLimit(service),
+		})
+		if len(targets) == count {
+			break
+		}
+	}
+	d.checks.Refresh(ctx, targets, 0)
+}
+
+// peer returns a peer that reaches backend servers, other than the given ones.
+func (d *Daemon) peer(except []string) (forward.Peer, bool) {
+	peers := d.exchange.Serving(d.self.DataCentre)
+	if len(peers) < minLocalPeers {
+		peers = d.exchange.Serving("")
+	}
+	peers = slices.DeleteFunc(peers, func(m gossip.Member) bool { return slices.Contains(except, m.ID) })
+	if len(peers) == 0 {
+		return forward.Peer{}, false
+	}
+	chosen := peers[rand.N(len(peers))]
+	return forward.Peer{ID: chosen.ID, Address: chosen.Address.String()}, true
+}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -71,6 +71,8 @@
 		{"answers_own_total", "Answers that the instance made itself.", func() uint64 { _, n := d.observer.counts(); return n }},
 		{"retries_total", "Further attempts after a failed one.", func() uint64 { return stats().Retries }},
 		{"hedges_total", "Second attempts beside a slow one.", func() uint64 { return stats().Hedges }},
+		{"delegated_total", "Requests delegated to other instances.", func() uint64 { return stats().Delegated }},
+		{"for_peers_total", "Requests that other instances delegated to this one.", func() uint64 { return stats().ForPeers }},
 		{"server_connections_opened_total", "Connections opened to backend servers.", d.pool.Opened.Load},
 		{"server_connections_reused_total", "Uses of kept connections to backend servers.", d.pool.Reused.Load},
 		{"status_checks_total", "Status checks of backend servers.", d.pool.Checks.Load},
@@ -96,7 +98,7 @@
 		{"view_age_seconds", "Age of the view of the store, in seconds.", func() float64 { return d.feed.Age().Seconds() }},
 		{"instances_alive", "Instances heard lately, with this one.", func() float64 { return float64(len(d.exchange.Alive(""))) }},
 		{"servers_unreachable", "1 while no backend server answers this instance, else 0.", func() float64 {
-			if d.board.Links().Lost {
+			if d.board.LinksLost() {
 				return 1
 			}
 			return 0
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -22,6 +22,9 @@
 	// the table does not. They equal the defaults of package settings.
 	defaultHeaderTimeout = 5 * time.Second
 	defaultHeaderBytes   = 32 << 10
+	// delegationHeaderBytes is the room for the headers that delegated requests have
+	// beside those of callers.
+	delegationHeaderBytes = 1 << 10
 )
 
 // listen opens the listeners and creates their HTTP servers.
@@ -31,7 +34,7 @@
 		address  string
 		listener *net.Listener
 	}{
-		{set.Caller, &d.callerListener}, {set.Ready, &d.readyListener}, {set.Metrics, &d.metricsListener},
+		{set.Caller, &d.callerListener}, {set.Peer, &d.peerListener}, {set.Ready, &d.readyListener}, {set.Metrics, &d.metricsListener},
 	} {
 		if l.address == "" {
 			continue
@@ -45,6 +48,9 @@
 	d.callers = callerconn.NewServer(callerconn.Options{
 		Handler: d.forwarder, Limits: d.callerLimits, Logger: d.logger.With("part", "callers"),
 	})
+	d.delegates = callerconn.NewServer(callerconn.Options{
+		Handler: d.forwarder.DelegatedHandler(), Limits: d.peerLimits, Logger: d.logger.With("part", "peers"),
+	})
 	mux := http.NewServeMux()
 	mux.HandleFunc(readyPath, d.serveReady)
 	mux.Handle(metricsPath, d.metrics)
@@ -74,6 +80,15 @@
 // hasView reports whether the instance has a table and the list of backend servers.
 func (d *Daemon) hasView() bool { return d.current.Load() != nil && d.directory.Synced() }
 
+// peerLimits returns the limits on the connections of peers: those of callers, with room for
+// the headers of a delegation. Peers close connections that they don't use.
+func (d *Daemon) peerLimits() callerconn.Limits {
+	limits := d.callerLimits()
+	limits.IdleTimeout = max(limits.IdleTimeout, defaultIdleTimeout)
+	limits.HeaderBytes += delegationHeaderBytes
+	return limits
+}
+
 // callerLimits returns the limits on callers' connections from the active table, with
 // defaults for those that it leaves out.
 func (d *Daemon) callerLimits() callerconn.Limits {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -30,12 +31,14 @@
 	d.logger.Info("stopping", "in_flight", d.forwarder.Stats().InFlight, "grace", grace)
 	d.leaving.Store(true)
 	d.callers.Leave()
+	d.delegates.Leave()
 	d.exchange.Leave()
 	d.exchange.Flush()
 	time.Sleep(min(balancerLag, grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-exitMargin))
 	defer cancel()
-	if err := d.callers.Shutdown(ctx); err != nil {
+	// Peers send nothing more to an instance that is leaving.
+	if err := errors.Join(d.callers.Shutdown(ctx), d.delegates.Shutdown(ctx)); err != nil {
 		d.logger.Warn("requests in flight at the end of the grace period",
 			"in_flight", d.forwarder.Stats().InFlight, "error", err)
 	}
--- a/readings/board.go
+++ b/readings/board.go
@@ -148,12 +148,16 @@
 	// instances. queued is set while the server is in the board's shareQueue.
 	readingUnshared bool
 	queued          bool
-	ownInFlight     int
-	quietUntil      time.Time
-	limit           limitState
-	events          []event
-	good            float64
-	failed          float64
+	// readingHeld and heldFailed are a failed status check and the number of requests
+	// without an answer that other instances are not told of yet.
+	readingHeld bool
+	heldFailed  int
+	ownInFlight int
+	quietUntil  time.Time
+	limit       limitState
+	events      []event
+	good        float64
+	failed      float64
 	// decayed is when the decay of good and failed was last applied.
 	decayed time.Time
 	// unsharedGood and unsharedFailed count the results to send with the next
@@ -222,9 +226,15 @@
 	if newHealth {
 		s.reading.Health, s.reading.HealthAt = r.Health, r.HealthAt
 	}
-	s.readingUnshared = own
-	if own {
+	switch {
+	case own && r.Health == HealthUnreachable:
+		s.readingHeld = true
+		b.links.missed(r.Server, len(b.servers), r.HealthAt)
+	case own:
+		s.readingUnshared, s.readingHeld = true, false
 		b.queueLocked(r.Server, s)
+	default:
+		s.readingUnshared, s.readingHeld = false, false
 	}
 }
 
@@ -259,6 +269,7 @@
 	defer b.mu.Unlock()
 	s := b.stateLocked(KeyOf(server))
 	s.ownInFlight += delta
+	b.links.count(delta, now)
 	if delta > 0 && s.limit.Named {
 		s.limit.take(now)
 		b.limitedRequests++
@@ -352,7 +363,7 @@
 			continue
 		}
 		s.queued = false
-		if s.readingUnshared {
+		if s.readingUnshared && !s.readingHeld {
 			s.readingUnshared = false
 			readings = append(readings, s.reading)
 		}
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -196,12 +196,10 @@
 		delete(c.next, target.Server)
 	}
 	c.mu.Unlock()
-	c.opts.Board.Observe(reading)
-	if reading.Health == HealthUnreachable {
-		c.opts.Board.Missed(target.Server, now)
-	} else {
+	if reading.Health != HealthUnreachable {
 		c.opts.Board.Answered(now)
 	}
+	c.opts.Board.Observe(reading)
 }
 
 // checkOn makes one status check on a connection.
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -222,6 +224,16 @@
 	}
 }
 
+// InvalidateAll is like Invalidate for all addresses.
+func (p *Pool) InvalidateAll() {
+	p.mu.Lock()
+	addresses := slices.Collect(maps.Keys(p.servers))
+	p.mu.Unlock()
+	for _, address := range addresses {
+		p.Invalidate(address)
+	}
+}
+
 // Sweep closes the idle connections that have expired and those to addresses for which
 // keep returns false.
 func (p *Pool) Sweep(now time.Time, keep func(address string) bool) {
--- a/serverconn/roundtrip.go
+++ b/serverconn/roundtrip.go
@@ -39,6 +39,12 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
+// Unsent reports whether an error means that no byte of the request was sent.
+func Unsent(err error) bool {
+	var sendErr *SendError
+	return errors.As(err, &sendErr) && sendErr.Unsent
+}
+
 // countingWriter counts the bytes written to the connection.
 type countingWriter struct {
 	w io.Writer
