--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -144,6 +144,8 @@
 	url        string
 	// instances is the size of the fleet that the forwarder knows of.
 	instances int
+	// peers are those to which it can delegate requests.
+	peers []forward.Peer
 }
 
 // newFixture starts a forwarder whose startup is complete. Requests to /look/ and
@@ -198,7 +200,7 @@
 		Protocol: platform.Headers{}, Current: current, Directory: f.directory, Board: f.board,
 		Budget: f.budget, Pool: serverconn.NewPool(), Backlogs: admission.NewBacklogs(),
 		ConnLimit: func(*table.Service) int { return 0 }, Instances: func() int { return f.instances }, DataCentre: "a",
-		Peer: func([]string) (forward.Peer, bool) { return forward.Peer{}, false }, PeerPool: serverconn.NewPool(),
+		ID: "entry", Peer: f.pickPeer, PeerPool: serverconn.NewPool(),
 		Log: slog.New(slog.DiscardHandler), Observer: &observer{}, Quarantine: f.quarantine, ViewReady: f.viewReady, LoadsReady: f.loadsReady,
 		Refresh:   func(context.Context, []readings.Target, time.Duration) {},
 		CheckRate: func() float64 { return 0 },
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -137,14 +138,16 @@
 		g.Expect(fleet[0][44].Readers()).To(gomega.HaveLen(6))
 		g.Expect(first.MessageTargets()).To(gomega.ConsistOf(append(fleetIDs(fleet[0][42:]), fleetIDs(fleet[1][27:])...)))
 		g.Expect(fleet[0][44].MessageTargets()).To(gomega.HaveLen(44 + 3))
+		last.SetCutOff(true)
 		first.ShareDeparture("s", 7)
 		limit := readings.Limit{Named: true, PerSecond: 2.3}
 		first.ShareLimit(readings.KeyOf("limited"), limit, time.Now())
 		sent := first.Sent.Load()
 		time.Sleep(2 * time.Second)
 		g.Expect(first.Sent.Load()-sent).To(gomega.BeNumerically("<", 2*time.Second/(45*30*time.Millisecond/20*7/10)+10), "datagrams of an instance that is no relay")
-		for _, peers := range fleet {
+		for i, peers := range fleet {
 			for _, p := range peers {
+				g.Expect(p.Serving(string(rune('a' + i)))).To(gomega.HaveLen(len(serving(peers, p, last))))
 				own := p.backlogs.Own()
 				want := admission.Counts{InTime: 7, Late: 2}
 				if len(own) > 0 {
@@ -161,6 +164,11 @@
 	})
 }
 
+// serving returns the peers without the given ones.
+func serving(peers []*peer, except ...*peer) []*peer {
+	return slices.DeleteFunc(slices.Clone(peers), func(p *peer) bool { return slices.Contains(except, p) })
+}
+
 func fleetIDs(peers []*peer) []string {
 	var list []string
 	for _, p := range peers {
