--- a/internal/entry/delegate_test.go
+++ b/internal/entry/delegate_test.go
@@ -141,7 +141,12 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		i.stop = cancel
 		go func() { i.done <- d.Run(ctx) }()
-		t.Cleanup(func() { cancel(); <-i.done })
+		t.Cleanup(func() {
+			cancel()
+			if err := <-i.done; err != nil {
+				t.Error(err)
+			}
+		})
 		fleet = append(fleet, i)
 	}
 	return fleet
