serverconn: bytes of a server that never become an answer are bounded

A head was read into memory until the deadline of the request: one request made an instance allocate 0.4 to 3.7 GB in 1.5 s (an instance may use 184 to 536 MB), and a status check 400 ms of that.

Change: the status line and headers of a response are read up to 64 KiB, as those of callers' requests are (one reader for both, hop.HeadReader), and the body of a response to another request up to 1 MiB; then the connection is closed and the attempt fails.

--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -11,6 +11,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/pomelolock/pomelolock/internal/hop"
 )
 
 const (
@@ -24,7 +26,7 @@
 type conn struct {
 	server *Server
 	raw    net.Conn
-	limit  *headerLimit
+	limit  *hop.HeadReader
 	reader *bufio.Reader
 	writer *bufio.Writer
 	// ctx ends when the connection has failed or either side has closed it.
@@ -42,34 +44,8 @@
 	last *response
 }
 
-// headerLimit limits the bytes read for the request line and headers of one request.
-type headerLimit struct {
-	r         io.Reader
-	remaining int64
-}
-
-// HeaderSizeError reports a request whose request line and headers exceed the limit.
-type HeaderSizeError struct{}
-
-func (*HeaderSizeError) Error() string { return "callerconn: request headers exceed the size limit" }
-
-// Read implements [io.Reader].
-func (l *headerLimit) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
-		return 0, &HeaderSizeError{}
-	}
-	if int64(len(p)) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.r.Read(p)
-	l.remaining -= int64(n)
-	return n, err
-}
-
-const unlimited = int64(1) << 62
-
 func newConn(s *Server, raw net.Conn) *conn {
-	limit := &headerLimit{r: raw, remaining: unlimited}
+	limit := hop.NewHeadReader(raw)
 	c := &conn{
 		server: s, raw: raw, limit: limit,
 		reader: bufio.NewReaderSize(limit, bufferSize),
@@ -139,7 +115,7 @@
 	idleSince := time.Now()
 	// The bytes of the next request that are already buffered count towards its
 	// limit.
-	c.limit.remaining = max(c.server.opts.Limits().HeaderBytes-int64(c.reader.Buffered()), 0)
+	c.limit.Limit(c.server.opts.Limits().HeaderBytes - int64(c.reader.Buffered()))
 	for {
 		limit := withSlack(c.server.opts.Limits().IdleTimeout)
 		_ = c.raw.SetReadDeadline(idleSince.Add(limit))
@@ -171,7 +147,7 @@
 func (c *conn) readRequest() (*http.Request, error) {
 	_ = c.raw.SetReadDeadline(time.Now().Add(withSlack(c.server.opts.Limits().HeaderTimeout)))
 	req, err := http.ReadRequest(c.reader)
-	c.limit.remaining = unlimited
+	c.limit.Unlimit()
 	_ = c.raw.SetReadDeadline(time.Time{})
 	return req, err
 }
@@ -180,7 +156,7 @@
 // was closed.
 func (c *conn) rejectRequest(err error, turn <-chan struct{}) {
 	<-turn
-	var long *HeaderSizeError
+	var long *hop.HeadSizeError
 	status := http.StatusBadRequest
 	switch {
 	case errors.As(err, &long):
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/pomelolock/pomelolock/internal/hop"
 )
 
 const (
@@ -74,6 +76,7 @@
 	raw     net.Conn
 	pool    *Pool
 	address string
+	limit   *hop.HeadReader
 	reader  *bufio.Reader
 	// Reused reports whether the connection has carried a request before. IdleTime
 	// is how long it was idle before it was taken from the pool.
@@ -180,7 +183,8 @@
 		return nil, &DialError{Address: address, Err: err}
 	}
 	p.Opened.Add(1)
-	return &Conn{raw: conn, pool: p, address: address, reader: bufio.NewReaderSize(conn, bufferSize), opened: time.Now()}, nil
+	limit := hop.NewHeadReader(conn)
+	return &Conn{raw: conn, pool: p, address: address, limit: limit, reader: bufio.NewReaderSize(limit, bufferSize), opened: time.Now()}, nil
 }
 
 // release counts a connection to the address as closed.
--- a/serverconn/roundtrip.go
+++ b/serverconn/roundtrip.go
@@ -17,6 +17,10 @@
 	// maxResponses bounds the responses read for one request, including those to
 	// other requests and interim ones.
 	maxResponses = 3
+	// maxHeadBytes bounds the status line and the headers of a response.
+	maxHeadBytes = 64 << 10
+	// maxForeignBytes bounds the body of a response to another request.
+	maxForeignBytes = 1 << 20
 )
 
 // ForeignError reports that no response to the request was among those received.
@@ -96,7 +100,7 @@
 // readResponse reads responses until one matches the request.
 func (c *Conn) readResponse(req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
 	for range maxResponses {
-		resp, err := http.ReadResponse(c.reader, req)
+		resp, err := c.readHead(req)
 		if err != nil {
 			return nil, err
 		}
@@ -106,13 +110,24 @@
 		if matches(resp) {
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if _, err := io.CopyN(io.Discard, resp.Body, maxForeignBytes); !errors.Is(err, io.EOF) {
+			if err == nil {
+				err = &ForeignError{Address: c.address}
+			}
 			return nil, err
 		}
 	}
 	return nil, &ForeignError{Address: c.address}
 }
 
+// readHead reads the status line and the headers of a response. It fails with
+// [hop.HeadSizeError] if they exceed maxHeadBytes.
+func (c *Conn) readHead(req *http.Request) (*http.Response, error) {
+	c.limit.Limit(maxHeadBytes)
+	defer c.limit.Unlimit()
+	return http.ReadResponse(c.reader, req)
+}
+
 // responseBody returns the connection to the pool when it is closed after its last byte
 // was read.
 type responseBody struct {
