soak: servers that name a limit get no more than it allows

Two of the servers name 3 requests a second after the faults have ended, while callers send on: at most 23 requests and status checks in any 4 s.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -47,8 +47,28 @@
 	serviceTime      = 15 * time.Millisecond
 	backendSlots     = 6
 	registerInterval = 500 * time.Millisecond
+	// serverLimit is the number of requests a second that a limited server takes.
+	serverLimit = 3.0
 )
 
+// mostReached returns the largest number of requests and status checks in any limitSpan, from
+// the given time on.
+func (b *backend) mostReached(from time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	most := 0
+	for i, begin := range b.reached {
+		count := 0
+		for _, at := range b.reached[i:] {
+			if !begin.Before(from) && at.Sub(begin) <= limitSpan {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
+
 // backend is a stand-in for a backend server, reached through a link.
 type backend struct {
 	id, service   string
@@ -61,8 +81,13 @@
 	draining      atomic.Bool
 	running       atomic.Int32
 	arrivals      atomic.Int64
-	stop          chan struct{}
-	crashed       sync.Once
+	// limited is set while the server names serverLimit; reached holds the times of the
+	// requests and status checks that it got since.
+	limited atomic.Bool
+	mu      sync.Mutex
+	reached []time.Time
+	stop    chan struct{}
+	crashed sync.Once
 	// replace starts another server in place of this one after a crash.
 	replace func()
 }
@@ -126,6 +151,12 @@
 
 // ServeHTTP implements [http.Handler].
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if b.limited.Load() {
+		w.Header().Set("Server-Limit", fmt.Sprint(serverLimit))
+		b.mu.Lock()
+		b.reached = append(b.reached, time.Now())
+		b.mu.Unlock()
+	}
 	w.Header().Set("Upstream-Load", fmt.Sprintf("%d,0,%d,100", b.running.Load(), backendSlots))
 	if r.URL.Path == "/healthz" {
 		w.Header().Set("Instance-Id", b.id)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -46,6 +46,11 @@
 	// runs at most maxLateCrashes more times after that.
 	crashPropagationTime = 3 * time.Second
 	maxLateCrashes       = 3
+	// They require that, from limitTime after a server first named a limit, it gets no
+	// more than one and a half times what that allows in limitSpan, and limitSlack.
+	limitTime  = 3 * time.Second
+	limitSpan  = 4 * time.Second
+	limitSlack = 5
 )
 
 // callResult is what a caller observed of one request; status is 0 without a complete
@@ -134,6 +139,7 @@
 	time.Sleep(settleDuration)
 	s.checkOutcomes()
 	s.checkRecovery()
+	s.checkLimits()
 	s.checkContainment()
 	if !t.Failed() {
 		_ = os.Remove(log.Name())
@@ -337,6 +343,31 @@
 	}
 }
 
+// checkLimits lets two servers name a limit while callers send on.
+func (s *soak) checkLimits() {
+	s.mu.Lock()
+	limited := s.backends[1:3]
+	s.mu.Unlock()
+	for _, b := range limited {
+		b.limited.Store(true)
+	}
+	from := time.Now().Add(limitTime)
+	ctx, cancel := context.WithDeadline(s.t.Context(), from.Add(limitSpan+time.Second))
+	defer cancel()
+	var wg sync.WaitGroup
+	for n := range clients {
+		wg.Go(func() { s.client(ctx, n) })
+	}
+	wg.Wait()
+	for _, b := range limited {
+		allowed := int(1.5*serverLimit*limitSpan.Seconds() + limitSlack)
+		if got := b.mostReached(from); got > allowed {
+			s.t.Errorf("a server that names a limit of %v a second got %d requests in %v; allowed %d", serverLimit, got, limitSpan, allowed)
+		}
+		b.limited.Store(false)
+	}
+}
+
 // checkContainment sends a request that crashes every server that runs it to all
 // daemons until three servers have crashed, and goes on after all daemons know of the
 // crashes. Few more servers may crash then.
