readings: the limits of servers cost nothing where none is named

The number of instances was asked for at each look at a server's load, also without a limit: with 530 servers that is a lock and a view of the fleet 530 times a request. And a change of a limit searched the directory for the server's ID, to log it: datagrams carry the ID now, as for servers that leave.

--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -370,7 +370,7 @@
 }
 
 // ShareLimit tells all instances that a backend server names a limit, or none any longer.
-func (e *Exchange) ShareLimit(server readings.ServerKey, limit readings.Limit, at time.Time) {
+func (e *Exchange) ShareLimit(server string, limit readings.Limit, at time.Time) {
 	e.sending.Lock()
 	for _, pending := range []*pendingUpdates{e.localUpdates, e.remoteUpdates} {
 		pending.addLimit(server, limit, at)
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -141,7 +141,7 @@
 		last.SetCutOff(true)
 		first.ShareDeparture("s", 7)
 		limit := readings.Limit{Named: true, PerSecond: 2.3}
-		first.ShareLimit(readings.KeyOf("limited"), limit, time.Now())
+		first.ShareLimit("limited", limit, time.Now())
 		sent := first.Sent.Load()
 		time.Sleep(2 * time.Second)
 		g.Expect(first.Sent.Load()-sent).To(gomega.BeNumerically("<", 2*time.Second/(45*30*time.Millisecond/20*7/10)+10), "datagrams of an instance that is no relay")
--- a/gossip/updates.go
+++ b/gossip/updates.go
@@ -20,7 +20,7 @@
 	// departures holds the backend servers that leave, by ID.
 	departures map[string]departure
 	// limits holds the newest limits that backend servers named.
-	limits map[readings.ServerKey]pendingLimit
+	limits map[string]pendingLimit
 	// sent is when the last datagram was sent, contentSent when the last one with
 	// readings and results was.
 	sent, contentSent time.Time
@@ -52,7 +52,7 @@
 func newPendingUpdates() *pendingUpdates {
 	return &pendingUpdates{
 		readings: make(map[readings.ServerKey]readings.Reading), results: make(map[readings.ServerKey]readings.Results),
-		departures: make(map[string]departure), limits: make(map[readings.ServerKey]pendingLimit),
+		departures: make(map[string]departure), limits: make(map[string]pendingLimit),
 	}
 }
 
@@ -62,7 +62,7 @@
 }
 
 // addLimit adds a limit that a backend server named at the given time.
-func (p *pendingUpdates) addLimit(server readings.ServerKey, limit readings.Limit, at time.Time) {
+func (p *pendingUpdates) addLimit(server string, limit readings.Limit, at time.Time) {
 	if pending, ok := p.limits[server]; ok && !at.After(pending.at) {
 		return
 	}
@@ -158,8 +158,8 @@
 	p.sent, p.contentSent = now, now
 }
 
-func encodeLimit(server readings.ServerKey, pending pendingLimit, now time.Time) *gossippb.ServerLimit {
-	encoded := &gossippb.ServerLimit{Server: uint64(server), AgeMs: milliseconds(now.Sub(pending.at) + time.Millisecond)}
+func encodeLimit(server string, pending pendingLimit, now time.Time) *gossippb.ServerLimit {
+	encoded := &gossippb.ServerLimit{Server: server, AgeMs: milliseconds(now.Sub(pending.at) + time.Millisecond)}
 	if pending.limit.Named {
 		encoded.PerSecond = &pending.limit.PerSecond
 	}
@@ -168,9 +168,9 @@
 
 // decodeLimit returns the limit in a datagram that arrived at the given time, and when the
 // answer arrived that named it.
-func decodeLimit(encoded *gossippb.ServerLimit, now time.Time) (server readings.ServerKey, limit readings.Limit, at time.Time) {
+func decodeLimit(encoded *gossippb.ServerLimit, now time.Time) (server string, limit readings.Limit, at time.Time) {
 	limit = readings.Limit{Named: encoded.PerSecond != nil, PerSecond: max(encoded.GetPerSecond(), 0)}
-	return readings.ServerKey(encoded.GetServer()), limit, now.Add(-time.Duration(encoded.GetAgeMs()) * time.Millisecond)
+	return encoded.GetServer(), limit, now.Add(-time.Duration(encoded.GetAgeMs()) * time.Millisecond)
 }
 
 // ownResults subtracts the results of this instance from those that relays return as part
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -191,7 +191,7 @@
 	d.exchange, err = gossip.New(gossip.Options{
 		Conn: conn, Address: d.self.Address, ID: d.self.ID, DataCentre: d.self.DataCentre, Board: d.board,
 		Backlogs: d.backlogs, RelayCapacity: d.opts.Settings.relayCapacity(), Seeds: d.seeds, Logger: d.logger.With("part", "gossip"),
-		OnLimit: func(from string, change readings.LimitChange) { d.logLimit(d.serverID(change.Server), change, from) },
+		OnLimit: func(from string, change readings.LimitChange) { d.logLimit(change, from) },
 	})
 	if err != nil {
 		return err
@@ -255,7 +255,7 @@
 		if fromCheck {
 			source = "check"
 		}
-		d.logLimit(server, change, source)
+		d.logLimit(change, source)
 		d.exchange.ShareLimit(change.Server, change.Limit, change.At)
 	}
 	if notice.Quiet > 0 {
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -41,20 +41,9 @@
 	return float64(max(alive, 1)) / float64(max(known, 1))
 }
 
-// serverID returns the ID of the server with the given key, for logs, or "" if no server of
-// the directory has it.
-func (d *Daemon) serverID(key readings.ServerKey) string {
-	for _, server := range d.directory.All() {
-		if readings.KeyOf(server.ID) == key {
-			return server.ID
-		}
-	}
-	return ""
-}
-
 // logLimit logs that a server names another limit. source is the kind of answer that named
 // it, or the instance that got the answer.
-func (d *Daemon) logLimit(server string, change readings.LimitChange, source string) {
-	d.logger.Info("server names limit", "server", server, "limit", change.Limit, "before", change.Before, "source", source,
+func (d *Daemon) logLimit(change readings.LimitChange, source string) {
+	d.logger.Info("server names limit", "server", change.Server, "limit", change.Limit, "before", change.Before, "source", source,
 		"age", time.Since(change.At), "sharers", d.sharers(), "requests", change.Requests, "checks", change.Checks, "held", change.Held)
 }
--- a/readings/board.go
+++ b/readings/board.go
@@ -339,7 +339,7 @@
 		OwnInFlight: s.ownInFlight,
 		QuietUntil:  s.quietUntil,
 		Limit:       s.limit.Limit,
-		Permitted:   s.limit.permitted(b.instances(), now),
+		Permitted:   !s.limit.Named || s.limit.permitted(b.instances(), now),
 		FailureRate: s.failed / (s.good + s.failed + failurePrior),
 	}
 	for _, e := range s.events {
--- a/readings/limits.go
+++ b/readings/limits.go
@@ -49,7 +49,8 @@
 
 // LimitChange reports that a server names another limit than before.
 type LimitChange struct {
-	Server        ServerKey
+	// Server is the ID of the server.
+	Server        string
 	Limit, Before Limit
 	// At is when the answer with the limit arrived.
 	At time.Time
@@ -67,6 +68,8 @@
 // known to have sent holds permits back, which cuts off the bursts that chance would bring.
 type limitState struct {
 	Limit
+	// server is the ID of the server.
+	server string
 	// at is when the answer arrived from which the limit is known, since when the limit
 	// last changed.
 	at, since        time.Time
@@ -94,12 +97,12 @@
 		s.Limit = limit
 		return LimitChange{}, false
 	}
-	change := LimitChange{Limit: limit, Before: s.Limit, At: at, Requests: s.requests, Checks: s.checks}
+	change := LimitChange{Server: s.server, Limit: limit, Before: s.Limit, At: at, Requests: s.requests, Checks: s.checks}
 	if s.Named {
 		change.Held = at.Sub(s.since)
 	}
 	if !limit.Named {
-		*s = limitState{at: at}
+		*s = limitState{server: s.server, at: at}
 		return change, true
 	}
 	s.Limit, s.since, s.requests, s.checks = limit, at, 0, 0
@@ -120,11 +123,9 @@
 	}
 }
 
-// permitted reports whether this instance, one of the given number, may send a request now.
+// permitted reports whether this instance, one of the given number, may send a request now to
+// the server, which names a limit.
 func (s *limitState) permitted(instances int, now time.Time) bool {
-	if !s.Named {
-		return true
-	}
 	rate := requestShare * s.PerSecond / float64(max(instances, 1))
 	if rate <= 0 {
 		return false
@@ -176,19 +177,18 @@
 		return LimitChange{}, false
 	}
 	s = b.stateLocked(key)
+	s.limit.server = server
 	s.limit.fromCheck = s.limit.fromCheck || fromCheck
-	change, changed := s.limit.record(limit, now)
-	change.Server = key
-	return change, changed
+	return s.limit.record(limit, now)
 }
 
 // ReceiveLimit records a limit that an answer to another instance named at the given time.
-func (b *Board) ReceiveLimit(server ServerKey, limit Limit, at time.Time) (LimitChange, bool) {
+func (b *Board) ReceiveLimit(server string, limit Limit, at time.Time) (LimitChange, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	change, changed := b.stateLocked(server).limit.record(limit, at)
-	change.Server = server
-	return change, changed
+	s := b.stateLocked(KeyOf(server))
+	s.limit.server = server
+	return s.limit.record(limit, at)
 }
 
 // Limits returns the limits that servers name now, as changes from none.
@@ -196,9 +196,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var limits []LimitChange
-	for server, s := range b.servers {
+	for _, s := range b.servers {
 		if s.limit.Named {
-			limits = append(limits, LimitChange{Server: server, Limit: s.limit.Limit, At: s.limit.at})
+			limits = append(limits, LimitChange{Server: s.limit.server, Limit: s.limit.Limit, At: s.limit.at})
 		}
 	}
 	return limits
--- a/readings/limits_test.go
+++ b/readings/limits_test.go
@@ -155,7 +155,7 @@
 	g.Expect(b.Load("s", now).Permitted).To(gomega.BeFalse())
 	_, changed = b.RecordLimit("s", none, false, now.Add(time.Second))
 	g.Expect(changed).To(gomega.BeFalse())
-	_, changed = b.ReceiveLimit(KeyOf("s"), Limit{}, now)
+	_, changed = b.ReceiveLimit("s", Limit{}, now)
 	g.Expect(changed).To(gomega.BeFalse(), "older than the own answer")
 	_, changed = b.RecordLimit("s", Limit{}, true, now.Add(2*time.Second))
 	g.Expect(changed).To(gomega.BeFalse(), "its status checks never named a limit")
