readings: links that open no new connection count as lost too

Change: an instance also counts as cut off once connections to six servers in a row could not be opened; from three on it tries others. Kept connections are closed on return only if they had been silent.

Test: TestNewConnectionsAreLostWhileOpenOnesLive.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -171,6 +171,7 @@
 		viewReady:  make(chan struct{}),
 		loadsReady: make(chan struct{}),
 	}
+	d.pool.OnDial = func(address string, ok bool) { d.board.Connected(address, ok, time.Now()) }
 	d.settings.Store(set)
 	if err := d.wireExchange(); err != nil {
 		return nil, err
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -26,11 +26,16 @@
 // watchLinks tries the links of this instance to the backend servers while they are suspected
 // or lost, and tells the other instances whether they are.
 func (d *Daemon) watchLinks(ctx context.Context) error {
-	lost := false
+	lost, silent := false, false
 	var probed time.Time
 	for sleep(ctx, linksInterval) {
 		now := time.Now()
 		links := d.board.Links(now)
+		if silent && !links.Silent {
+			// Connections that were open before may have gone silent for good.
+			d.pool.InvalidateAll()
+		}
+		silent = links.Silent
 		if links.Lost != lost {
 			lost = links.Lost
 			d.linksChanged(links, now)
@@ -46,12 +51,10 @@
 func (d *Daemon) linksChanged(links readings.Links, now time.Time) {
 	d.exchange.SetCutOff(links.Lost)
 	if links.Lost {
-		d.logger.Warn("servers unreachable", "since", links.Since, "unanswered", links.Unanswered,
+		d.logger.Warn("servers unreachable", "since", links.Since, "unanswered", links.Unanswered, "unconnected", links.Unconnected, "silent", links.Silent,
 			"answered", now.Sub(links.AnsweredAt), "alive", len(d.exchange.Alive("")), "serving", len(d.exchange.Serving("")))
 		return
 	}
-	// Connections that were open before may have gone silent for good.
-	d.pool.InvalidateAll()
 	d.logger.Info("servers reached again", "after", now.Sub(links.Since))
 }
 
@@ -63,7 +66,7 @@
 		return
 	}
 	count := probeCount
-	if !links.Lost && links.Unanswered == 0 {
+	if !links.Lost && links.Unanswered == 0 && links.Unconnected == 0 {
 		count = 1
 	}
 	all := d.directory.All()
@@ -73,6 +76,10 @@
 		if service == nil || service.HealthPath == "" || d.board.CheckInterval(all[i].ID) > 0 {
 			continue
 		}
+		if links.Unconnected > 0 && d.pool.Idle(all[i].Address) {
+			// Would not show whether a connection can be opened.
+			continue
+		}
 		targets = append(targets, readings.Target{
 			Server: all[i].ID, Address: all[i].Address, Born: all[i].Born, Path: service.HealthPath, Connections: d.connLimit(service),
 		})
--- a/readings/links_test.go
+++ b/readings/links_test.go
@@ -96,3 +96,26 @@
 	b.Ended("a", now)
 	g.Expect(suspect(time.Minute)).To(gomega.BeFalse())
 }
+
+// TestNewConnectionsAreLostWhileOpenOnesLive guards against an instance that is left with the
+// connections it has.
+func TestNewConnectionsAreLostWhileOpenOnesLive(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	b := NewBoard()
+	know(b, now, "a", "b", "c", "d", "e", "f", "g")
+	b.Connected("1", true, now)
+	now = now.Add(time.Second)
+	for _, address := range []string{"1", "2", "3", "4", "5"} {
+		b.Connected(address, false, now)
+		b.Answered(now)
+	}
+	g.Expect(b.LinksLost()).To(gomega.BeFalse(), "servers that crashed")
+	g.Expect(b.Links(now).Suspect).To(gomega.BeTrue())
+	b.Connected("6", false, now)
+	b.Answered(now)
+	g.Expect(b.LinksLost()).To(gomega.BeTrue())
+	g.Expect(b.Links(now).Silent).To(gomega.BeFalse())
+	b.Connected("7", true, now)
+	g.Expect(b.LinksLost()).To(gomega.BeFalse())
+}
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -59,6 +59,10 @@
 	// and Checks the status checks sent.
 	Opened, Reused, Checks atomic.Uint64
 
+	// OnDial is called with the result of each attempt to open a connection that was not
+	// cancelled. It must be set before the first use, if at all, and must not block.
+	OnDial func(address string, ok bool)
+
 	mu      sync.Mutex
 	servers map[string]*server
 }
@@ -178,6 +182,9 @@
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if p.OnDial != nil && ctx.Err() == nil {
+		p.OnDial(address, err == nil)
+	}
 	if err != nil {
 		p.release(address)
 		return nil, &DialError{Address: address, Err: err}
