forward: a peer with an older table refuses delegated requests

The delegation carries the version; a peer with an older table answers that the request has not run, and the next one is asked.

Test: TestDelegationThatCannotBeHonouredIsRejected.

--- a/forward/delegate.go
+++ b/forward/delegate.go
@@ -27,6 +27,9 @@
 	headerTimeout = "Pomelolock-Timeout-Ms"
 	// headerElapsed is the time since the caller first sent the request, in milliseconds.
 	headerElapsed = "Pomelolock-Elapsed-Ms"
+	// headerTable is the version of the table by which the request was accepted. A peer
+	// with an older one doesn't serve it: its caller has seen the newer one in force.
+	headerTable = "Pomelolock-Table"
 	// headerCode and headerRetryAfterMS, with outcome.HeaderOutcome, describe a response
 	// that the peer generated itself.
 	headerCode         = "Pomelolock-Code"
@@ -54,6 +57,7 @@
 	attempts int
 	timeout  time.Duration
 	elapsed  time.Duration
+	table    uint64
 }
 
 // takeDelegation removes the headers of a delegation from a request and returns their content,
@@ -62,14 +66,15 @@
 	attempts, attemptsErr := strconv.Atoi(header.Get(headerAttempts))
 	timeout, timeoutErr := strconv.ParseInt(header.Get(headerTimeout), 10, 32)
 	elapsed, elapsedErr := strconv.ParseInt(header.Get(headerElapsed), 10, 32)
+	table, tableErr := strconv.ParseUint(header.Get(headerTable), 10, 64)
 	d := delegation{
-		by: header.Get(headerDelegatedBy), attempts: attempts,
+		by: header.Get(headerDelegatedBy), attempts: attempts, table: table,
 		timeout: time.Duration(timeout) * time.Millisecond, elapsed: time.Duration(elapsed) * time.Millisecond,
 	}
-	for _, name := range []string{headerDelegatedBy, headerAttempts, headerTimeout, headerElapsed} {
+	for _, name := range []string{headerDelegatedBy, headerAttempts, headerTimeout, headerElapsed, headerTable} {
 		header.Del(name)
 	}
-	valid := attemptsErr == nil && timeoutErr == nil && elapsedErr == nil
+	valid := attemptsErr == nil && timeoutErr == nil && elapsedErr == nil && tableErr == nil
 	return d, valid && d.by != "" && d.attempts > 0 && d.timeout > 0 && d.elapsed >= 0
 }
 
@@ -78,6 +83,7 @@
 	header.Set(headerDelegatedBy, d.by)
 	header.Set(headerAttempts, strconv.Itoa(d.attempts))
 	header.Set(headerTimeout, strconv.FormatInt(max(d.timeout.Milliseconds(), 1), 10))
+	header.Set(headerTable, strconv.FormatUint(d.table, 10))
 	header.Set(headerElapsed, strconv.FormatInt(max(d.elapsed.Milliseconds(), 0), 10))
 }
 
@@ -126,7 +132,9 @@
 		return r
 	}
 	out := x.outgoing()
-	delegation{by: x.f.opts.ID, attempts: attempts, timeout: left, elapsed: time.Since(x.firstSentAt)}.write(out.Header)
+	delegation{
+		by: x.f.opts.ID, attempts: attempts, timeout: left, elapsed: time.Since(x.firstSentAt), table: x.tableVersion(),
+	}.write(out.Header)
 	resp, err := conn.RoundTrip(ctx, out, x.matches)
 	if err != nil {
 		r.err = err
--- a/forward/delegate_test.go
+++ b/forward/delegate_test.go
@@ -168,11 +168,13 @@
 	g.Eventually(ended).WithTimeout(time.Second).Should(gomega.BeClosed())
 }
 
-func TestMalformedDelegationIsRejected(t *testing.T) {
+// TestDelegationThatCannotBeHonouredIsRejected guards against requests served by guesses about
+// a delegation, or by an older table than the one by which they were accepted.
+func TestDelegationThatCannotBeHonouredIsRejected(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := startServer(t, "s1", ok)
 	peer := newFixture(t, s).asPeer(t, "peer")
-	valid := http.Header{"Pomelolock-Delegated-By": {"a"}, "Pomelolock-Attempts": {"1"}, "Pomelolock-Timeout-Ms": {"500"}, "Pomelolock-Elapsed-Ms": {"0"}}
+	valid := http.Header{"Pomelolock-Delegated-By": {"a"}, "Pomelolock-Attempts": {"1"}, "Pomelolock-Timeout-Ms": {"500"}, "Pomelolock-Elapsed-Ms": {"0"}, "Pomelolock-Table": {"1"}}
 	send := func(header http.Header) int {
 		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+peer.Address+"/order/", nil)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -185,12 +187,15 @@
 	}
 	g.Expect(send(valid)).To(gomega.Equal(http.StatusOK))
 	for name, value := range map[string]string{
-		"Pomelolock-Delegated-By": "", "Pomelolock-Attempts": "0", "Pomelolock-Timeout-Ms": "-1", "Pomelolock-Elapsed-Ms": "soon",
+		"Pomelolock-Delegated-By": "", "Pomelolock-Attempts": "0", "Pomelolock-Timeout-Ms": "-1", "Pomelolock-Elapsed-Ms": "soon", "Pomelolock-Table": "",
 	} {
 		header := valid.Clone()
 		header.Set(name, value)
 		g.Expect(send(header)).To(gomega.Equal(http.StatusBadRequest), name)
 	}
+	newer := valid.Clone()
+	newer.Set("Pomelolock-Table", "2")
+	g.Expect(send(newer)).To(gomega.Equal(http.StatusServiceUnavailable), "the peer has an older table")
 	g.Expect(s.arrivals()).To(gomega.Equal(1))
 }
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -107,6 +107,12 @@
 			Detail: "no table is in force yet", RetryAfter: notReadyRetryAfter,
 		}
 	}
+	if x.delegation != nil && x.snapshot.Version() < x.delegation.table {
+		return &outcome.Error{
+			Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable, Code: outcome.CodeNotReady,
+			Detail: "a newer table is not in force yet", RetryAfter: notReadyRetryAfter,
+		}
+	}
 	route, ok := x.snapshot.Match(x.in)
 	if ok {
 		x.service = x.snapshot.Service(x.snapshot.Pick(route))
