--- a/internal/entry/daemon_test.go
+++ b/internal/entry/daemon_test.go
@@ -133,23 +133,26 @@
 
 func start(t *testing.T, pause time.Duration) *instance {
 	t.Helper()
-	i := &instance{
-		settings: &entry.Settings{
-			ID: "entry-1", DataCentre: "a", Caller: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t),
-			Peer: freeAddress(t), Store: "127.0.0.1:1", Grace: 2 * time.Second,
-			Retries: retrybudget.Limits{Ratio: 0.2, Burst: 62},
-		},
-		store: &store{server: backend(t, pause)},
-		done:  make(chan error, 1),
-	}
+	return run(t, &entry.Settings{
+		ID: "entry-1", DataCentre: "a", Caller: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t),
+		Peer: freeAddress(t), Store: "127.0.0.1:1", Grace: 2 * time.Second,
+		Retries: retrybudget.Limits{Ratio: 0.2, Burst: 62},
+	}, &store{server: backend(t, pause)})
+}
+
+// run starts an instance.
+func run(t *testing.T, settings *entry.Settings, store *store) *instance {
+	t.Helper()
+	i := &instance{settings: settings, store: store, done: make(chan error, 1)}
 	d, err := entry.New(entry.Options{
-		Settings: i.settings, Store: i.store, Protocol: platform.Headers{},
-		Reload: func() (*entry.Settings, error) { return i.settings, nil }, Logger: slog.New(slog.DiscardHandler),
+		Settings: settings, Store: store, Protocol: platform.Headers{},
+		Reload: func() (*entry.Settings, error) { return settings, nil }, Logger: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(t.Context())
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
 	i.stop = cancel
 	go func() { i.done <- d.Run(ctx) }()
 	return i
--- a/internal/entry/delegate_test.go
+++ b/internal/entry/delegate_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -16,7 +15,6 @@
 	"github.com/onsi/gomega"
 
 	"github.com/pomelolock/pomelolock/internal/entry"
-	"github.com/pomelolock/pomelolock/platform"
 	"github.com/pomelolock/pomelolock/retrybudget"
 )
 
@@ -122,27 +120,15 @@
 		if n > 0 {
 			peer = freeAddress(t)
 		}
-		i := &instance{
-			settings: &entry.Settings{
-				ID: fmt.Sprint("entry-", n), DataCentre: "a", Caller: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t),
-				Peer: peer, Seeds: []string{seed}, Store: "127.0.0.1:1", Grace: time.Second,
-				Retries: retrybudget.Limits{Ratio: 0.2, Burst: 62}, ChecksPerSecond: 60,
-			},
-			store: &store{server: server}, done: make(chan error, 1),
-		}
-		i.store.setTable(1, "/a/")
-		d, err := entry.New(entry.Options{
-			Settings: i.settings, Store: i.store, Protocol: platform.Headers{},
-			Reload: func() (*entry.Settings, error) { return i.settings, nil }, Logger: slog.New(slog.DiscardHandler),
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		i.stop = cancel
-		go func() { i.done <- d.Run(ctx) }()
+		table := &store{server: server}
+		table.setTable(1, "/a/")
+		i := run(t, &entry.Settings{
+			ID: fmt.Sprint("entry-", n), DataCentre: "a", Caller: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t),
+			Peer: peer, Seeds: []string{seed}, Store: "127.0.0.1:1", Grace: time.Second,
+			Retries: retrybudget.Limits{Ratio: 0.2, Burst: 62}, ChecksPerSecond: 60,
+		}, table)
 		t.Cleanup(func() {
-			cancel()
+			i.stop()
 			if err := <-i.done; err != nil {
 				t.Error(err)
 			}
