--- a/internal/entry/delegate_test.go
+++ b/internal/entry/delegate_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -39,18 +41,20 @@
 	}
 	l := &link{listener: listener, target: target, how: how}
 	t.Cleanup(l.close)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go l.carry(conn)
-		}
-	}()
+	go l.accept(listener)
 	return l
 }
 
+func (l *link) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go l.carry(conn)
+	}
+}
+
 func (l *link) carry(conn net.Conn) {
 	l.mu.Lock()
 	l.conns = append(l.conns, conn)
@@ -100,6 +104,21 @@
 	}
 }
 
+// heal ends a cut. Connections that were silenced stay silent.
+func (l *link) heal(t *testing.T) {
+	t.Helper()
+	l.cut.Store(false)
+	if l.how == "silent" {
+		return
+	}
+	listener, err := net.Listen("tcp", l.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.listener = listener
+	go l.accept(listener)
+}
+
 func (l *link) close() {
 	l.listener.Close()
 	l.mu.Lock()
@@ -138,8 +157,9 @@
 	return fleet
 }
 
-// order sends one request that may run at most once and reports whether it was served.
-func (i *instance) order(t *testing.T, id string) bool {
+// send sends one request that may run at most once and returns the status and the body of
+// the response, or status 0 if there is no complete response.
+func (i *instance) send(t *testing.T, id string) (int, string) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+i.settings.Caller+"/a/", strings.NewReader("one"))
 	if err != nil {
@@ -150,11 +170,21 @@
 	req.Header.Set("Deadline-Ms", "1000")
 	resp, err := client.Do(req)
 	if err != nil {
-		return false
+		return 0, ""
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	return err == nil && resp.StatusCode == http.StatusOK && string(body) == "whole"
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(body)
+}
+
+// order reports whether one request was served.
+func (i *instance) order(t *testing.T, id string) bool {
+	t.Helper()
+	status, body := i.send(t, id)
+	return status == http.StatusOK && body == "whole"
 }
 
 // TestInstanceCutOffFromServersServesItsCallers guards against an instance that fails all of
@@ -194,3 +224,92 @@
 		})
 	}
 }
+
+// recorder is a backend server that counts the runs of each request.
+type recorder struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (r *recorder) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	w.Header().Set("Upstream-Load", "1,0,6,100")
+	if req.URL.Path == "/healthz" {
+		w.Header().Set("Instance-Id", "s1")
+		return
+	}
+	id := req.Header.Get("Request-Id")
+	r.mu.Lock()
+	r.runs[id]++
+	r.mu.Unlock()
+	time.Sleep(20 * time.Millisecond)
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Upstream-Signature", "sig")
+	_, _ = io.WriteString(w, id)
+}
+
+// TestPromisesHoldWhileLinksComeAndGo cuts and heals the links of some instances at random
+// times: an order runs once at most, and one that is refused never runs.
+func TestPromisesHoldWhileLinksComeAndGo(t *testing.T) {
+	const seed, duration, instances, callers = 7, 8 * time.Second, 4, 12
+	g := gomega.NewWithT(t)
+	server := &recorder{runs: make(map[string]int)}
+	backend := httptest.NewServer(server)
+	t.Cleanup(backend.Close)
+	address := strings.TrimPrefix(backend.URL, "http://")
+	var links []*link
+	var addresses []string
+	for n := range instances {
+		l := newLink(t, address, []string{"refused", "silent", "open ones live", "refused"}[n])
+		links, addresses = append(links, l), append(addresses, l.listener.Addr().String())
+	}
+	fleet := startFleet(t, addresses...)
+	for _, i := range fleet {
+		g.Eventually(i.ready).WithTimeout(10 * time.Second).Should(gomega.Equal(http.StatusOK))
+	}
+	var mu sync.Mutex
+	status := make(map[string]int)
+	var wg sync.WaitGroup
+	end := time.Now().Add(duration)
+	for n := range callers {
+		wg.Go(func() {
+			for k := 0; time.Now().Before(end); k++ {
+				id := fmt.Sprintf("c%d-%d", n, k)
+				got, body := fleet[n%instances].send(t, id)
+				if got == http.StatusOK && body != id {
+					t.Errorf("request %s got the answer of %q", id, body)
+				}
+				mu.Lock()
+				status[id] = got
+				mu.Unlock()
+			}
+		})
+	}
+	rng := rand.New(rand.NewPCG(seed, 0))
+	for time.Now().Before(end) {
+		// The last instance keeps its links.
+		l := links[rng.IntN(instances-1)]
+		if l.cut.Load() {
+			l.heal(t)
+		} else {
+			l.doCut()
+		}
+		time.Sleep(time.Duration(100+rng.IntN(900)) * time.Millisecond)
+	}
+	wg.Wait()
+	served := 0
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	for id, got := range status {
+		switch runs := server.runs[id]; {
+		case runs > 1:
+			t.Errorf("order %s ran %d times", id, runs)
+		case got == http.StatusServiceUnavailable && runs > 0:
+			t.Errorf("order %s was refused and ran", id)
+		}
+		if got == http.StatusOK {
+			served++
+		}
+	}
+	t.Logf("%d of %d orders served", served, len(status))
+	g.Expect(served).To(gomega.BeNumerically(">", len(status)/2))
+}
