entry: tests cut the links of one instance, not the address of a server

Found while a new random test ran: in some runs all four instances refused (503: 7,082 of one instance). The test gave each instance another address for the same server, to cut its link; instances that heard of the server from a peer before they had read the store used that peer's address, so that one cut took the server from all.

Change: serverconn.Pool and entry.Options take the function that opens connections; the tests cut it for one instance. Two ages in log lines were wrong: 'answered' if nothing ever had, 'after' when the links are back.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -88,7 +88,7 @@
 	Remove(ctx context.Context, id string) error
 }
 
-// Options configure a [Daemon]. All are required.
+// Options configure a [Daemon]. All but DialServer are required.
 type Options struct {
 	Settings *Settings
 	Store    Store
@@ -96,6 +96,8 @@
 	// Reload reads the settings file again.
 	Reload func() (*Settings, error)
 	Logger *slog.Logger
+	// DialServer opens connections to backend servers; nil selects TCP.
+	DialServer func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Daemon is a running instance.
@@ -171,6 +173,9 @@
 		viewReady:  make(chan struct{}),
 		loadsReady: make(chan struct{}),
 	}
+	if opts.DialServer != nil {
+		d.pool.Dial = opts.DialServer
+	}
 	d.pool.OnDial = func(address string, ok bool) { d.board.Connected(address, ok, time.Now()) }
 	d.settings.Store(set)
 	if err := d.wireExchange(); err != nil {
--- a/internal/entry/daemon_test.go
+++ b/internal/entry/daemon_test.go
@@ -137,16 +137,18 @@
 		ID: "entry-1", DataCentre: "a", Caller: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t),
 		Peer: freeAddress(t), Store: "127.0.0.1:1", Grace: 2 * time.Second,
 		Retries: retrybudget.Limits{Ratio: 0.2, Burst: 62},
-	}, &store{server: backend(t, pause)})
+	}, &store{server: backend(t, pause)}, nil)
 }
 
-// run starts an instance.
-func run(t *testing.T, settings *entry.Settings, store *store) *instance {
+type dial = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// run starts an instance that connects to servers with the given function, or by TCP.
+func run(t *testing.T, settings *entry.Settings, store *store, server dial) *instance {
 	t.Helper()
 	i := &instance{settings: settings, store: store, done: make(chan error, 1)}
 	d, err := entry.New(entry.Options{
 		Settings: settings, Store: store, Protocol: platform.Headers{},
-		Reload: func() (*entry.Settings, error) { return settings, nil }, Logger: slog.New(slog.DiscardHandler),
+		Reload: func() (*entry.Settings, error) { return settings, nil }, Logger: slog.New(slog.DiscardHandler), DialServer: server,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/entry/delegate_test.go
+++ b/internal/entry/delegate_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,121 +21,96 @@
 	"github.com/pomelolock/pomelolock/retrybudget"
 )
 
-// link carries connections to a backend server until it is cut.
-type link struct {
-	listener net.Listener
-	target   string
-	how      string
-	cut      atomic.Bool
+// links are the links of one instance to the backend servers.
+type links struct {
+	// how says what a cut does: "refused" and "silent" also end or silence the connections
+	// that are open, "open ones live" does not.
+	how string
 
 	mu    sync.Mutex
-	conns []net.Conn
+	cut   bool
+	conns []*linkConn
 }
 
-// newLink opens a link. how says what a cut does: "refused" and "silent" also end or silence
-// the connections that are open, "open ones live" does not.
-func newLink(t *testing.T, target, how string) *link {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := &link{listener: listener, target: target, how: how}
-	t.Cleanup(l.close)
-	go l.accept(listener)
-	return l
-}
-
-func (l *link) accept(listener net.Listener) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		go l.carry(conn)
-	}
-}
-
-func (l *link) carry(conn net.Conn) {
+// dial opens a connection, unless the links are cut.
+func (l *links) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	l.mu.Lock()
-	l.conns = append(l.conns, conn)
+	cut := l.cut
 	l.mu.Unlock()
-	if l.cut.Load() {
-		return
+	if cut && l.how == "silent" {
+		<-ctx.Done()
+		return nil, ctx.Err()
 	}
-	server, err := net.Dial("tcp", l.target)
+	if cut {
+		return nil, syscall.ECONNREFUSED
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 	if err != nil {
-		conn.Close()
-		return
+		return nil, err
 	}
+	c := &linkConn{TCPConn: conn.(*net.TCPConn)}
 	l.mu.Lock()
-	l.conns = append(l.conns, server)
-	l.mu.Unlock()
-	pipe := func(to, from net.Conn) {
-		buf := make([]byte, 4096)
-		for {
-			n, err := from.Read(buf)
-			if err != nil {
-				to.Close()
-				return
-			}
-			if l.how == "silent" && l.cut.Load() {
-				continue
-			}
-			_, _ = to.Write(buf[:n])
-		}
-	}
-	go pipe(conn, server)
-	pipe(server, conn)
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, c)
+	return c, nil
 }
 
-func (l *link) doCut() {
-	l.cut.Store(true)
-	if l.how != "silent" {
-		l.listener.Close()
-	}
-	if l.how != "refused" {
-		return
-	}
+// setCut cuts or heals the links. Connections that were silenced stay silent.
+func (l *links) setCut(cut bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.cut = cut
+	if !cut || l.how == "open ones live" {
+		return
+	}
 	for _, c := range l.conns {
-		_ = c.(*net.TCPConn).SetLinger(0)
+		if l.how == "silent" {
+			c.silent.Store(true)
+			continue
+		}
+		_ = c.SetLinger(0)
 		c.Close()
 	}
+	l.conns = nil
 }
 
-// heal ends a cut. Connections that were silenced stay silent.
-func (l *link) heal(t *testing.T) {
-	t.Helper()
-	l.cut.Store(false)
-	if l.how == "silent" {
-		return
-	}
-	listener, err := net.Listen("tcp", l.listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
+func (l *links) isCut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
+// linkConn is a connection that can fall silent in both directions.
+type linkConn struct {
+	*net.TCPConn
+	silent atomic.Bool
+}
+
+// Read implements [net.Conn].
+func (c *linkConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(b)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
 	}
-	l.listener = listener
-	go l.accept(listener)
 }
 
-func (l *link) close() {
-	l.listener.Close()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.conns {
-		c.Close()
+// Write implements [net.Conn].
+func (c *linkConn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
 	}
+	return c.TCPConn.Write(b)
 }
 
 // startFleet starts instances that know each other and reach the backend server at the given
-// addresses.
-func startFleet(t *testing.T, servers ...string) []*instance {
+// address by their own links.
+func startFleet(t *testing.T, server string, own ...*links) []*instance {
 	t.Helper()
 	seed := freeAddress(t)
 	var fleet []*instance
-	for n, server := range servers {
+	for n, l := range own {
 		peer := seed
 		if n > 0 {
 			peer = freeAddress(t)
@@ -145,7 +121,7 @@
 			ID: fmt.Sprint("entry-", n), DataCentre: "a", Caller: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t),
 			Peer: peer, Seeds: []string{seed}, Store: "127.0.0.1:1", Grace: time.Second,
 			Retries: retrybudget.Limits{Ratio: 0.2, Burst: 62}, ChecksPerSecond: 60,
-		}, table)
+		}, table, l.dial)
 		t.Cleanup(func() {
 			i.stop()
 			if err := <-i.done; err != nil {
@@ -194,13 +170,13 @@
 		t.Run(how, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			server := backend(t, 20*time.Millisecond)
-			cut := newLink(t, server, how)
-			fleet := startFleet(t, cut.listener.Addr().String(), server, server)
+			cut := &links{how: how}
+			fleet := startFleet(t, server, cut, &links{}, &links{})
 			for _, i := range fleet {
 				g.Eventually(i.ready).WithTimeout(10 * time.Second).Should(gomega.Equal(http.StatusOK))
 			}
 			g.Eventually(func() bool { return fleet[0].order(t, "before") }).WithTimeout(5 * time.Second).Should(gomega.BeTrue())
-			cut.doCut()
+			cut.setCut(true)
 			const before, requests, atOnce = 90, 120, 3
 			served := 0
 			var mu sync.Mutex
@@ -250,19 +226,14 @@
 // TestPromisesHoldWhileLinksComeAndGo cuts and heals the links of some instances at random
 // times: an order runs once at most, and one that is refused never runs.
 func TestPromisesHoldWhileLinksComeAndGo(t *testing.T) {
-	const seed, duration, instances, callers = 7, 8 * time.Second, 4, 12
+	const seed, duration, callers = 7, 8 * time.Second, 12
 	g := gomega.NewWithT(t)
 	server := &recorder{runs: make(map[string]int)}
 	backend := httptest.NewServer(server)
 	t.Cleanup(backend.Close)
 	address := strings.TrimPrefix(backend.URL, "http://")
-	var links []*link
-	var addresses []string
-	for n := range instances {
-		l := newLink(t, address, []string{"refused", "silent", "open ones live", "refused"}[n])
-		links, addresses = append(links, l), append(addresses, l.listener.Addr().String())
-	}
-	fleet := startFleet(t, addresses...)
+	own := []*links{{how: "refused"}, {how: "silent"}, {how: "open ones live"}, {}}
+	fleet := startFleet(t, address, own...)
 	for _, i := range fleet {
 		g.Eventually(i.ready).WithTimeout(10 * time.Second).Should(gomega.Equal(http.StatusOK))
 	}
@@ -274,7 +245,7 @@
 		wg.Go(func() {
 			for k := 0; time.Now().Before(end); k++ {
 				id := fmt.Sprintf("c%d-%d", n, k)
-				got, body := fleet[n%instances].send(t, id)
+				got, body := fleet[n%len(fleet)].send(t, id)
 				if got == http.StatusOK && body != id {
 					t.Errorf("request %s got the answer of %q", id, body)
 				}
@@ -287,19 +258,19 @@
 	rng := rand.New(rand.NewPCG(seed, 0))
 	for time.Now().Before(end) {
 		// The last instance keeps its links.
-		l := links[rng.IntN(instances-1)]
-		if l.cut.Load() {
-			l.heal(t)
-		} else {
-			l.doCut()
-		}
+		l := own[rng.IntN(len(own)-1)]
+		l.setCut(!l.isCut())
 		time.Sleep(time.Duration(100+rng.IntN(900)) * time.Millisecond)
 	}
 	wg.Wait()
 	served := 0
 	server.mu.Lock()
 	defer server.mu.Unlock()
+	tally := make(map[string]int)
 	for id, got := range status {
+		var n, k int
+		_, _ = fmt.Sscanf(id, "c%d-%d", &n, &k)
+		tally[fmt.Sprintf("entry-%d %d", n%len(fleet), got)]++
 		switch runs := server.runs[id]; {
 		case runs > 1:
 			t.Errorf("order %s ran %d times", id, runs)
@@ -310,6 +281,6 @@
 			served++
 		}
 	}
-	t.Logf("%d of %d orders served", served, len(status))
+	t.Logf("%d of %d orders served; by instance and status: %v", served, len(status), tally)
 	g.Expect(served).To(gomega.BeNumerically(">", len(status)/2))
 }
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -27,7 +27,7 @@
 // or lost, and tells the other instances whether they are.
 func (d *Daemon) watchLinks(ctx context.Context) error {
 	lost, silent := false, false
-	var probed time.Time
+	var probed, lostSince time.Time
 	for sleep(ctx, linksInterval) {
 		now := time.Now()
 		links := d.board.Links(now)
@@ -38,7 +38,10 @@
 		silent = links.Silent
 		if links.Lost != lost {
 			lost = links.Lost
-			d.linksChanged(links, now)
+			if lost {
+				lostSince = links.Since
+			}
+			d.linksChanged(links, now.Sub(lostSince), now)
 		}
 		if (links.Lost || links.Suspect) && now.Sub(probed) >= probeInterval {
 			probed = now
@@ -48,14 +51,20 @@
 	return nil
 }
 
-func (d *Daemon) linksChanged(links readings.Links, now time.Time) {
+// linksChanged tells the other instances and the log that the links are lost or back. lost is
+// the time since when they were.
+func (d *Daemon) linksChanged(links readings.Links, lost time.Duration, now time.Time) {
 	d.exchange.SetCutOff(links.Lost)
 	if links.Lost {
+		answered := "never"
+		if !links.AnsweredAt.IsZero() {
+			answered = now.Sub(links.AnsweredAt).String()
+		}
 		d.logger.Warn("servers unreachable", "since", links.Since, "unanswered", links.Unanswered, "unconnected", links.Unconnected, "silent", links.Silent,
-			"answered", now.Sub(links.AnsweredAt), "alive", len(d.exchange.Alive("")), "serving", len(d.exchange.Serving("")))
+			"answered", answered, "alive", len(d.exchange.Alive("")), "serving", len(d.exchange.Serving("")))
 		return
 	}
-	d.logger.Info("servers reached again", "after", now.Sub(links.Since))
+	d.logger.Info("servers reached again", "after", lost)
 }
 
 // probeLinks checks some servers drawn at random: one if the links are only suspected and no
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -59,6 +59,8 @@
 	// and Checks the status checks sent.
 	Opened, Reused, Checks atomic.Uint64
 
+	// Dial opens connections. It may be replaced before the first use.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnDial is called with the result of each attempt to open a connection that was not
 	// cancelled. It must be set before the first use, if at all, and must not block.
 	OnDial func(address string, ok bool)
@@ -95,7 +97,10 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{servers: make(map[string]*server)} }
+func NewPool() *Pool {
+	dialer := &net.Dialer{KeepAlive: -1}
+	return &Pool{servers: make(map[string]*server), Dial: dialer.DialContext}
+}
 
 func (p *Pool) serverLocked(address string) *server {
 	s := p.servers[address]
@@ -180,8 +185,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	limited, cancel := context.WithTimeout(ctx, dialTimeout)
+	conn, err := p.Dial(limited, "tcp", address)
+	cancel()
 	if p.OnDial != nil && ctx.Err() == nil {
 		p.OnDial(address, err == nil)
 	}
