--- a/readings/limits.go
+++ b/readings/limits.go
@@ -70,6 +70,8 @@
 	Limit
 	// server is the ID of the server.
 	server string
+	// told is the limit that was last reported as a change.
+	told Limit
 	// at is when the answer arrived from which the limit is known, since when the limit
 	// last changed.
 	at, since        time.Time
@@ -93,11 +95,11 @@
 		return LimitChange{}, false
 	}
 	s.at = at
-	if !s.differs(limit) {
+	if !s.told.differs(limit) {
 		s.Limit = limit
 		return LimitChange{}, false
 	}
-	change := LimitChange{Server: s.server, Limit: limit, Before: s.Limit, At: at, Requests: s.requests, Checks: s.checks}
+	change := LimitChange{Server: s.server, Limit: limit, Before: s.told, At: at, Requests: s.requests, Checks: s.checks}
 	if s.Named {
 		change.Held = at.Sub(s.since)
 	}
@@ -105,7 +107,7 @@
 		*s = limitState{server: s.server, at: at}
 		return change, true
 	}
-	s.Limit, s.since, s.requests, s.checks = limit, at, 0, 0
+	s.Limit, s.told, s.since, s.requests, s.checks = limit, limit, at, 0, 0
 	return change, true
 }
 
--- a/readings/limits_test.go
+++ b/readings/limits_test.go
@@ -165,6 +165,22 @@
 	g.Expect(b.Load("s", now.Add(3*time.Second)).Permitted).To(gomega.BeTrue())
 }
 
+// TestSlowChangeOfALimitIsReported guards against a limit that falls in steps too small to be
+// reported, so that the other instances go on with the first one.
+func TestSlowChangeOfALimitIsReported(t *testing.T) {
+	b := NewBoard()
+	now := time.Now()
+	reported, limit := 0.0, 100.0
+	for range 50 {
+		limit *= 1 - minLimitStep/2
+		now = now.Add(time.Second)
+		if change, changed := b.RecordLimit("s", Limit{Named: true, PerSecond: limit}, false, now); changed {
+			reported = change.Limit.PerSecond
+		}
+		gomega.NewWithT(t).Expect(reported).To(gomega.BeNumerically("<=", limit*(1+2*minLimitStep)))
+	}
+}
+
 func TestLimitedServerIsCheckedLessOften(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := NewBoard()
