--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -45,7 +45,7 @@
 		}
 		if (links.Lost || links.Suspect) && now.Sub(probed) >= probeInterval {
 			probed = now
-			d.probeLinks(ctx, links)
+			d.probeLinks(ctx, links, now)
 		}
 	}
 	return nil
@@ -69,7 +69,7 @@
 
 // probeLinks checks some servers drawn at random: one if the links are only suspected and no
 // check has failed yet.
-func (d *Daemon) probeLinks(ctx context.Context, links readings.Links) {
+func (d *Daemon) probeLinks(ctx context.Context, links readings.Links, now time.Time) {
 	snapshot := d.current.Load()
 	if snapshot == nil {
 		return
@@ -82,13 +82,16 @@
 	var targets []readings.Target
 	for _, i := range rand.Perm(len(all)) {
 		service := snapshot.Service(all[i].Service)
-		if service == nil || service.HealthPath == "" || d.board.CheckInterval(all[i].ID) > 0 {
+		if service == nil || service.HealthPath == "" {
 			continue
 		}
 		if links.Unconnected > 0 && d.pool.Idle(all[i].Address) {
 			// Would not show whether a connection can be opened.
 			continue
 		}
+		if !d.board.TakePermit(all[i].ID, now) {
+			continue
+		}
 		targets = append(targets, readings.Target{
 			Server: all[i].ID, Address: all[i].Address, Born: all[i].Born, Path: service.HealthPath, Connections: d.connLimit(service),
 		})
--- a/readings/limits.go
+++ b/readings/limits.go
@@ -145,10 +145,15 @@
 	return !now.Before(s.next) && s.sent+1 <= max(s.PerSecond*limitBurst.Seconds(), 1)
 }
 
-// take uses a permit.
+// take uses a permit for a request.
 func (s *limitState) take(now time.Time) {
 	s.requests++
 	s.countSent(1, now)
+	s.use()
+}
+
+// use uses a permit.
+func (s *limitState) use() {
 	if s.rate > 0 {
 		s.next = s.next.Add(s.interval())
 	}
@@ -206,6 +211,22 @@
 	return limits
 }
 
+// TakePermit reports whether this instance may send the server something now that is no
+// request of a caller, and counts it if the server names a limit.
+func (b *Board) TakePermit(server string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[KeyOf(server)]
+	if s == nil || !s.limit.Named {
+		return true
+	}
+	if !s.limit.permitted(b.instances(), now) {
+		return false
+	}
+	s.limit.use()
+	return true
+}
+
 // BeganCheck records that this instance sends a status check to the server.
 func (b *Board) BeganCheck(server string, now time.Time) {
 	b.mu.Lock()
--- a/readings/limits_test.go
+++ b/readings/limits_test.go
@@ -181,6 +181,24 @@
 	}
 }
 
+// TestProbesOfLimitedServersTakePermits guards against instances that try their links at
+// servers under a limit as often as at others.
+func TestProbesOfLimitedServersTakePermits(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	b := NewBoard()
+	g.Expect(b.TakePermit("s", now)).To(gomega.BeTrue())
+	const limit, seconds = 2, 1000
+	b.RecordLimit("s", Limit{Named: true, PerSecond: limit}, false, now)
+	taken := 0
+	for range seconds * 100 {
+		if now = now.Add(10 * time.Millisecond); b.TakePermit("s", now) {
+			taken++
+		}
+	}
+	g.Expect(taken).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<=", limit*seconds)))
+}
+
 func TestLimitedServerIsCheckedLessOften(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := NewBoard()
