--- a/internal/entry/delegate_test.go
+++ b/internal/entry/delegate_test.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		_ = c.SetLinger(0)
-		c.Close()
+		_ = c.Close()
 	}
 	l.conns = nil
 }
