--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -47,7 +47,7 @@
 func (c *crashes) ReportLoss(fp [32]byte, server string) { c.judgeLater(fp, server, time.Now()) }
 
 // judgeLater judges a loss after crashDetectionTime, and again each such time as long as
-// no status check of the server has ended since the loss.
+// no status check of the server has ended since the loss, or no server has answered.
 func (c *crashes) judgeLater(fp [32]byte, server string, lostAt time.Time) {
 	time.AfterFunc(crashDetectionTime, func() {
 		now := time.Now()
