table, platform, feed: desired state of the two further customers is decoded

Tables hold workspaces with hashes of their keys, warm-up rates and public routes; the store's reads return the evacuated data centres and the store's clock; settings hold the bounds of warm-up, caps and withdrawn keys; messages of the new parts are defined.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -77,12 +77,24 @@
 	// ServerChanges returns the changes after a version. It fails with
 	// [HistoryError] if the store no longer has them.
 	ServerChanges(ctx context.Context, after uint64) (changes []directory.Change, version uint64, err error)
-	// Table returns the active table, or nil if there is none.
-	Table(ctx context.Context) (doc *table.Document, version uint64, err error)
-	// TableChange waits for a table newer than a version and returns nil if there
-	// is none within the wait. It fails with [HistoryError] if the store no longer
+	// Desired returns the whole desired state.
+	Desired(ctx context.Context) (state Desired, version uint64, err error)
+	// DesiredChange waits for changes of the desired state after a version and returns
+	// them, or none within the wait. It fails with [HistoryError] if the store no longer
 	// has the changes after the version.
-	TableChange(ctx context.Context, after uint64, wait time.Duration) (doc *table.Document, version uint64, err error)
+	DesiredChange(ctx context.Context, after uint64, wait time.Duration) (change Desired, version uint64, err error)
+}
+
+// Desired is the state that operators ask for, or a change of it.
+type Desired struct {
+	// Table is the active table; nil if there is none or it did not change.
+	Table *table.Document
+	// Evacuations says of data centres whether they are to get no requests. If Complete is
+	// set, those that it doesn't name are in use; otherwise nothing changes for them.
+	Evacuations map[string]bool
+	Complete    bool
+	// StoreNow is the time of the store's steady clock at which the state was current.
+	StoreNow time.Duration
 }
 
 // Options configure a [Feed]. All but ReadDelay are required.
@@ -366,14 +378,14 @@
 }
 
 func (f *Feed) readTable(ctx context.Context, after uint64) (uint64, error) {
-	var doc *table.Document
+	var state Desired
 	var version uint64
 	var err error
 	if after == 0 {
-		doc, version, err = f.readActiveTable(ctx)
+		state, version, err = f.readDesired(ctx)
 	} else {
 		limited, cancel := context.WithTimeout(ctx, tablePollTime+callTimeout)
-		doc, version, err = f.opts.Store.TableChange(limited, after, tablePollTime)
+		state, version, err = f.opts.Store.DesiredChange(limited, after, tablePollTime)
 		cancel()
 	}
 	var history *HistoryError
@@ -384,17 +396,17 @@
 		f.opts.Logger.Debug("table unreadable", "error", err)
 		return after, err
 	}
-	if doc != nil {
-		f.activate(*doc, "store")
+	if state.Table != nil {
+		f.activate(*state.Table, "store")
 	}
 	return version, nil
 }
 
-// readActiveTable reads the active table without waiting for a change.
-func (f *Feed) readActiveTable(ctx context.Context) (*table.Document, uint64, error) {
+// readDesired reads the whole desired state without waiting for a change.
+func (f *Feed) readDesired(ctx context.Context) (Desired, uint64, error) {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return f.opts.Store.Table(limited)
+	return f.opts.Store.Desired(limited)
 }
 
 // activate activates the table if it is newer and sends it to the peers if it was
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -147,18 +147,18 @@
 	return changes, a.version, nil
 }
 
-func (a *access) Table(context.Context) (*table.Document, uint64, error) {
+func (a *access) Desired(context.Context) (Desired, uint64, error) {
 	if err := a.countCall(); err != nil {
-		return nil, 0, err
+		return Desired{}, 0, err
 	}
 	a.store.mu.Lock()
 	defer a.store.mu.Unlock()
-	return a.table, a.version, nil
+	return Desired{Table: a.table, Complete: true}, a.version, nil
 }
 
-func (a *access) TableChange(ctx context.Context, after uint64, wait time.Duration) (*table.Document, uint64, error) {
+func (a *access) DesiredChange(ctx context.Context, after uint64, wait time.Duration) (Desired, uint64, error) {
 	if err := a.countCall(); err != nil {
-		return nil, 0, err
+		return Desired{}, 0, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -167,14 +167,14 @@
 		doc, at, version, changed := a.table, a.tableAt, a.version, a.changed
 		a.store.mu.Unlock()
 		if at > after {
-			return doc, version, nil
+			return Desired{Table: doc}, version, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return nil, version, nil
+			return Desired{}, version, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return Desired{}, 0, ctx.Err()
 		}
 	}
 }
--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -14,6 +14,8 @@
 	ID string
 	// Timeout is the timeout of the caller; zero if it sent none.
 	Timeout time.Duration
+	// Key is the key of the caller's workspace; "" if it sent none.
+	Key string
 }
 
 // Response is the information in the headers of a backend server's response.
@@ -45,6 +47,9 @@
 	// Address sets the headers of a request to the given server, which has the
 	// time left to respond.
 	Address(header http.Header, server string, left time.Duration)
+	// Identify removes the caller's key from the header of a request to a backend server
+	// and names the workspace, or none if it is "".
+	Identify(header http.Header, workspace string)
 	// Response reads the headers of a server's response.
 	Response(resp *http.Response) Response
 	// WriteError writes a response that pomelolock generates itself. id is the ID
--- a/internal/entry/daemon_test.go
+++ b/internal/entry/daemon_test.go
@@ -21,6 +21,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/pomelolock/pomelolock/directory"
+	"github.com/pomelolock/pomelolock/feed"
 	"github.com/pomelolock/pomelolock/gossip"
 	"github.com/pomelolock/pomelolock/internal/entry"
 	"github.com/pomelolock/pomelolock/platform"
@@ -47,21 +48,21 @@
 	return nil, 1, nil
 }
 
-func (s *store) Table(context.Context) (*table.Document, uint64, error) {
+func (s *store) Desired(context.Context) (feed.Desired, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table, 1, nil
+	return feed.Desired{Table: s.table, Complete: true}, 1, nil
 }
 
-func (s *store) TableChange(ctx context.Context, after uint64, _ time.Duration) (*table.Document, uint64, error) {
+func (s *store) DesiredChange(ctx context.Context, after uint64, _ time.Duration) (feed.Desired, uint64, error) {
 	select {
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return feed.Desired{}, 0, ctx.Err()
 	case <-time.After(50 * time.Millisecond):
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table, after, nil
+	return feed.Desired{Table: s.table}, after, nil
 }
 
 func (s *store) Remove(context.Context, string) error { return nil }
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/pomelolock/pomelolock/quota"
+	"github.com/pomelolock/pomelolock/readings"
 	"github.com/pomelolock/pomelolock/retrybudget"
 )
 
@@ -28,6 +30,17 @@
 	// ChecksPerSecond bounds the status checks of each backend server by all
 	// instances together; 0 if no limit is known.
 	ChecksPerSecond float64
+	// WarmUp bounds the requests to cold backend servers by all instances together.
+	WarmUp readings.WarmUpLimits
+	// Caps bound how far the fleet may exceed the caps of workspaces; the zero value
+	// enforces none.
+	Caps quota.Limits
+	// RevokeWithin is the time within which no request with a withdrawn key may run any
+	// longer, on any instance; 0 if there is no such limit.
+	RevokeWithin time.Duration
+	// ApplyWithin is the time within which a table is in force on all instances that
+	// reach the store; 0 if unknown.
+	ApplyWithin time.Duration
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
 	// FirstStart is set if the whole fleet starts for the first time.
--- /dev/null
+++ b/quota/quotapb/doc.go
@@ -0,0 +1,2 @@
+// Package quotapb holds the messages by which instances share usage caps.
+package quotapb
--- a/readings/board.go
+++ b/readings/board.go
@@ -91,6 +91,10 @@
 	Quiet time.Duration
 	// Limit is the rate of requests that the server takes from all instances.
 	Limit Limit
+	// WarmthKnown is set if the answer says whether the server is cold, ColdFor is how
+	// long it stays so.
+	WarmthKnown bool
+	ColdFor     time.Duration
 }
 
 // Results counts the attempts at one server by outcome.
--- a/table/document.go
+++ b/table/document.go
@@ -50,6 +50,9 @@
 	Services []Service `json:"services"`
 	Routes   []Route   `json:"routes"`
 	Servers  []Server  `json:"servers"`
+	// Workspaces lists the workspaces whose requests are served; without any, requests
+	// need no key.
+	Workspaces []Workspace `json:"workspaces,omitempty"`
 }
 
 // Fleet holds the limits that apply across all services.
@@ -106,6 +109,11 @@
 	// Connections is the maximum number of connections that each backend server
 	// found by discovery accepts from the fleet; zero means no known limit.
 	Connections int `json:"connections,omitempty" range:"0,100000"`
+	// WarmUpMS is how long a backend server found by discovery is cold after its start.
+	// While it is cold, it bears WarmUpPerSecond requests a second from the fleet; zero
+	// means no known limit.
+	WarmUpMS        int64   `json:"warm_up_ms,omitempty" range:"0,3600000"`
+	WarmUpPerSecond float64 `json:"warm_up_per_second,omitempty" range:"0,100000"`
 	// ObjectivePercent is the percentage of requests that must get a complete
 	// response within ObjectiveLatencyMS.
 	ObjectivePercent   float64 `json:"objective_percent" range:"1,99.999"`
@@ -142,6 +150,8 @@
 	// their weights, for example "orders=90 orders-next=10"; "" sends all
 	// requests to Service.
 	Split string `json:"split,omitempty" format:"split"`
+	// Public serves requests without a key, in a table with workspaces.
+	Public bool `json:"public,omitempty"`
 }
 
 // Server is one row of the servers sheet: a backend server of a service.
--- a/table/snapshot.go
+++ b/table/snapshot.go
@@ -20,6 +20,8 @@
 	routes map[string][]Route
 	// splits holds the parsed Split columns, keyed by their text.
 	splits map[string][]Share
+	// workspaces holds the workspaces by the hashes of their keys.
+	workspaces map[KeyHash]*Workspace
 }
 
 // Compile builds a snapshot from a valid document.
@@ -31,6 +33,13 @@
 		byName:   make(map[string]Server, len(doc.Servers)),
 		routes:   make(map[string][]Route),
 		splits:   make(map[string][]Share),
+
+		workspaces: make(map[KeyHash]*Workspace),
+	}
+	for i := range doc.Workspaces {
+		for _, hash := range doc.Workspaces[i].KeyHashes {
+			s.workspaces[hash] = &doc.Workspaces[i]
+		}
 	}
 	for i := range doc.Services {
 		s.services[doc.Services[i].Name] = &doc.Services[i]
@@ -82,6 +91,13 @@
 // be modified.
 func (s *Snapshot) Service(name string) *Service { return s.services[name] }
 
+// HasWorkspaces reports whether requests need the key of a workspace.
+func (s *Snapshot) HasWorkspaces() bool { return len(s.doc.Workspaces) > 0 }
+
+// Workspace returns the workspace of the key with the given hash, or nil. The result must not
+// be modified.
+func (s *Snapshot) Workspace(key KeyHash) *Workspace { return s.workspaces[key] }
+
 // Servers returns the backend servers of a service. The result must not be
 // modified.
 func (s *Snapshot) Servers(service string) []Server { return s.servers[service] }
