readings: permits are a type of their own

The limits of servers and the rate of cold servers need the same permits at random times. They leave limitState unchanged in behaviour; the rates and the lapse time become parameters. A second copy for cold servers was ruled out.

--- a/readings/board.go
+++ b/readings/board.go
@@ -311,7 +311,7 @@
 	s.good += float64(r.Good)
 	s.failed += float64(r.Failed)
 	if s.limit.Named {
-		s.limit.countSent(r.Good+r.Failed, now)
+		s.limit.countSent(r.Good+r.Failed, s.limit.PerSecond, now)
 	}
 }
 
--- a/readings/limits.go
+++ b/readings/limits.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"math/rand/v2"
 	"time"
 )
 
@@ -61,13 +60,9 @@
 }
 
 // limitState is what this instance knows of the limit of one server, and its share of it.
-//
-// Nothing is agreed on among the instances. Each gets permits at random times, as many a
-// second as its share of the limit; all together form a Poisson process whose rate stays
-// below the limit, whichever instances are late, cut off or frozen. What the others are
-// known to have sent holds permits back, which cuts off the bursts that chance would bring.
 type limitState struct {
 	Limit
+	permits
 	// server is the ID of the server.
 	server string
 	// told is the limit that was last reported as a change.
@@ -79,14 +74,6 @@
 	// fromCheck is set if a status check named a limit. Otherwise, a check without a
 	// limit doesn't show that there is none.
 	fromCheck bool
-	// sent is the number of requests of all instances in excess of the limit, as of
-	// sentAt.
-	sent   float64
-	sentAt time.Time
-	// rate is the number of permits of this instance a second, next the time of its next
-	// permit.
-	rate float64
-	next time.Time
 }
 
 // record records the limit that an answer named. It returns the change, if there is one.
@@ -111,60 +98,19 @@
 	return change, true
 }
 
-// countSent records that instances sent requests to the server.
-func (s *limitState) countSent(n int, now time.Time) {
-	s.leak(now)
-	s.sent += float64(n)
-}
-
-// leak subtracts the requests that the limit has allowed since the last call.
-func (s *limitState) leak(now time.Time) {
-	if elapsed := now.Sub(s.sentAt); elapsed > 0 {
-		s.sent = max(s.sent-s.PerSecond*elapsed.Seconds(), 0)
-		s.sentAt = now
-	}
-}
-
 // permitted reports whether this instance, one of the given number, may send a request now to
 // the server, which names a limit.
 func (s *limitState) permitted(instances int, now time.Time) bool {
-	rate := requestShare * s.PerSecond / float64(max(instances, 1))
-	if rate <= 0 {
-		return false
-	}
-	// The time until the next permit does not depend on how long the last one is ago, so
-	// it can be drawn anew at any time.
-	if rate != s.rate {
-		s.rate = rate
-		s.next = now.Add(s.interval())
-	}
-	if now.Sub(s.next) > permitTTL {
-		s.next = now.Add(s.interval() - permitTTL)
-	}
-	s.leak(now)
-	return !now.Before(s.next) && s.sent+1 <= max(s.PerSecond*limitBurst.Seconds(), 1)
+	return s.available(permitRule{allowed: s.PerSecond, issued: requestShare * s.PerSecond, ttl: permitTTL}, instances, now)
 }
 
 // take uses a permit for a request.
 func (s *limitState) take(now time.Time) {
 	s.requests++
-	s.countSent(1, now)
+	s.countSent(1, s.PerSecond, now)
 	s.use()
 }
 
-// use uses a permit.
-func (s *limitState) use() {
-	if s.rate > 0 {
-		s.next = s.next.Add(s.interval())
-	}
-}
-
-// interval draws the time between two permits.
-func (s *limitState) interval() time.Duration {
-	seconds := rand.ExpFloat64() / s.rate
-	return time.Duration(min(seconds*float64(time.Second), math.MaxInt64/4))
-}
-
 // ShareLimits sets the number of instances among which the limits of servers are shared.
 func (b *Board) ShareLimits(instances func() int) {
 	b.mu.Lock()
@@ -233,7 +179,7 @@
 	defer b.mu.Unlock()
 	if s := b.servers[KeyOf(server)]; s != nil && s.limit.Named {
 		s.limit.checks++
-		s.limit.countSent(1, now)
+		s.limit.countSent(1, s.limit.PerSecond, now)
 		b.limitedChecks++
 	}
 }
