readings: the board knows which servers are cold

A cold server crashes above a rate, and no instance kept who is cold. The board now has the warm-up of each server, by entry, status check, datagram, missing answer or the return of its data centre, and gives permits at the rate of the warm-up. Knowledge is dated by the start of the status check, so that one under way when a server fails does not end the suspicion. Counting requests of other instances alone was ruled out: it fails for instances that don't hear each other. A status check that finds all connections in use is no missing answer where there is a warm-up.

--- a/readings/board.go
+++ b/readings/board.go
@@ -72,6 +72,8 @@
 	// HealthAt is when that check ended.
 	Health   Health
 	HealthAt time.Time
+	// Warm reports whether that check said that the server is warm.
+	Warm bool
 }
 
 // newest returns the time of the newer of the report and the check.
@@ -95,6 +97,9 @@
 	// long it stays so.
 	WarmthKnown bool
 	ColdFor     time.Duration
+	// Began is when the status check was sent that the server answers. The receiver of the
+	// answer sets it.
+	Began time.Time
 }
 
 // Results counts the attempts at one server by outcome.
@@ -122,12 +127,20 @@
 	FailureRate float64
 	// QuietUntil is the time until which the server wants nothing from this instance.
 	QuietUntil time.Time
-	// Limit is the rate of requests that the server takes from all instances. Permitted
-	// reports whether it leaves room for a request of this instance now.
+	// Limit is the rate of requests that the server takes from all instances, and Cold
+	// reports whether the server is cold and takes requests at the rate of its warm-up.
+	// Permitted reports whether these leave room for a request of this instance now, and
+	// ColdRate is the number of requests a second that this instance may send to a cold one.
 	Limit     Limit
+	Cold      bool
+	ColdRate  float64
 	Permitted bool
 }
 
+// Limited reports whether the server gets only the requests for which this instance has
+// permits of its own.
+func (l Load) Limited() bool { return l.Limit.Named || l.Cold }
+
 // Quiet reports whether the server wants nothing from this instance at the given time.
 func (l Load) Quiet(now time.Time) bool { return now.Before(l.QuietUntil) }
 
@@ -159,6 +172,7 @@
 	ownInFlight int
 	quietUntil  time.Time
 	limit       limitState
+	warmth      warmth
 	events      []event
 	good        float64
 	failed      float64
@@ -182,6 +196,8 @@
 	links     links
 	// limitedRequests and limitedChecks count what was sent to servers that named a limit.
 	limitedRequests, limitedChecks uint64
+	// coldRequests counts the requests sent to cold servers.
+	coldRequests uint64
 }
 
 // NewBoard returns an empty board.
@@ -228,7 +244,8 @@
 		s.reading.Report, s.reading.HasReport, s.reading.At = r.Report, true, r.At
 	}
 	if newHealth {
-		s.reading.Health, s.reading.HealthAt = r.Health, r.HealthAt
+		s.reading.Health, s.reading.HealthAt, s.reading.Warm = r.Health, r.HealthAt, r.Warm
+		s.warmth.observe(r, own)
 	}
 	switch {
 	case own && r.Health == HealthUnreachable:
@@ -278,6 +295,10 @@
 		s.limit.take(now)
 		b.limitedRequests++
 	}
+	if delta > 0 && s.warmth.cold(now) {
+		s.warmth.take(now)
+		b.coldRequests++
+	}
 	if len(s.events) == maxEvents {
 		s.events = append(s.events[:0], s.events[1:]...)
 	}
@@ -313,6 +334,9 @@
 	if s.limit.Named {
 		s.limit.countSent(r.Good+r.Failed, s.limit.PerSecond, now)
 	}
+	if s.warmth.cold(now) {
+		s.warmth.countSent(r.Good+r.Failed, s.warmth.rule.PerSecond, now)
+	}
 }
 
 func (s *state) decay(now time.Time) {
@@ -329,7 +353,11 @@
 func (b *Board) Load(server string, now time.Time) Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.servers[KeyOf(server)]
+	return b.loadLocked(KeyOf(server), now)
+}
+
+func (b *Board) loadLocked(server ServerKey, now time.Time) Load {
+	s := b.servers[server]
 	if s == nil {
 		return Load{Permitted: true}
 	}
@@ -344,8 +372,14 @@
 		QuietUntil:  s.quietUntil,
 		Limit:       s.limit.Limit,
 		Permitted:   !s.limit.Named || s.limit.permitted(b.instances(), now),
+		Cold:        s.warmth.cold(now),
 		FailureRate: s.failed / (s.good + s.failed + failurePrior),
 	}
+	if load.Cold {
+		instances := b.instances()
+		load.ColdRate = s.warmth.issued / float64(max(instances, 1))
+		load.Permitted = load.Permitted && s.warmth.available(instances, now)
+	}
 	for _, e := range s.events {
 		if e.at.After(s.reading.At) {
 			load.UnreportedInFlight += e.delta
@@ -410,8 +444,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for server, s := range b.servers {
-		if s.ownInFlight == 0 && !keep(server) {
+		if s.ownInFlight == 0 && !keep(server) && !s.warmth.assumed {
 			delete(b.servers, server)
 		}
+		s.warmth.assumed = false
 	}
 }
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -177,6 +178,12 @@
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	conn, err := c.opts.Pool.Get(ctx, target.Address, target.Connections)
+	var full *serverconn.FullError
+	if errors.As(err, &full) && c.opts.Board.warmsUp(target.Server) {
+		// The server was not asked, so that it doesn't count as cold.
+		c.postpone(target.Server, time.Now())
+		return
+	}
 	if err != nil {
 		c.opts.Logger.Debug("status check failed", "server", target.Server, "error", err)
 		c.record(target, timestamped(Reading{Server: KeyOf(target.Server), Health: HealthUnreachable}))
@@ -185,6 +192,14 @@
 	c.record(target, c.checkOn(ctx, conn, target))
 }
 
+// postpone ends a check that was not sent.
+func (c *Checks) postpone(server string, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.running, server)
+	c.next[server] = now.Add(failedInterval)
+}
+
 // record records the result of a check.
 func (c *Checks) record(target Target, reading Reading) {
 	now := time.Now()
@@ -205,7 +220,8 @@
 // checkOn makes one status check on a connection.
 func (c *Checks) checkOn(ctx context.Context, conn *serverconn.Conn, target Target) Reading {
 	reading := Reading{Server: KeyOf(target.Server), Health: HealthUnreachable}
-	c.opts.Board.BeganCheck(target.Server, time.Now())
+	began := time.Now()
+	c.opts.Board.BeganCheck(target.Server, began)
 	resp, err := conn.Check(ctx, target.Path, func(resp *http.Response) bool { return IsCheck(c.opts.Checker, resp) })
 	if err != nil {
 		c.opts.Logger.Debug("status check failed", "server", target.Server, "error", err)
@@ -218,7 +234,11 @@
 		c.opts.OnReplaced(target.Server)
 		return timestamped(reading)
 	}
-	c.opts.OnNotice(target, c.opts.Checker.Notice(resp))
+	c.opts.Board.AnsweredTo(target.Server, began, time.Now())
+	notice := c.opts.Checker.Notice(resp)
+	notice.Began = began
+	c.opts.OnNotice(target, notice)
+	reading.Warm = notice.WarmthKnown && notice.ColdFor == 0 && c.opts.Board.warmsUp(target.Server)
 	reading.Health = HealthBad
 	if resp.StatusCode == http.StatusOK {
 		reading.Health = HealthGood
