gossip: datagrams tell of cold servers

Without it, only the instance that checks a server knows that it is cold. ColdServer entries go in three repeats and to new instances; relays pass each on once, since the repeats come through different relays. Readings say in a spare bit that a check found the server warm, which ends a suspicion that only one instance has; an entry for each such check was ruled out for its bytes.

--- a/gossip/codec.go
+++ b/gossip/codec.go
@@ -50,9 +50,10 @@
 	// slowdownStep is the resolution of a packed slowdown, in percent.
 	slowdownStep = 4
 	// healthMask selects the health in the flags of a packed reading. hasReport is
-	// set if it has a load report.
+	// set if it has a load report, isWarm if the check said that the server is warm.
 	healthMask = 3
 	hasReport  = 4
+	isWarm     = 8
 )
 
 // PackedError reports packed readings or results whose length is not a multiple of the
@@ -71,6 +72,9 @@
 	if r.HasReport {
 		flags |= hasReport
 	}
+	if r.Warm {
+		flags |= isWarm
+	}
 	data = appendKey(data, r.Server)
 	data = append(data, flags, clampByte(r.Running), clampByte(r.Waiting), clampByte(r.Slots),
 		clampByte((r.SlowdownPercent+slowdownStep/2)/slowdownStep))
@@ -95,6 +99,7 @@
 		}
 		if r.Health != readings.HealthUnknown {
 			r.HealthAt = unpackAge(now, fields[7:])
+			r.Warm = fields[0]&isWarm != 0
 		}
 		yield(r)
 	}
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -379,6 +379,16 @@
 	e.TriggerSend()
 }
 
+// ShareCold tells all instances of the warm-up of a backend server.
+func (e *Exchange) ShareCold(hint readings.ColdHint) {
+	e.sending.Lock()
+	for _, pending := range []*pendingUpdates{e.localUpdates, e.remoteUpdates} {
+		pending.addCold(hint, noticeRepeats)
+	}
+	e.sending.Unlock()
+	e.TriggerSend()
+}
+
 // Flush sends the local freshness and pending updates immediately.
 func (e *Exchange) Flush() { e.sendUpdates(time.Now(), 0) }
 
@@ -559,6 +569,9 @@
 	for _, l := range e.opts.Board.Limits() {
 		recent.addLimit(l.Server, l.Limit, l.At)
 	}
+	for _, hint := range e.opts.Board.ColdServers(now) {
+		recent.addCold(hint, noticeRepeats)
+	}
 	for !recent.empty() {
 		msg := e.newDatagram()
 		msg.Scope = gossippb.Scope_SCOPE_FLEET
@@ -637,6 +650,9 @@
 			e.opts.OnLimit(id, change)
 		}
 	}
+	for _, encoded := range msg.GetCold() {
+		e.opts.Board.ReceiveCold(decodeCold(encoded, now))
+	}
 	if message := msg.GetMessage(); message != nil && e.handleMessage != nil {
 		e.handleMessage(id, message.GetKind(), message.GetPayload())
 	}
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -227,6 +227,9 @@
 		for _, encoded := range msg.GetLimits() {
 			pending.addLimit(decodeLimit(encoded, now))
 		}
+		for _, encoded := range msg.GetCold() {
+			pending.addCold(decodeCold(encoded, now), relayedColdRepeats)
+		}
 	}
 }
 
--- a/gossip/updates.go
+++ b/gossip/updates.go
@@ -21,6 +21,8 @@
 	departures map[string]departure
 	// limits holds the newest limits that backend servers named.
 	limits map[string]pendingLimit
+	// cold holds what is newest of the warm-ups of backend servers.
+	cold map[string]pendingCold
 	// sent is when the last datagram was sent, contentSent when the last one with
 	// readings and results was.
 	sent, contentSent time.Time
@@ -41,18 +43,31 @@
 	repeats int
 }
 
+// pendingCold is what a status check said of the warm-up of a backend server.
+type pendingCold struct {
+	readings.ColdHint
+	// repeats is the number of datagrams that still have to carry it.
+	repeats int
+}
+
 const (
-	// noticeRepeats is the number of datagrams that carry a departure or a limit, since
-	// datagrams get lost.
+	// noticeRepeats is the number of datagrams that carry a departure, a limit or a
+	// warm-up, since datagrams get lost.
 	noticeRepeats = 3
-	// maxLimits bounds the limits in one datagram.
+	// relayedColdRepeats is the number of datagrams in which a relay passes on a warm-up:
+	// each repeat of the sender comes through another relay. With three again, the return
+	// of a data centre would cost nine times the bytes.
+	relayedColdRepeats = 1
+	// maxLimits and maxCold bound the limits and the warm-ups in one datagram.
 	maxLimits = 100
+	maxCold   = 100
 )
 
 func newPendingUpdates() *pendingUpdates {
 	return &pendingUpdates{
 		readings: make(map[readings.ServerKey]readings.Reading), results: make(map[readings.ServerKey]readings.Results),
 		departures: make(map[string]departure), limits: make(map[string]pendingLimit),
+		cold: make(map[string]pendingCold),
 	}
 }
 
@@ -69,6 +84,14 @@
 	p.limits[server] = pendingLimit{limit: limit, at: at, repeats: noticeRepeats}
 }
 
+// addCold adds what a status check said of the warm-up of a backend server.
+func (p *pendingUpdates) addCold(hint readings.ColdHint, repeats int) {
+	if pending, ok := p.cold[hint.Server]; ok && !hint.At.After(pending.At) {
+		return
+	}
+	p.cold[hint.Server] = pendingCold{ColdHint: hint, repeats: repeats}
+}
+
 // add merges new readings and results into the pending ones.
 func (p *pendingUpdates) add(observed []readings.Reading, results []readings.Results) {
 	for _, r := range observed {
@@ -91,7 +114,7 @@
 		pending.Report, pending.HasReport, pending.At = r.Report, true, r.At
 	}
 	if r.HealthAt.After(pending.HealthAt) {
-		pending.Health, pending.HealthAt = r.Health, r.HealthAt
+		pending.Health, pending.HealthAt, pending.Warm = r.Health, r.HealthAt, r.Warm
 	}
 	p.readings[r.Server] = pending
 }
@@ -114,10 +137,11 @@
 	clear(p.results)
 	clear(p.departures)
 	clear(p.limits)
+	clear(p.cold)
 }
 
 func (p *pendingUpdates) empty() bool {
-	return len(p.readings) == 0 && len(p.results) == 0 && len(p.departures) == 0 && len(p.limits) == 0
+	return len(p.readings) == 0 && len(p.results) == 0 && len(p.departures) == 0 && len(p.limits) == 0 && len(p.cold) == 0
 }
 
 // take moves pending updates into a datagram, as many as fit.
@@ -155,6 +179,17 @@
 			p.limits[server] = pending
 		}
 	}
+	for server, pending := range p.cold {
+		if len(msg.Cold) == maxCold {
+			break
+		}
+		msg.Cold = append(msg.Cold, encodeCold(pending.ColdHint, now))
+		if pending.repeats--; pending.repeats == 0 {
+			delete(p.cold, server)
+		} else {
+			p.cold[server] = pending
+		}
+	}
 	p.sent, p.contentSent = now, now
 }
 
@@ -173,6 +208,25 @@
 	return encoded.GetServer(), limit, now.Add(-time.Duration(encoded.GetAgeMs()) * time.Millisecond)
 }
 
+// encodeCold rounds the age up, so that what is said never becomes newer than it is, and the
+// remaining time by as much, so that the warm-up doesn't end earlier.
+func encodeCold(hint readings.ColdHint, now time.Time) *gossippb.ColdServer {
+	encoded := &gossippb.ColdServer{Server: hint.Server, AgeMs: milliseconds(now.Sub(hint.At) + time.Millisecond)}
+	if hint.Until.After(hint.At) {
+		encoded.LeftMs = milliseconds(hint.Until.Sub(hint.At) + 2*time.Millisecond)
+	}
+	return encoded
+}
+
+// decodeCold returns what a datagram that arrived at the given time says of a warm-up.
+func decodeCold(encoded *gossippb.ColdServer, now time.Time) readings.ColdHint {
+	hint := readings.ColdHint{Server: encoded.GetServer(), At: now.Add(-time.Duration(encoded.GetAgeMs()) * time.Millisecond)}
+	if left := encoded.GetLeftMs(); left > 0 {
+		hint.Until = hint.At.Add(time.Duration(left) * time.Millisecond)
+	}
+	return hint
+}
+
 // ownResults subtracts the results of this instance from those that relays return as part
 // of the sum of all instances. It is not safe for concurrent use.
 type ownResults struct {
