forward, placement: cold servers get permits of their own

Requests to a cold server were bounded by nothing but its slots. It is now treated like a server that names a limit, with the slowdown of cold work, and counts in no shared sum. If all servers of a service are cold, the estimate of a wait assumes no more than this instance's share of their rates. Without warmup_per_s nothing changes.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -145,7 +145,8 @@
 	x := a.x
 	ctx, cancel := context.WithTimeout(ctx, idleCheckTimeout)
 	defer cancel()
-	x.f.opts.Board.BeganCheck(a.reservation.server.ID, time.Now())
+	began := time.Now()
+	x.f.opts.Board.BeganCheck(a.reservation.server.ID, began)
 	resp, err := conn.Check(ctx, x.service.HealthPath, func(resp *http.Response) bool {
 		return readings.IsCheck(x.f.opts.Protocol, resp)
 	})
@@ -154,7 +155,14 @@
 		return
 	}
 	a.recordLoad(x.f.opts.Protocol.Report(resp.Header))
-	x.f.opts.OnNotice(a.reservation.server, x.f.opts.Protocol.Notice(resp), true)
+	notice := x.f.opts.Protocol.Notice(resp)
+	notice.Began = began
+	if x.f.opts.Protocol.ServerID(resp.Header) == a.reservation.server.ID {
+		x.f.opts.Board.AnsweredTo(a.reservation.server.ID, began, time.Now())
+	} else {
+		notice.WarmthKnown = false
+	}
+	x.f.opts.OnNotice(a.reservation.server, notice, true)
 }
 
 // connectFailed records that the server can't be reached, and reports whether that is so. It
@@ -166,7 +174,9 @@
 	if ctx.Err() != nil || errors.As(err, &full) || errors.As(err, &quiet) {
 		return false
 	}
-	a.x.f.opts.Board.Unanswered(a.reservation.server.ID, time.Now())
+	now := time.Now()
+	a.x.f.opts.Board.Unanswered(a.reservation.server.ID, now)
+	a.x.f.opts.Board.SuspectCold(a.reservation.server.ID, now)
 	return true
 }
 
@@ -205,16 +215,26 @@
 		// The server may have dropped its connections without a reset.
 		a.x.f.opts.Pool.Invalidate(a.reservation.server.Address)
 	}
-	a.x.f.opts.Board.Unanswered(a.reservation.server.ID, time.Now())
+	now := time.Now()
+	a.x.f.opts.Board.Unanswered(a.reservation.server.ID, now)
+	silentSince := now
+	if ctx.Err() != nil {
+		// A status check that the server has answered since the request was sent shows what
+		// it is now.
+		silentSince = a.reservation.reservedAt
+	}
+	a.x.f.opts.Board.SuspectCold(a.reservation.server.ID, silentSince)
 	return r
 }
 
 // classify reads a response and decides whether it can be passed on.
 func (a *attempt) classify(ctx context.Context, resp *http.Response) result {
 	info := a.x.f.opts.Protocol.Response(resp)
-	a.x.f.opts.Board.Answered(time.Now())
+	now := time.Now()
+	a.x.f.opts.Board.Answered(now)
 	a.recordLoad(info.Report)
 	if !info.Misdirected {
+		a.x.f.opts.Board.AnsweredTo(a.reservation.server.ID, a.reservation.reservedAt, now)
 		a.x.f.opts.OnNotice(a.reservation.server, info.Notice, false)
 	}
 	r := result{server: a.reservation.server}
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -6,6 +6,8 @@
 
 	"github.com/pomelolock/pomelolock/directory"
 	"github.com/pomelolock/pomelolock/placement"
+	"github.com/pomelolock/pomelolock/readings"
+	"github.com/pomelolock/pomelolock/table"
 )
 
 // candidateSet holds servers with their assessments at one moment, in the same
@@ -18,20 +20,45 @@
 // assess rates the servers by their present state.
 func (q *queue) assess(servers []directory.Server, now time.Time) candidateSet {
 	inputs := make([]placement.Candidate, len(servers))
+	warmUp := q.warmUp()
 	for i, server := range servers {
-		inputs[i] = q.candidate(server, now)
+		inputs[i] = q.candidate(server, warmUp, now)
 	}
 	return candidateSet{servers: servers, assessed: placement.Assess(inputs)}
 }
 
-func (q *queue) candidate(server directory.Server, now time.Time) placement.Candidate {
+// warmUp returns the warm-up of the service's servers; the zero value if the table has none.
+func (q *queue) warmUp() readings.WarmUp {
+	snapshot := q.f.opts.Current.Load()
+	if snapshot == nil {
+		return readings.WarmUp{}
+	}
+	return WarmUp(snapshot.Service(q.service), q.f.opts.WarmUp())
+}
+
+// WarmUp returns the warm-up of the servers of a service, which may be nil.
+func WarmUp(service *table.Service, limits readings.WarmUpLimits) readings.WarmUp {
+	if service == nil || service.WarmUpPerSecond <= 0 {
+		return readings.WarmUp{}
+	}
+	return readings.WarmUp{
+		PerSecond: service.WarmUpPerSecond, For: time.Duration(service.WarmUpMS) * time.Millisecond, Limits: limits,
+	}
+}
+
+func (q *queue) candidate(server directory.Server, warmUp readings.WarmUp, now time.Time) placement.Candidate {
 	opts := q.f.opts
-	load := opts.Board.Load(server.ID, now)
+	warmUp.Born, warmUp.Until = server.Born, server.WarmUntil
+	load := opts.Board.LoadWarming(server.ID, warmUp, now)
+	cold := load.Cold
+	if warmUp.PerSecond <= 0 {
+		cold = now.Before(server.WarmUntil)
+	}
 	return placement.Candidate{
 		Load:   load,
 		Slots:  server.Slots,
 		Remote: server.DataCentre != opts.DataCentre,
-		Cold:   now.Before(server.WarmUntil),
+		Cold:   cold,
 		Quiet:  load.Quiet(now) || !load.Permitted,
 
 		Unconnected: !opts.Pool.Idle(server.Address),
@@ -42,7 +69,7 @@
 func (q *queue) reassess(c candidateSet, server directory.Server, now time.Time) {
 	for i := range c.servers {
 		if c.servers[i].ID == server.ID {
-			c.assessed[i] = placement.Assess([]placement.Candidate{q.candidate(server, now)})[0]
+			c.assessed[i] = placement.Assess([]placement.Candidate{q.candidate(server, q.warmUp(), now)})[0]
 			return
 		}
 	}
@@ -57,8 +84,8 @@
 	return c.filter(func(i int) bool { return !slices.Contains(tried, c.servers[i].ID) })
 }
 
-// limited returns the servers with room under the limit that they name: this instance's own
-// part, which it need not share.
+// limited returns the servers with room under the limit that they name or the rate of their
+// warm-up: this instance's own part, which it need not share.
 func (c candidateSet) limited() candidateSet {
 	return c.filter(func(i int) bool { return c.assessed[i].Limited && c.assessed[i].SpareCapacity > 0 })
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -50,6 +50,8 @@
 	// CheckRate returns the number of checks by Refresh that each server may get in a
 	// second from all instances together; 0 if there is no limit.
 	CheckRate func() float64
+	// WarmUp returns the bounds of the requests to cold servers.
+	WarmUp func() readings.WarmUpLimits
 	// OnNotice is called with what each answer of a server says about requests to come;
 	// fromCheck is set if it answered a status check. OnNotice must not block.
 	OnNotice func(server directory.Server, notice readings.Notice, fromCheck bool)
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -113,6 +113,9 @@
 	if l.Limit.Named {
 		limit = " limit=" + l.Limit.String()
 	}
+	if l.Cold {
+		limit += " cold"
+	}
 	return fmt.Sprintf("%s(running=%d waiting=%d unseen=%d slowness=%d age=%s failures=%.2f%s)",
 		r.server.ID, l.Running, l.Waiting, l.UnreportedInFlight, l.SlowdownPercent, l.Age.Round(time.Millisecond), l.FailureRate, limit)
 }
@@ -319,6 +322,7 @@
 			ahead++
 		}
 	}
+	rate = min(rate, q.coldRate(now))
 	wait := admission.EstimateWait(max(ahead-minQueue, 0), rate)
 	if !q.open {
 		wait = 0
@@ -355,11 +359,30 @@
 	return earliest
 }
 
+// coldRate returns the number of requests a second that this instance may send if all servers
+// of the service are cold. Otherwise, that is not bounded.
+func (q *queue) coldRate(now time.Time) float64 {
+	rate := 0.0
+	for _, s := range q.servers() {
+		load := q.f.opts.Board.Load(s.ID, now)
+		if !load.Cold {
+			return math.Inf(1)
+		}
+		rate += load.ColdRate
+	}
+	return rate
+}
+
 // openLocked starts sending. The send rate is not yet measured; it is initialised
 // with this instance's equal share of the servers' throughput.
 func (q *queue) openLocked(now time.Time) {
 	q.open = true
-	for _, a := range q.assess(q.servers(), now).assessed {
+	candidates := q.assess(q.servers(), now)
+	for i, a := range candidates.assessed {
+		if load := q.f.opts.Board.Load(candidates.servers[i].ID, now); load.Cold {
+			q.rate += load.ColdRate
+			continue
+		}
 		q.rate += float64(a.SpareCapacity) / (a.Time * q.serviceTime.Seconds()) / float64(max(q.f.opts.Instances(), 1))
 	}
 }
@@ -442,7 +465,7 @@
 			return false
 		}
 		q.reassess(candidates, r.server, now)
-		if !r.load.Limit.Named {
+		if !r.load.Limited() {
 			*allowed--
 		}
 		w.granted <- grant{reservation: r}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -23,7 +23,7 @@
 	// and nearlyFullFactor the factor. Source: load curves of the users' servers.
 	nearlyFullShare  = 0.8
 	nearlyFullFactor = 1.7
-	// coldFactor is the slowdown factor of a server that has just started.
+	// coldFactor is the slowdown factor of a server that is warming up.
 	coldFactor = 2.0
 	// remotePenalty covers the latency and the price of crossing data centres. It
 	// is far below the slowdown under interference, so that a request prefers a
@@ -58,10 +58,10 @@
 	Remote bool
 	// Unconnected is set if a connection would have to be opened.
 	Unconnected bool
-	// Cold is set if the server has just started.
+	// Cold is set if the server is warming up.
 	Cold bool
-	// Quiet is set if the server wants nothing from this instance now, or its limit leaves
-	// no room.
+	// Quiet is set if the server wants nothing from this instance now, or its limit or the
+	// rate of its warm-up leaves no room.
 	Quiet bool
 }
 
@@ -75,8 +75,8 @@
 	// SpareCapacity is the number of requests that it accepts without slowing
 	// down.
 	SpareCapacity int
-	// Limited is set if the server names a limit of requests. Its spare capacity is this
-	// instance's own part and not shared with others.
+	// Limited is set if the server names a limit of requests or is cold. Its spare capacity
+	// is this instance's own part and not shared with others.
 	Limited bool
 	// Healthy is false if most recent attempts there failed. Status checks count
 	// in Cost instead.
@@ -92,7 +92,7 @@
 			time *= coldFactor
 		}
 		assessed[i] = Assessment{
-			Time: time, Cost: time * c.penalty(), SpareCapacity: c.spareCapacity(), Limited: c.Load.Limit.Named, Healthy: c.Load.FailureRate < unhealthyFailureRate,
+			Time: time, Cost: time * c.penalty(), SpareCapacity: c.spareCapacity(), Limited: c.Load.Limited(), Healthy: c.Load.FailureRate < unhealthyFailureRate,
 		}
 	}
 	return assessed
@@ -100,7 +100,7 @@
 
 // SpareCapacity returns how many requests can run without slowdown on the servers
 // whose expected time is at most maxTime. Unhealthy servers count only if none is
-// healthy, and those with a limit not at all.
+// healthy, and limited ones not at all.
 func SpareCapacity(assessed []Assessment, maxTime float64) int {
 	capacity := 0
 	healthy := anyHealthy(assessed)
@@ -181,7 +181,7 @@
 	}
 	limit := max(int(nearlyFullShare*float64(c.slots())), 1)
 	spare := max(limit-c.inFlight(), 0)
-	if c.Load.Limit.Named {
+	if c.Load.Limited() {
 		// One permit at a time.
 		return min(spare, 1)
 	}
