--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -144,6 +144,9 @@
 	// joined is set once the instance has read in the store which others there are.
 	joined    atomic.Bool
 	startedAt time.Time
+	// coldServers is the number of cold servers, coldTurns how often any turned cold or warm.
+	coldServers atomic.Int64
+	coldTurns   atomic.Uint64
 }
 
 // New assembles an instance and opens its listeners. It fails with [SettingError] if
@@ -247,6 +250,7 @@
 		ViewReady: d.viewReady, LoadsReady: d.loadsReady,
 		Refresh:   d.checks.Refresh,
 		CheckRate: func() float64 { return d.settings.Load().ChecksPerSecond * demandShare },
+		WarmUp:    func() readings.WarmUpLimits { return d.settings.Load().WarmUp },
 		OnNotice: func(server directory.Server, notice readings.Notice, fromCheck bool) {
 			d.recordNotice(server.ID, server.Born, notice, fromCheck)
 		},
@@ -254,7 +258,8 @@
 }
 
 // recordNotice takes a server out of use that says that it leaves, at all instances, or that
-// wants quiet, at this one, and records the limit that it names, at all instances.
+// wants quiet, at this one, and records the limit that it names and its warm-up, at all
+// instances.
 func (d *Daemon) recordNotice(server string, born int64, notice readings.Notice, fromCheck bool) {
 	if change, changed := d.board.RecordLimit(server, notice.Limit, fromCheck, time.Now()); changed {
 		source := "answer"
@@ -264,6 +269,11 @@
 		d.logLimit(change, source)
 		d.exchange.ShareLimit(change.Server, change.Limit, change.At)
 	}
+	if fromCheck {
+		if hint, changed := d.board.RecordWarmth(server, notice, time.Now()); changed {
+			d.exchange.ShareCold(hint)
+		}
+	}
 	if notice.Quiet > 0 {
 		d.board.KeepQuiet(server, time.Now().Add(notice.Quiet))
 		d.logger.Info("server wants quiet", "server", server, "for", notice.Quiet)
@@ -408,6 +418,7 @@
 		{"forward", d.forwarder.Run},
 		{"quarantine", d.crashes.Run},
 		{"links", d.watchLinks},
+		{"cold servers", d.watchColdServers},
 		{"sweep", d.sweep},
 		{"settings", d.followSettings},
 	}
