--- a/readings/limits_test.go
+++ b/readings/limits_test.go
@@ -8,14 +8,17 @@
 	"github.com/onsi/gomega"
 )
 
-// fleet plays instances that send to one limited server whenever they may.
+// fleet plays instances that send to one limited or cold server whenever they may.
 type fleet struct {
 	boards []*Board
 	now    time.Time
 	// known is the number of instances that a new board knows of.
 	known int
-	// limit is the number of requests a second that the server takes.
-	limit float64
+	// teach tells a new process of the limit or the warm-up of the server.
+	teach func(b *Board)
+	// bound is the number of requests that the server may get in any span.
+	bound int
+	span  time.Duration
 	sent  []time.Time
 	// reports are the results on their way to the other instances.
 	reports []report
@@ -33,18 +36,22 @@
 )
 
 func newFleet(instances int, limit float64) *fleet {
-	f := &fleet{boards: make([]*Board, instances), now: time.Now(), known: instances, limit: limit}
+	f := &fleet{boards: make([]*Board, instances), now: time.Now(), known: instances, span: limitSpan}
+	f.bound = int(1.5*limit*limitSpan.Seconds() + 5)
+	f.teach = func(b *Board) {
+		b.RecordLimit(limitedName, Limit{Named: true, PerSecond: limit}, false, f.now)
+	}
 	for i := range f.boards {
 		f.restart(i)
 	}
 	return f
 }
 
-// restart replaces an instance by a new process that an answer tells of the limit.
+// restart replaces an instance by a new process.
 func (f *fleet) restart(i int) {
 	f.boards[i] = NewBoard()
 	f.boards[i].ShareLimits(func() int { return f.known })
-	f.boards[i].RecordLimit(limitedName, Limit{Named: true, PerSecond: f.limit}, false, f.now)
+	f.teach(f.boards[i])
 }
 
 // play lets the instances for which busy returns true send for some time. The others learn of
@@ -71,14 +78,11 @@
 	}
 }
 
-// allowed returns the number of requests that the server may get in limitSpan.
-func (f *fleet) allowed() int { return int(1.5*f.limit*limitSpan.Seconds() + 5) }
-
-// most returns the largest number of requests in any limitSpan.
+// most returns the largest number of requests in any span.
 func (f *fleet) most() int {
 	most, from := 0, 0
 	for i := range f.sent {
-		for f.sent[i].Sub(f.sent[from]) > limitSpan {
+		for f.sent[i].Sub(f.sent[from]) > f.span {
 			from++
 		}
 		most = max(most, i-from+1)
@@ -113,7 +117,7 @@
 			t.Run(fmt.Sprintf("%s/%d", name, instances), func(t *testing.T) {
 				f := newFleet(instances, 3)
 				play(f)
-				gomega.NewWithT(t).Expect(f.most()).To(gomega.BeNumerically("<=", f.allowed()))
+				gomega.NewWithT(t).Expect(f.most()).To(gomega.BeNumerically("<=", f.bound))
 			})
 		}
 	}
@@ -125,16 +129,17 @@
 	for _, instances := range []int{2, 18, 472} {
 		f := newFleet(instances, 30)
 		f.play(20*time.Second, -1, all)
-		gomega.NewWithT(t).Expect(f.most()).To(gomega.BeNumerically("<=", f.allowed()))
+		gomega.NewWithT(t).Expect(f.most()).To(gomega.BeNumerically("<=", f.bound))
 	}
 }
 
 // TestLimitIsUsed guards against shares so small that a service whose servers all name limits
 // is hardly served.
 func TestLimitIsUsed(t *testing.T) {
-	f := newFleet(18, 3)
+	const limit = 3
+	f := newFleet(18, limit)
 	f.play(60*time.Second, 300*time.Millisecond, all)
-	gomega.NewWithT(t).Expect(len(f.sent)).To(gomega.BeNumerically(">", int(0.4*60*f.limit)))
+	gomega.NewWithT(t).Expect(len(f.sent)).To(gomega.BeNumerically(">", int(0.4*60*limit)))
 }
 
 func TestUnusedPermitsLapse(t *testing.T) {
