--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -167,6 +167,17 @@
 
 // newMember starts the forwarder of one of several instances.
 func newMember(t *testing.T, instances int, servers ...*server) *fixture {
+	t.Helper()
+	return newMemberOf(t, instances, func(*table.Service) {}, servers...)
+}
+
+// newWarmingMember starts the forwarder of one of several instances for servers with a warm-up.
+func newWarmingMember(t *testing.T, instances int, servers ...*server) *fixture {
+	t.Helper()
+	return newMemberOf(t, instances, func(s *table.Service) { s.WarmUpMS, s.WarmUpPerSecond = 3000, 5.3 }, servers...)
+}
+
+func newMemberOf(t *testing.T, instances int, change func(*table.Service), servers ...*server) *fixture {
 	t.Helper()
 	f := &fixture{
 		instances: instances,
@@ -186,6 +197,7 @@
 	service.Name = "main"
 	service.ObjectiveLatencyMS = 10_000
 	service.HealthPath = "/health"
+	change(&service)
 	current.Swap(table.Compile(table.Document{
 		Version: 1, Services: []table.Service{service},
 		Routes: []table.Route{
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -116,7 +116,7 @@
 
 // TestLargeFleetFormsFromOneSeed starts two large data centres that know one address, and
 // checks that all agree on the relays, know how many they are, learn of backlogs, departures,
-// limits and changes in the other data centre, and send little.
+// limits, cold servers and changes in the other data centre, and send little.
 func TestLargeFleetFormsFromOneSeed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
@@ -142,6 +142,8 @@
 		first.ShareDeparture("s", 7)
 		limit := readings.Limit{Named: true, PerSecond: 2.3}
 		first.ShareLimit("limited", limit, time.Now())
+		warmUp := readings.WarmUp{PerSecond: 5.3, For: time.Minute}
+		first.ShareCold(readings.ColdHint{Server: "cold", At: time.Now(), Until: time.Now().Add(time.Minute)})
 		sent := first.Sent.Load()
 		time.Sleep(2 * time.Second)
 		g.Expect(first.Sent.Load()-sent).To(gomega.BeNumerically("<", 2*time.Second/(45*30*time.Millisecond/20*7/10)+10), "datagrams of an instance that is no relay")
@@ -157,6 +159,7 @@
 				g.Expect(p.view.Freshness().ServersVersion).To(gomega.Equal(uint64(2)))
 				if p != first {
 					g.Expect(p.board.Load("limited", time.Now()).Limit).To(gomega.Equal(limit))
+					g.Expect(p.board.LoadWarming("cold", warmUp, time.Now()).Cold).To(gomega.BeTrue())
 					g.Expect(p.view.departed).To(gomega.BeNumerically(">", 0))
 				}
 			}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -132,3 +132,18 @@
 		g.Expect(Shortlist(assessed, math.Inf(1), 9)).To(gomega.ConsistOf(0, 1, 3))
 	}
 }
+
+// TestColdServerTakesOnePermitAtATime guards against a server that looks idle because it has
+// just returned, and gets the requests of all instances.
+func TestColdServerTakesOnePermitAtATime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	cold := candidate(0, 100)
+	cold.Cold, cold.Load.Cold = true, true
+	assessed := Assess([]Candidate{cold, candidate(0, 100)})
+	g.Expect(assessed[0].Limited).To(gomega.BeTrue())
+	g.Expect(assessed[0].SpareCapacity).To(gomega.Equal(1))
+	g.Expect(assessed[0].Time).To(gomega.BeNumerically("~", 2*assessed[1].Time, 1e-9))
+	g.Expect(SpareCapacity(assessed, math.Inf(1))).To(gomega.Equal(assessed[1].SpareCapacity), "not shared with other instances")
+	cold.Quiet = true
+	g.Expect(Assess([]Candidate{cold})[0].SpareCapacity).To(gomega.BeZero(), "no permit")
+}
