standin: a server that is cold crashes above a number of requests a second

Nothing showed on the stand-in that instances overwhelm a cold server. Health checks say how long it stays cold, as the platform's servers do.

--- a/internal/standin/backend/admin.go
+++ b/internal/standin/backend/admin.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
+	"time"
 )
 
 // Paths of the admin listener.
@@ -30,6 +32,10 @@
 	s.setHeaders(w, r)
 	faults := s.Faults()
 	if r.URL.Path == PathHealth {
+		s.mu.Lock()
+		left := s.faults.coldLeft(time.Now())
+		s.mu.Unlock()
+		w.Header().Set(HeaderColdMS, strconv.FormatInt(left.Milliseconds(), 10))
 		if faults.Unhealthy {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
--- a/internal/standin/backend/backend_test.go
+++ b/internal/standin/backend/backend_test.go
@@ -262,3 +262,45 @@
 		}
 	})
 }
+
+// TestColdServerCrashesAboveItsRate guards against a stand-in that would not show that
+// instances overwhelm a cold server.
+func TestColdServerCrashesAboveItsRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		exits := 0
+		s := New(Options{
+			Name: "b1", Slots: 9, ServiceTime: 10 * time.Millisecond, Distribution: DistributionFixed,
+			Faults: Faults{ColdMS: 3000, ColdMost: 2}, Exit: func(code int) {
+				if code == ColdExitCode {
+					exits++
+				}
+			},
+		})
+		left := func() string {
+			recorder, _ := call(t.Context(), s, PathHealth, nil)
+			return recorder.Header().Get(HeaderColdMS)
+		}
+		if got := left(); got != "3000" {
+			t.Errorf("cold for %s", got)
+		}
+		call(t.Context(), s, "/work", nil)
+		time.Sleep(600 * time.Millisecond)
+		call(t.Context(), s, "/work", nil)
+		time.Sleep(600 * time.Millisecond)
+		call(t.Context(), s, "/work", nil)
+		if exits != 0 {
+			t.Errorf("crashed at two requests a second")
+		}
+		call(t.Context(), s, "/work", nil)
+		if exits != 1 {
+			t.Errorf("%d crashes at three requests a second", exits)
+		}
+		time.Sleep(3 * time.Second)
+		for range 5 {
+			call(t.Context(), s, "/work", nil)
+		}
+		if got := left(); exits != 1 || got != "0" {
+			t.Errorf("%d crashes when warm, cold for %s", exits, got)
+		}
+	})
+}
--- a/internal/standin/backend/faults.go
+++ b/internal/standin/backend/faults.go
@@ -13,9 +13,13 @@
 	// Episodes slow the server down for random periods.
 	Episodes Episodes `json:"episodes"`
 	// ColdFactor multiplies service times during the first ColdMS
-	// milliseconds after the faults were set.
+	// milliseconds after the faults were set. Health checks say how much of
+	// that time is left.
 	ColdFactor float64 `json:"cold_factor"`
 	ColdMS     int64   `json:"cold_ms"`
+	// ColdMost is the number of requests in a second above which the process
+	// exits while it is cold; 0 disables it.
+	ColdMost int `json:"cold_most"`
 	// Draining sets Server-Draining on every response and refuses new work
 	// after DrainRefuseMS milliseconds.
 	Draining      bool  `json:"draining"`
@@ -132,6 +136,8 @@
 	since    time.Time
 	schedule *schedule
 	rng      *rand.Rand
+	// arrivals are the times of the requests of the last second while cold.
+	arrivals []time.Time
 }
 
 func newFaultState(faults Faults, serverSeed uint64, now time.Time) *faultState {
@@ -149,12 +155,29 @@
 		work = time.Duration(float64(work) * f.SlowFactor)
 	}
 	age := now.Sub(f.since)
-	if f.ColdFactor > 1 && age < milliseconds(f.ColdMS) {
+	if f.ColdFactor > 1 && f.coldLeft(now) > 0 {
 		work = time.Duration(float64(work) * f.ColdFactor)
 	}
 	return f.since.Add(f.schedule.finishTime(age, work))
 }
 
+// coldLeft returns the time for which the server stays cold.
+func (f *faultState) coldLeft(now time.Time) time.Duration {
+	return max(milliseconds(f.ColdMS)-now.Sub(f.since), 0)
+}
+
+// overwhelmed counts a request and reports whether it is one too many for a cold server.
+func (f *faultState) overwhelmed(now time.Time) bool {
+	if f.ColdMost <= 0 || f.coldLeft(now) == 0 {
+		return false
+	}
+	f.arrivals = append(f.arrivals, now)
+	for now.Sub(f.arrivals[0]) >= time.Second {
+		f.arrivals = f.arrivals[1:]
+	}
+	return len(f.arrivals) > f.ColdMost
+}
+
 func (f *faultState) refusesNewWork(now time.Time) bool {
 	return f.Draining && now.Sub(f.since) >= milliseconds(f.DrainRefuseMS)
 }
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -26,6 +26,9 @@
 	HeaderCrash = "Standin-Crash"
 	// HeaderServer names the server that sent the response.
 	HeaderServer = "Standin-Server"
+	// HeaderColdMS is the time for which the server stays cold, in milliseconds,
+	// on responses to health checks.
+	HeaderColdMS = "Warmup-Ms"
 
 	ParamCall  = "call"
 	ParamSize  = "size"
@@ -35,8 +38,10 @@
 const (
 	maxBodyBytes = 4 << 20
 	// CrashExitCode is the exit code of a process that ran a request marked
-	// with [HeaderCrash] or [ParamCrash].
+	// with [HeaderCrash] or [ParamCrash], ColdExitCode that of one that got too
+	// many requests while it was cold.
 	CrashExitCode = 86
+	ColdExitCode  = 87
 )
 
 // Distribution is the probability distribution of the service times.
@@ -156,6 +161,12 @@
 
 func (s *Server) serveWork(w http.ResponseWriter, r *http.Request) {
 	s.slots.count(func(c *Counts) { c.Arrivals++ })
+	s.mu.Lock()
+	overwhelmed := s.faults.overwhelmed(time.Now())
+	s.mu.Unlock()
+	if overwhelmed {
+		s.opts.Exit(ColdExitCode)
+	}
 	// net/http detects that the client has disconnected only once the body
 	// has been read.
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
