--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -38,10 +38,11 @@
 const (
 	maxBodyBytes = 4 << 20
 	// CrashExitCode is the exit code of a process that ran a request marked
-	// with [HeaderCrash] or [ParamCrash], ColdExitCode that of one that got too
-	// many requests while it was cold.
+	// with [HeaderCrash] or [ParamCrash].
 	CrashExitCode = 86
-	ColdExitCode  = 87
+	// ColdExitCode is the exit code of a process that got too many requests while
+	// it was cold.
+	ColdExitCode = 87
 )
 
 // Distribution is the probability distribution of the service times.
