--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -167,6 +167,17 @@
 
 // newMember starts the forwarder of one of several instances.
 func newMember(t *testing.T, instances int, servers ...*server) *fixture {
+	t.Helper()
+	return newMemberOf(t, instances, func(*table.Service) {}, servers...)
+}
+
+// newWarmingMember starts the forwarder of one of several instances for servers with a warm-up.
+func newWarmingMember(t *testing.T, instances int, servers ...*server) *fixture {
+	t.Helper()
+	return newMemberOf(t, instances, func(s *table.Service) { s.WarmUpMS, s.WarmUpPerSecond = 3000, 5.3 }, servers...)
+}
+
+func newMemberOf(t *testing.T, instances int, change func(*table.Service), servers ...*server) *fixture {
 	t.Helper()
 	f := &fixture{
 		instances: instances,
@@ -186,6 +197,7 @@
 	service.Name = "main"
 	service.ObjectiveLatencyMS = 10_000
 	service.HealthPath = "/health"
+	change(&service)
 	current.Swap(table.Compile(table.Document{
 		Version: 1, Services: []table.Service{service},
 		Routes: []table.Route{
@@ -200,7 +212,8 @@
 		Protocol: platform.Headers{}, Current: current, Directory: f.directory, Board: f.board,
 		Budget: f.budget, Pool: serverconn.NewPool(), Backlogs: admission.NewBacklogs(),
 		ConnLimit: func(*table.Service) int { return 0 }, Instances: func() int { return f.instances }, DataCentre: "a",
-		ID: "entry", Peer: f.pickPeer, PeerPool: serverconn.NewPool(),
+		WarmUp: func() readings.WarmUpLimits { return readings.WarmUpLimits{Excess: 1.5, Slack: 8} },
+		ID:     "entry", Peer: f.pickPeer, PeerPool: serverconn.NewPool(),
 		Log: slog.New(slog.DiscardHandler), Observer: &observer{}, Quarantine: f.quarantine, ViewReady: f.viewReady, LoadsReady: f.loadsReady,
 		Refresh:   func(context.Context, []readings.Target, time.Duration) {},
 		CheckRate: func() float64 { return 0 },
