placement: a server with two slots is used whole

Cause: four fifths of the slots count as room, rounded down, so that servers with two slots got one request at a time. Two at a time take 1.7 times as long each and do 1.18 times the work; requests waited or were refused while half of the slots were free.

Ruled out: rounding up for all (three of three slots do less work than two).

Servers with 3 or 6 slots keep 2 and 4.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -179,8 +179,7 @@
 	if c.Quiet {
 		return 0
 	}
-	limit := max(int(nearlyFullShare*float64(c.slots())), 1)
-	spare := max(limit-c.inFlight(), 0)
+	spare := max(efficientSlots(c.slots())-c.inFlight(), 0)
 	if c.Load.Limited() {
 		// One permit at a time.
 		return min(spare, 1)
@@ -188,6 +187,17 @@
 	return spare
 }
 
+// efficientSlots returns the number of concurrent requests at which a server with the given
+// number of slots does the most work: those that don't slow it down, or all slots if few of
+// them don't.
+func efficientSlots(slots int) int {
+	unslowed := max(int(nearlyFullShare*float64(slots)), 1)
+	if float64(slots)/nearlyFullFactor > float64(unslowed) {
+		return slots
+	}
+	return unslowed
+}
+
 func (c Candidate) slots() int {
 	switch {
 	case c.Load.HasReport && c.Load.Slots > 0:
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -147,3 +147,13 @@
 	cold.Quiet = true
 	g.Expect(Assess([]Candidate{cold})[0].SpareCapacity).To(gomega.BeZero(), "no permit")
 }
+
+// TestServerWithFewSlotsIsUsedWhole guards against servers with two slots that get one request
+// at a time: both slots together do more work, although each request takes longer.
+func TestServerWithFewSlotsIsUsedWhole(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for slots, want := range map[int]int{1: 1, 2: 2, 3: 2, 4: 3, 6: 4, 10: 8} {
+		c := Candidate{Slots: slots}
+		g.Expect(Assess([]Candidate{c})[0].SpareCapacity).To(gomega.Equal(want), "%d slots", slots)
+	}
+}
