forward: callers of requests that servers with free slots rejected return at once

Cause: while a service rejects half of its requests though it has free slots, refused callers were told to come back after 150 to 500 ms like those of a full service, and so missed targets of 300 ms. A later attempt meets the same servers, so waiting doesn't help them: they are told 5 to 25 ms. If the server was full, or wants quiet, nothing changes.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -71,6 +71,8 @@
 	// connLost is set if the connection broke before a response, while the server may
 	// have been running the request.
 	connLost bool
+	// rejected is set if a server with free slots rejected the request.
+	rejected bool
 	// unreached is set if no connection to the server could be opened.
 	unreached bool
 	// peer is the ID of the peer that the request was delegated to, in place of a server;
@@ -242,6 +244,7 @@
 	case info.NotRun, info.Misdirected:
 		serverconn.Discard(resp)
 		r.notRun = true
+		r.rejected = !info.Misdirected && info.Notice.Quiet == 0 && a.hadFreeSlots(info.Report)
 		r.err = a.responseError(resp, "server did not run the request")
 		if info.Misdirected {
 			a.x.f.opts.Directory.Retire(a.reservation.server.ID)
@@ -276,6 +279,15 @@
 	return r
 }
 
+// hadFreeSlots reports whether the server had free slots when it rejected the request: by the
+// load report of the response or, without one, the one on which the choice was based.
+func (a *attempt) hadFreeSlots(report *readings.Report) bool {
+	if report == nil {
+		report = &a.reservation.load.Report
+	}
+	return report.Waiting == 0 && report.Running < report.Slots
+}
+
 // claimsNotRun reports whether a status implies that the request did not run.
 func claimsNotRun(status int) bool {
 	switch status {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -29,6 +29,11 @@
 	// milliseconds; the spread keeps callers from retrying at the same time.
 	minRetryAfter = 150 * time.Millisecond
 	maxRetryAfter = 500 * time.Millisecond
+	// minRejectedRetryAfter and maxRejectedRetryAfter bound the Retry-After of requests that
+	// servers with free slots rejected. Waiting longer doesn't help their callers:
+	// a later attempt meets the same servers.
+	minRejectedRetryAfter = 5 * time.Millisecond
+	maxRejectedRetryAfter = 25 * time.Millisecond
 	// minSendTime is the minimum time left for a request to be sent.
 	minSendTime = 5 * time.Millisecond
 	// hedgeDelayShare is the share of the target after which a repeatable request
@@ -73,6 +78,9 @@
 	// mayHaveRun is set once an attempt ended without proof that the request did
 	// not run.
 	mayHaveRun bool
+	// rejected is set once a server with free slots has rejected the request without
+	// running it.
+	rejected bool
 }
 
 func (x *exchange) serve() {
@@ -394,6 +402,7 @@
 	if !r.notRun {
 		x.mayHaveRun = true
 	}
+	x.rejected = x.rejected || r.rejected
 	if r.unsent || r.peer != "" && r.notRun {
 		x.sent--
 		x.refund()
@@ -430,6 +439,10 @@
 	}
 }
 
+func rejectedRetryAfter() time.Duration {
+	return minRejectedRetryAfter + rand.N(maxRejectedRetryAfter-minRejectedRetryAfter)
+}
+
 func retryAfter() time.Duration { return minRetryAfter + rand.N(maxRetryAfter-minRetryAfter) }
 
 // finalResponse returns the final response or error after the last attempt failed.
@@ -441,7 +454,11 @@
 		return nil, last.refusal
 	}
 	if !x.mayHaveRun {
-		return nil, x.refusal(outcome.CodeServerUnreached, "no server took the request")
+		failed := x.refusal(outcome.CodeServerUnreached, "no server took the request")
+		if x.rejected {
+			failed.RetryAfter = rejectedRetryAfter()
+		}
+		return nil, failed
 	}
 	if !time.Now().Before(x.deadline) {
 		return nil, x.deadlineExceeded()
