placement, forward: servers are rated beside the usual state of their service

Requests now look at servers drawn at random, whatever old reports say, two at a time; a report counts as fresh for 2 ms in place of 20; and the number of requests in a report loses its influence within 30 ms, in favour of the usual occupancy.

While all servers of a service fail half of their requests, those with few recent attempts look better, and got most of the load; none counted as promising, so that old reports decided. The failure rate now counts as far as it exceeds the usual one.

--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pomelolock/pomelolock/directory"
@@ -19,12 +20,35 @@
 
 // assess rates the servers by their present state.
 func (q *queue) assess(servers []directory.Server, now time.Time) candidateSet {
-	inputs := make([]placement.Candidate, len(servers))
+	return candidateSet{servers: servers, assessed: placement.Assess(q.candidates(servers, now), q.usualState(now))}
+}
+
+func (q *queue) candidates(servers []directory.Server, now time.Time) []placement.Candidate {
+	candidates := make([]placement.Candidate, len(servers))
 	warmUp := q.warmUp()
 	for i, server := range servers {
-		inputs[i] = q.candidate(server, warmUp, now)
+		candidates[i] = q.candidate(server, warmUp, now)
+	}
+	return candidates
+}
+
+// usualCache holds the usual state of the servers of a service for a dispatch interval. It is
+// safe for concurrent use.
+type usualCache struct {
+	mu    sync.Mutex
+	usual placement.Usual
+	at    time.Time
+}
+
+// usualState returns the usual state of the servers of the service.
+func (q *queue) usualState(now time.Time) placement.Usual {
+	c := &q.usual
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if since := now.Sub(c.at); since < 0 || since >= dispatchInterval {
+		c.usual, c.at = placement.UsualOf(q.candidates(q.servers(), now)), now
 	}
-	return candidateSet{servers: servers, assessed: placement.Assess(inputs)}
+	return c.usual
 }
 
 // warmUp returns the warm-up of the service's servers; the zero value if the table has none.
@@ -69,7 +93,7 @@
 func (q *queue) reassess(c candidateSet, server directory.Server, now time.Time) {
 	for i := range c.servers {
 		if c.servers[i].ID == server.ID {
-			c.assessed[i] = placement.Assess([]placement.Candidate{q.candidate(server, q.warmUp(), now)})[0]
+			c.assessed[i] = placement.Assess([]placement.Candidate{q.candidate(server, q.warmUp(), now)}, q.usualState(now))[0]
 			return
 		}
 	}
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -81,6 +81,7 @@
 	// checksAt.
 	checks   float64
 	checksAt time.Time
+	usual    usualCache
 }
 
 // waiter is an attempt that waits for spare capacity.
--- a/forward/refresh.go
+++ b/forward/refresh.go
@@ -13,12 +13,12 @@
 const (
 	// refreshCount is the number of servers whose loads are known to be fresh when a
 	// request chooses one.
-	refreshCount = 3
+	refreshCount = 2
 	// refreshRounds is the number of times that others are tried if these are slow.
-	refreshRounds = 2
+	refreshRounds = 3
 	// freshAge is the age up to which a load counts as fresh. Slowdowns last some
 	// hundred milliseconds.
-	freshAge = 20 * time.Millisecond
+	freshAge = 2 * time.Millisecond
 	// refreshWait bounds the time for which a request waits for fresh loads. It is some
 	// round trips between data centres.
 	refreshWait = 12 * time.Millisecond
@@ -47,7 +47,7 @@
 		}
 		candidates := q.refreshable(append(x.tried[:len(x.tried):len(x.tried)], fresh...), now)
 		var stale []readings.Target
-		for _, i := range placement.Shortlist(candidates.assessed, q.estimatedMaxTime(w, now), refreshCount) {
+		for _, i := range placement.Sample(candidates.assessed, refreshCount) {
 			server := candidates.servers[i]
 			load := q.f.opts.Board.Load(server.ID, now)
 			if !load.HasReport {
@@ -114,12 +114,6 @@
 	return q.open && len(q.waiters) == 0
 }
 
-func (q *queue) estimatedMaxTime(w *waiter, now time.Time) float64 {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.maxTime(w, now)
-}
-
 // arrivalRate returns the smoothed number of requests that arrive in a second.
 func (q *queue) arrivalRate() float64 {
 	q.mu.Lock()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -13,6 +14,9 @@
 	// slowdownDecay is the time constant with which a reported slowdown loses
 	// its influence: interference lasts some hundred milliseconds.
 	slowdownDecay = 300 * time.Millisecond
+	// occupancyDecay is the time constant with which the reported number of requests on a
+	// server loses its influence: that of the arrivals and departures at a busy server.
+	occupancyDecay = 30 * time.Millisecond
 	// slowdownPersistence is the share of a request's time during which the
 	// interference seen at its start is expected to continue.
 	slowdownPersistence = 0.75
@@ -41,8 +45,8 @@
 	// costExponent sets how fast the selection probability falls with the cost:
 	// a server that costs 2.5 times as much is chosen about once in 250 times.
 	costExponent = 6
-	// unhealthyFailureRate is the share of failed attempts from which a server
-	// counts as unhealthy.
+	// unhealthyFailureRate is the share of failed attempts, above that of the other
+	// servers, from which a server counts as unhealthy.
 	unhealthyFailureRate = 0.5
 	// defaultSlots is assumed for servers with neither a load report nor a number
 	// from discovery.
@@ -78,21 +82,46 @@
 	// Limited is set if the server names a limit of requests or is cold. Its spare capacity
 	// is this instance's own part and not shared with others.
 	Limited bool
+	// Closed is set if the server wants nothing from this instance now.
+	Closed bool
 	// Healthy is false if most recent attempts there failed. Status checks count
 	// in Cost instead.
 	Healthy bool
 }
 
-// Assess rates all candidates, in their order.
-func Assess(candidates []Candidate) []Assessment {
+// Usual is the mean state of the servers of a service, against which one of them is rated.
+type Usual struct {
+	// Occupancy is the share of slots in use.
+	Occupancy float64
+	// FailureRate is the share of the recent attempts that failed.
+	FailureRate float64
+}
+
+// UsualOf returns the mean state of servers.
+func UsualOf(candidates []Candidate) Usual {
+	if len(candidates) == 0 {
+		return Usual{}
+	}
+	inFlight, slots, failures := 0, 0, 0.0
+	for _, c := range candidates {
+		inFlight += c.inFlight()
+		slots += c.slots()
+		failures += c.Load.FailureRate
+	}
+	return Usual{Occupancy: float64(inFlight) / float64(slots), FailureRate: failures / float64(len(candidates))}
+}
+
+// Assess rates candidates, in their order, beside the usual state of the servers.
+func Assess(candidates []Candidate, usual Usual) []Assessment {
 	assessed := make([]Assessment, len(candidates))
 	for i, c := range candidates {
-		time := c.slowdown() * c.occupancyFactor()
+		time := c.slowdown() * c.expectedOccupancyFactor(usual.Occupancy)
 		if c.Cold {
 			time *= coldFactor
 		}
 		assessed[i] = Assessment{
-			Time: time, Cost: time * c.penalty(), SpareCapacity: c.spareCapacity(), Limited: c.Load.Limited(), Healthy: c.Load.FailureRate < unhealthyFailureRate,
+			Time: time, Cost: time * c.penalty(usual), SpareCapacity: c.spareCapacity(), Limited: c.Load.Limited(),
+			Closed: c.Quiet, Healthy: c.excessFailures(usual) < unhealthyFailureRate,
 		}
 	}
 	return assessed
@@ -138,18 +167,27 @@
 	return chosen
 }
 
-// Shortlist returns the indices of up to n servers that [Choose] may return, drawn by the
-// same weights.
-func Shortlist(assessed []Assessment, maxTime float64, n int) []int {
-	rest := slices.Clone(assessed)
-	var chosen []int
-	for len(chosen) < n {
-		i := Choose(rest, maxTime)
-		if i < 0 {
-			break
+// Sample returns the indices of up to n servers, drawn at random with weights that fall with
+// their penalties. Their loads don't count: instances that draw by the same old readings would
+// all draw the few servers that looked idle.
+func Sample(assessed []Assessment, n int) []int {
+	healthy := anyHealthy(assessed)
+	type draw struct {
+		index int
+		key   float64
+	}
+	draws := make([]draw, 0, len(assessed))
+	for i, a := range assessed {
+		if a.Closed || !a.Healthy && healthy {
+			continue
 		}
-		chosen = append(chosen, i)
-		rest[i].SpareCapacity = 0
+		weight := math.Pow(a.Time/a.Cost, costExponent)
+		draws = append(draws, draw{index: i, key: rand.ExpFloat64() / weight})
+	}
+	slices.SortFunc(draws, func(a, b draw) int { return cmp.Compare(a.key, b.key) })
+	var chosen []int
+	for _, d := range draws[:min(n, len(draws))] {
+		chosen = append(chosen, d.index)
 	}
 	return chosen
 }
@@ -218,7 +256,7 @@
 
 // penalty returns the factor by which the cost of the server exceeds its expected
 // time.
-func (c Candidate) penalty() float64 {
+func (c Candidate) penalty(usual Usual) float64 {
 	factor := 1.0
 	if c.Remote {
 		factor *= remotePenalty
@@ -232,10 +270,16 @@
 	case readings.HealthUnreachable:
 		factor *= unansweredCheckPenalty
 	}
-	successRate := 1 - c.Load.FailureRate
+	successRate := 1 - c.excessFailures(usual)
 	return factor / max(successRate*successRate*successRate, 0.01)
 }
 
+// excessFailures returns by how much the failure rate of the server exceeds the usual one. If
+// all servers fail alike, those with few recent attempts only look better.
+func (c Candidate) excessFailures(usual Usual) float64 {
+	return max(c.Load.FailureRate-usual.FailureRate, 0)
+}
+
 // slowdown returns the expected slowdown as a factor. The influence of a load
 // report decays with its age.
 func (c Candidate) slowdown() float64 {
@@ -247,10 +291,25 @@
 	return defaultSlowdown + (reported-defaultSlowdown)*influence
 }
 
-// occupancyFactor returns the slowdown factor caused by the requests on the
-// server, with one more.
-func (c Candidate) occupancyFactor() float64 {
-	slots, after := float64(c.slots()), float64(c.inFlight()+1)
+// expectedOccupancyFactor returns the slowdown factor caused by the requests that are expected
+// on the server by now, with one more. An old report says little: other instances have sent
+// requests since, above all to servers that looked idle.
+func (c Candidate) expectedOccupancyFactor(usual float64) float64 {
+	if !c.Load.HasReport {
+		return c.occupancyFactor(float64(c.inFlight()))
+	}
+	influence := math.Exp(-float64(c.Load.Age) / float64(occupancyDecay))
+	reported := float64(c.inFlight())
+	expected := max(usual*float64(c.slots())+(reported-usual*float64(c.slots()))*influence, float64(c.Load.OwnInFlight))
+	low := math.Floor(expected)
+	factor := c.occupancyFactor(low)
+	return factor + (c.occupancyFactor(low+1)-factor)*(expected-low)
+}
+
+// occupancyFactor returns the slowdown factor caused by a number of requests on the server,
+// with one more.
+func (c Candidate) occupancyFactor(inFlight float64) float64 {
+	slots, after := float64(c.slots()), inFlight+1
 	switch {
 	case after < nearlyFullShare*slots:
 		// The small increase with each request spreads the load evenly.
