directory: evacuated data centres are left out of the index

OnReturned is called before the servers are listed again, so that they can count as cold from the first request on. A flag on each server's entry was ruled out: servers that register later would lack it.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -77,13 +77,22 @@
 	// held is at least the number of removed entries that are still in use.
 	held int
 	// synced is set once the directory has had a complete view of the store.
-	synced bool
-	index  atomic.Pointer[index]
+	synced      bool
+	evacuations evacuations
+	index       atomic.Pointer[index]
+
+	// OnReturned, if set, is called with the servers of a data centre that is no longer
+	// evacuated, before they are used again. It must be set before the directory is used,
+	// must not block and must not call the directory.
+	OnReturned func(dataCentre string, servers []Server)
 }
 
-// index holds the servers that accept new requests.
+// index holds the servers that accept new requests, except those in evacuated data centres.
 type index struct {
 	byService, byDataCentre map[string][]Server
+	// evacuated holds the servers in evacuated data centres that would accept requests.
+	evacuated   map[string][]Server
+	evacuations evacuations
 }
 
 // New returns an empty directory.
@@ -93,16 +102,16 @@
 	return d
 }
 
-// Servers returns the servers of a service that accept new requests, sorted by ID. The
-// result must not be modified.
+// Servers returns the servers of a service that accept new requests and are not evacuated,
+// sorted by ID. The result must not be modified.
 func (d *Directory) Servers(service string) []Server { return d.index.Load().byService[service] }
 
 // InDataCentres returns the servers of all services that accept new requests by data centre,
-// in no particular order. The result must not be modified.
+// without evacuated data centres, in no particular order. The result must not be modified.
 func (d *Directory) InDataCentres() map[string][]Server { return d.index.Load().byDataCentre }
 
-// All returns the servers of all services that accept new requests, in no particular
-// order.
+// All returns the servers of all services that accept new requests and are not evacuated, in
+// no particular order.
 func (d *Directory) All() []Server {
 	var all []Server
 	for _, servers := range d.index.Load().byService {
@@ -361,15 +370,20 @@
 // rebuildLocked rebuilds the index.
 func (d *Directory) rebuildLocked(now time.Time) {
 	byService, byDataCentre := make(map[string][]Server), make(map[string][]Server)
+	evacuated := make(map[string][]Server)
 	for _, e := range d.entries {
 		if !e.inUse(now) {
 			continue
 		}
+		if d.evacuations.centres[e.DataCentre] {
+			evacuated[e.DataCentre] = append(evacuated[e.DataCentre], e.Server)
+			continue
+		}
 		byService[e.Service] = append(byService[e.Service], e.Server)
 		byDataCentre[e.DataCentre] = append(byDataCentre[e.DataCentre], e.Server)
 	}
 	for _, servers := range byService {
 		slices.SortFunc(servers, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
 	}
-	d.index.Store(&index{byService: byService, byDataCentre: byDataCentre})
+	d.index.Store(&index{byService: byService, byDataCentre: byDataCentre, evacuated: evacuated, evacuations: d.evacuations})
 }
