feed, gossip: evacuations are read, distributed and confirmed after a stop

The reader applies the rows with the table and sends the set to its peers; Freshness carries its version, State the set if the sender knows it. The version is that of the newest row, so that readers agree; only a complete read that contradicts the known set takes its own. A table that can't be decoded no longer hides evacuations in the same read.

A process that was stopped for more than 2 s asks the store before it sends: datagrams that waited in its buffers look recent and prove nothing. The version of each read as that of the set was ruled out, since each process that starts would make all others request its state.

--- a/feed/doc.go
+++ b/feed/doc.go
@@ -1,5 +1,5 @@
-// Package feed keeps the local view of the store current: the backend servers and
-// the active table.
+// Package feed keeps the local view of the store current: the backend servers, the
+// active table and the evacuated data centres.
 //
 // Calls to the store are expensive, so one instance reads it and sends the changes
 // to its peers. The first read of a process is not sent, since the peers have that
@@ -9,6 +9,7 @@
 // than the one before. An instance that receives a newer version than its own from
 // a peer requests the state from that peer.
 //
-// The version of the table never decreases. There is no voting: the store orders
-// all changes, and instances differ only in how soon they learn of them.
+// The versions of the table and of the evacuated data centres never decrease. There is
+// no voting: the store orders all changes, and instances differ only in how soon they
+// learn of them.
 package feed
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -77,7 +77,8 @@
 	// ServerChanges returns the changes after a version. It fails with
 	// [HistoryError] if the store no longer has them.
 	ServerChanges(ctx context.Context, after uint64) (changes []directory.Change, version uint64, err error)
-	// Desired returns the whole desired state.
+	// Desired returns the whole desired state. Desired and DesiredChange fail with
+	// [TableError] if only the table can't be decoded.
 	Desired(ctx context.Context) (state Desired, version uint64, err error)
 	// DesiredChange waits for changes of the desired state after a version and returns
 	// them, or none within the wait. It fails with [HistoryError] if the store no longer
@@ -89,15 +90,33 @@
 type Desired struct {
 	// Table is the active table; nil if there is none or it did not change.
 	Table *table.Document
-	// Evacuations says of data centres whether they are to get no requests. If Complete is
-	// set, those that it doesn't name are in use; otherwise nothing changes for them.
-	Evacuations map[string]bool
+	// Evacuations holds the requests to evacuate data centres. If Complete is set, those
+	// that it doesn't name are in use; otherwise nothing changes for them.
+	Evacuations map[string]Evacuation
 	Complete    bool
 	// StoreNow is the time of the store's steady clock at which the state was current.
 	StoreNow time.Duration
 }
 
-// Options configure a [Feed]. All but ReadDelay are required.
+// Evacuation is what the store says about the evacuation of a data centre.
+type Evacuation struct {
+	// InForce is set if the servers of the data centre are to get no requests, and unset if
+	// the request was withdrawn.
+	InForce bool
+	// Version is the store version of the request or its withdrawal.
+	Version uint64
+}
+
+// TableError reports that the table in the store can't be decoded. The rest of the state that
+// is returned with it is valid.
+type TableError struct{ Err error }
+
+func (e *TableError) Error() string { return "feed: table not decoded: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *TableError) Unwrap() error { return e.Err }
+
+// Options configure a [Feed]. All but ReadDelay and InFlight are required.
 type Options struct {
 	ID        string
 	Store     Store
@@ -110,7 +129,10 @@
 	// ReadDelay is the time for which a process that starts later waits for the state of
 	// its peers before it reads the store.
 	ReadDelay time.Duration
-	Logger    *slog.Logger
+	// InFlight returns the number of requests of this instance that run at the given
+	// servers, for the log.
+	InFlight func(servers []directory.Server) int
+	Logger   *slog.Logger
 }
 
 // Feed keeps the local view up to date with the store. It implements
@@ -144,11 +166,15 @@
 	// failingSince is the start of the current series of failed reads, zero if the
 	// last read succeeded.
 	failingSince time.Time
+
+	evacuations evacuationState
+	pauses      pauses
 }
 
 // New returns a feed. [Feed.Run] starts it.
 func New(opts Options) *Feed {
 	f := &Feed{opts: opts, peerReads: make(map[uint32]uint64), process: rand.Uint32()}
+	f.pauses.began = make(chan struct{}, 1)
 	f.readNotBefore = time.Now().Add(opts.ReadDelay)
 	if opts.FirstStart {
 		f.readNotBefore = time.Now().Add(discoveryTime)
@@ -169,6 +195,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { f.followServers(ctx) })
 	wg.Go(func() { f.followTable(ctx) })
+	wg.Go(func() { f.watchPauses(ctx) })
 	wg.Wait()
 	return nil
 }
@@ -355,13 +382,14 @@
 	}
 }
 
-// followTable waits for new tables whenever this instance is the one that has to
-// read. Every instance reads the first table itself unless it receives one before.
+// followTable waits for changes of the desired state whenever this instance is the one that
+// has to read. Every instance reads the first table and the evacuated data centres itself
+// unless it receives them before.
 func (f *Feed) followTable(ctx context.Context) {
 	var version uint64
 	for ctx.Err() == nil {
 		now := time.Now()
-		if now.Before(f.readNotBefore) || f.opts.Current.Load() != nil && !f.shouldRead(now) {
+		if now.Before(f.readNotBefore) || f.hasDesired() && !f.shouldRead(now) {
 			sleep(ctx, pollInterval)
 			continue
 		}
@@ -377,7 +405,13 @@
 	}
 }
 
+// hasDesired reports whether this instance has a table and knows the evacuated data centres.
+func (f *Feed) hasDesired() bool {
+	return f.opts.Current.Load() != nil && f.opts.Directory.EvacuationsKnown()
+}
+
 func (f *Feed) readTable(ctx context.Context, after uint64) (uint64, error) {
+	asked := time.Now()
 	var state Desired
 	var version uint64
 	var err error
@@ -392,10 +426,16 @@
 	if errors.As(err, &history) {
 		return 0, nil
 	}
-	if err != nil {
+	var undecodable *TableError
+	switch {
+	case errors.As(err, &undecodable):
+		// The version advances: reading the same row again would not help.
+		f.opts.Logger.Warn("table not decoded", "version", version, "error", err)
+	case err != nil:
 		f.opts.Logger.Debug("table unreadable", "error", err)
 		return after, err
 	}
+	f.applyEvacuations(state, version, asked)
 	if state.Table != nil {
 		f.activate(*state.Table, "store")
 	}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -31,15 +31,20 @@
 	entries map[string]directory.Change
 	table   *table.Document
 	tableAt uint64
-	// historyFrom is the oldest version whose changes are kept.
-	historyFrom uint64
-	changed     chan struct{}
+	// evacuations holds the requests to evacuate data centres and those withdrawn.
+	evacuations map[string]Evacuation
+	// historyFrom is the oldest version after which the changes of servers are kept,
+	// desiredFrom that of the desired state.
+	historyFrom, desiredFrom uint64
+	changed                  chan struct{}
 }
 
 var errUnavailable = errors.New("store unavailable")
 
 func newStore() *store {
-	return &store{entries: make(map[string]directory.Change), changed: make(chan struct{})}
+	return &store{
+		entries: make(map[string]directory.Change), evacuations: make(map[string]Evacuation), changed: make(chan struct{}),
+	}
 }
 
 func (s *store) put(c directory.Change) {
@@ -59,11 +64,38 @@
 	s.changed = make(chan struct{})
 }
 
+// setEvacuated writes or removes the request to evacuate a data centre.
+func (s *store) setEvacuated(dataCentre string, inForce bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.evacuations[dataCentre] = Evacuation{InForce: inForce, Version: s.version}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// desiredLocked returns the desired state, or what changed of it after a version, and whether
+// anything did.
+func (s *store) desiredLocked(after uint64) (state Desired, changed bool) {
+	state = Desired{Evacuations: make(map[string]Evacuation), Complete: after == 0}
+	if s.tableAt > after {
+		state.Table = s.table
+	}
+	for centre, row := range s.evacuations {
+		if row.Version > after && (after > 0 || row.InForce) {
+			state.Evacuations[centre] = row
+		}
+	}
+	return state, state.Table != nil || len(state.Evacuations) > 0
+}
+
 // copy returns a copy of the store.
 func (s *store) copy() *store {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &store{version: s.version, entries: maps.Clone(s.entries), table: s.table, tableAt: s.tableAt}
+	return &store{
+		version: s.version, entries: maps.Clone(s.entries), evacuations: maps.Clone(s.evacuations), table: s.table, tableAt: s.tableAt,
+	}
 }
 
 // restore replaces the content of the store by that of a copy, in the next era.
@@ -78,9 +110,16 @@
 		c.Version = next(c.Version)
 		s.entries[id] = c
 	}
+	s.evacuations = make(map[string]Evacuation)
+	for centre, row := range from.evacuations {
+		row.Version = next(row.Version)
+		s.evacuations[centre] = row
+	}
 	s.table, s.tableAt = from.table, next(from.tableAt)
 	s.version = next(from.version)
-	s.historyFrom = s.version
+	s.historyFrom, s.desiredFrom = s.version, s.version
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // access is the connection of one instance to the store. It can be made to fail and
@@ -90,6 +129,10 @@
 	mu    sync.Mutex
 	down  bool
 	calls int
+	// undecodable makes reads fail to decode the table.
+	undecodable bool
+	// afterChange, if set, is called when a change of the desired state has been read.
+	afterChange func()
 }
 
 func (a *access) setDown(down bool) {
@@ -153,7 +196,19 @@
 	}
 	a.store.mu.Lock()
 	defer a.store.mu.Unlock()
-	return Desired{Table: a.table, Complete: true}, a.version, nil
+	state, _ := a.desiredLocked(0)
+	return a.decoded(state, a.version)
+}
+
+// decoded returns a state, without the table if that can't be decoded.
+func (a *access) decoded(state Desired, version uint64) (Desired, uint64, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.undecodable && state.Table != nil {
+		state.Table = nil
+		return state, version, &TableError{Err: errors.New("syntax error")}
+	}
+	return state, version, nil
 }
 
 func (a *access) DesiredChange(ctx context.Context, after uint64, wait time.Duration) (Desired, uint64, error) {
@@ -164,10 +219,17 @@
 	defer timer.Stop()
 	for {
 		a.store.mu.Lock()
-		doc, at, version, changed := a.table, a.tableAt, a.version, a.changed
+		state, found := a.desiredLocked(after)
+		version, changed, lost := a.version, a.changed, after < a.desiredFrom
 		a.store.mu.Unlock()
-		if at > after {
-			return Desired{Table: doc}, version, nil
+		if lost {
+			return Desired{}, 0, &HistoryError{Version: after}
+		}
+		if found {
+			if a.afterChange != nil {
+				a.afterChange()
+			}
+			return a.decoded(state, version)
 		}
 		select {
 		case <-changed:
@@ -181,6 +243,7 @@
 
 type instance struct {
 	id        string
+	conn      *gossiptest.Conn
 	access    *access
 	directory *directory.Directory
 	current   *table.Current
@@ -210,7 +273,7 @@
 	t.Helper()
 	conn := network.Listen()
 	i := &instance{
-		id: fmt.Sprint("entry-", n), access: &access{store: s}, directory: directory.New(),
+		id: fmt.Sprint("entry-", n), conn: conn, access: &access{store: s}, directory: directory.New(),
 		current: table.NewCurrent(), done: make(chan struct{}),
 	}
 	var err error
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -12,9 +12,12 @@
 
 // Freshness implements [gossip.Follower].
 func (f *Feed) Freshness() gossip.Freshness {
+	_, evacuations, _ := f.opts.Directory.Evacuations()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return gossip.Freshness{
+		EvacuationsVersion: evacuations,
+
 		ServersVersion: f.opts.Directory.Version(),
 		TableVersion:   f.tableVersion(),
 		At:             f.freshAt,
@@ -53,14 +56,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	servers, tableVersion := f.opts.Directory.Version(), f.tableVersion()
+	_, evacuations, evacuationsKnown := f.opts.Directory.Evacuations()
 	f.era = max(f.era, theirs.Era)
 	if !f.heardState && theirs.ServersVersion > 0 && !f.opts.FirstStart {
 		return true
 	}
-	if theirs.ServersVersion > servers || theirs.TableVersion > tableVersion {
+	if theirs.ServersVersion > servers || theirs.TableVersion > tableVersion || theirs.EvacuationsVersion > evacuations {
+		return true
+	}
+	if !evacuationsKnown && theirs.ServersVersion > 0 {
+		// The peer may know that no data centre is evacuated.
 		return true
 	}
-	if theirs.ServersVersion < servers || theirs.TableVersion < tableVersion {
+	if theirs.ServersVersion < servers || theirs.TableVersion < tableVersion || theirs.EvacuationsVersion < evacuations {
 		return false
 	}
 	// A read that was already counted, or that this process made itself, confirms
@@ -91,6 +99,8 @@
 	}
 	hold := f.holdUntil
 	f.mu.Unlock()
+	// Before the servers, so that a new process never uses those of an evacuated data centre.
+	f.receiveEvacuations(from, state.GetEvacuations())
 	applied := f.opts.Directory.Apply(decodeChanges(state.GetServers()), state.GetBase(), state.GetVersion(), hold)
 	if state.GetBase() == 0 && len(state.GetServers()) > 0 {
 		f.opts.Directory.MarkSynced()
@@ -121,7 +131,8 @@
 	if f.tableVersion() > tableVersion {
 		state.Table = f.table
 	}
-	if len(state.Servers) == 0 && len(state.Table) == 0 {
+	state.Evacuations = f.encodeEvacuations()
+	if len(state.Servers) == 0 && len(state.Table) == 0 && state.Evacuations == nil {
 		return nil
 	}
 	return state
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -59,6 +59,9 @@
 	// ServersVersion is the version of the newest change to backend servers,
 	// TableVersion that of the active table.
 	ServersVersion, TableVersion uint64
+	// EvacuationsVersion is the version of the newest change to the evacuated data
+	// centres; 0 if there was none.
+	EvacuationsVersion uint64
 	// At is the time at which the view is known to have been current.
 	At time.Time
 	// Read identifies the read of the store that confirmed the view.
@@ -90,8 +93,8 @@
 	ReceiveDeparture(from, server string, born int64)
 	// ReceiveState applies state that another instance sent.
 	ReceiveState(from string, state *gossippb.State)
-	// State returns the state newer than the given versions, or nil if there is
-	// none.
+	// State returns the state newer than the given versions, and the evacuated data
+	// centres if they are known, or nil if there is nothing to send.
 	State(serversVersion, tableVersion uint64) *gossippb.State
 }
 
@@ -448,6 +451,8 @@
 		Process:        f.Read.Process,
 		Read:           f.Read.Number,
 		Era:            f.Era,
+
+		EvacuationsVersion: f.EvacuationsVersion,
 	}
 	return msg
 }
@@ -674,7 +679,8 @@
 	before := e.follower.Freshness()
 	e.follower.ReceiveState(from, state)
 	after := e.follower.Freshness()
-	changed := before.ServersVersion != after.ServersVersion || before.TableVersion != after.TableVersion
+	changed := before.ServersVersion != after.ServersVersion || before.TableVersion != after.TableVersion ||
+		before.EvacuationsVersion != after.EvacuationsVersion
 	if v := e.currentView(time.Now()); changed && v.relayed() && v.relaying {
 		// The instances of the data centre then request the state from this one.
 		e.Flush()
@@ -708,6 +714,8 @@
 		At:             now.Add(-time.Duration(f.GetAgeMs()) * time.Millisecond),
 		Read:           Read{Process: f.GetProcess(), Number: f.GetRead()},
 		Era:            f.GetEra(),
+
+		EvacuationsVersion: f.GetEvacuationsVersion(),
 	})
 	if !behind || now.Sub(e.stateRequested) < stateRequestInterval {
 		return
--- a/gossip/gossiptest/gossiptest.go
+++ b/gossip/gossiptest/gossiptest.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,6 +35,7 @@
 	// expired is closed by a deadline, which ends all reads.
 	expired chan struct{}
 	once    sync.Once
+	cut     atomic.Bool
 }
 
 // Listen returns a connection with an address of its own.
@@ -46,6 +48,9 @@
 	return c
 }
 
+// Cut sets whether the datagrams from and to the connection are lost.
+func (c *Conn) Cut(cut bool) { c.cut.Store(cut) }
+
 // Address returns the address of the connection.
 func (c *Conn) Address() netip.AddrPort { return c.address }
 
@@ -59,12 +64,13 @@
 	}
 }
 
-// WriteToUDPAddrPort implements [gossip.Conn]. Datagrams to unknown addresses are lost.
+// WriteToUDPAddrPort implements [gossip.Conn]. Datagrams to unknown addresses
+// are lost.
 func (c *Conn) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
 	c.network.mu.Lock()
 	target := c.network.conns[to]
 	c.network.mu.Unlock()
-	if target == nil {
+	if target == nil || target.cut.Load() || c.cut.Load() {
 		return len(b), nil
 	}
 	select {
