forward, readings, entry: nothing is sent to evacuated data centres

An attempt checks again after it connected and after it checked an idle connection; it then takes another server, which counts neither as an attempt nor as a retry. Status checks do the same. Waiting requests are refused at once if an evacuation leaves no server; without one they wait as before. Requests wait for the set after a start and after a stop of the process.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -73,6 +73,9 @@
 	connLost bool
 	// unreached is set if no connection to the server could be opened.
 	unreached bool
+	// evacuated is set if the request was not sent because the data centre of the server
+	// was evacuated after the server was chosen.
+	evacuated bool
 	// peer is the ID of the peer that the request was delegated to, in place of a server;
 	// refusal is the error that it responded with itself.
 	peer    string
@@ -96,8 +99,18 @@
 	x := a.x
 	defer a.reservation.release()
 	conn, err := a.connect(ctx)
+	if err == nil {
+		if err = a.checkEvacuated(ctx); err != nil {
+			conn.Close()
+		}
+	}
 	if err != nil {
-		return result{server: a.reservation.server, notRun: true, unsent: true, unreached: a.connectFailed(ctx, err), err: err}
+		r := result{server: a.reservation.server, notRun: true, unsent: true, err: err}
+		var evacuated *EvacuatedError
+		if r.evacuated = errors.As(err, &evacuated); !r.evacuated {
+			r.unreached = a.connectFailed(ctx, err)
+		}
+		return r
 	}
 	left := time.Until(x.deadline)
 	if left < minSendTime || ctx.Err() != nil {
@@ -117,6 +130,9 @@
 func (a *attempt) connect(ctx context.Context) (*serverconn.Conn, error) {
 	x := a.x
 	for {
+		if err := a.checkEvacuated(ctx); err != nil {
+			return nil, err
+		}
 		conn, err := x.f.opts.Pool.Get(ctx, a.reservation.server.Address, x.f.opts.ConnLimit(x.service))
 		if err != nil || x.route.Repeatable || conn.IdleTime < maxUncheckedIdle || x.service.HealthPath == "" {
 			return conn, err
@@ -126,6 +142,10 @@
 			conn.Close()
 			continue
 		}
+		if err := a.checkEvacuated(ctx); err != nil {
+			conn.Close()
+			return nil, err
+		}
 		a.checkConn(ctx, conn)
 		if now := time.Now(); x.f.opts.Board.Load(a.reservation.server.ID, now).Quiet(now) {
 			return nil, &QuietError{Server: a.reservation.server.ID}
@@ -133,6 +153,24 @@
 	}
 }
 
+// EvacuatedError reports that nothing was sent to a server because its data centre is
+// evacuated.
+type EvacuatedError struct{ Server, DataCentre string }
+
+func (e *EvacuatedError) Error() string {
+	return "forward: " + e.Server + " is in the evacuated data centre " + e.DataCentre
+}
+
+// checkEvacuated fails with [EvacuatedError] if the data centre of the chosen server has been
+// evacuated since it was chosen. It waits if the process was just stopped.
+func (a *attempt) checkEvacuated(ctx context.Context) error {
+	a.x.f.opts.AwaitCurrent(ctx)
+	if s := a.reservation.server; a.x.f.opts.Directory.Evacuated(s.DataCentre) {
+		return &EvacuatedError{Server: s.ID, DataCentre: s.DataCentre}
+	}
+	return nil
+}
+
 // QuietError reports that a request was not sent because the server wants nothing from this
 // instance for a time.
 type QuietError struct{ Server string }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pomelolock/pomelolock/internal/hop"
@@ -101,10 +102,10 @@
 func (x *exchange) admit() *outcome.Error {
 	x.awaitTable()
 	x.snapshot = x.f.opts.Current.Load()
-	if x.snapshot == nil || !x.f.opts.Directory.Synced() {
+	if x.snapshot == nil || !x.f.opts.Directory.Synced() || !x.f.opts.Directory.EvacuationsKnown() {
 		return &outcome.Error{
 			Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable, Code: outcome.CodeNotReady,
-			Detail: "no table is in force yet", RetryAfter: notReadyRetryAfter,
+			Detail: "the state of the store is not known yet", RetryAfter: notReadyRetryAfter,
 		}
 	}
 	if x.delegation != nil && x.snapshot.Version() < x.delegation.table {
@@ -284,7 +285,9 @@
 			last = r
 			if x.mayRetry(r) {
 				if launch() == nil {
-					x.f.retries.Add(1)
+					if !r.evacuated {
+						x.f.retries.Add(1)
+					}
 					continue
 				}
 				x.refund()
@@ -366,7 +369,7 @@
 // mayRetry reports whether the request may be sent to another server after the given
 // result, and takes the attempt from the retry budget if necessary.
 func (x *exchange) mayRetry(r result) bool {
-	if x.body.streamed() || x.sent >= x.maxAttempts() || len(x.tried) >= x.maxAttempts()+maxUnreachable ||
+	if x.body.streamed() && !r.evacuated || x.sent >= x.maxAttempts() || len(x.tried) >= x.maxAttempts()+maxUnreachable ||
 		time.Until(x.deadline) < minSendTime {
 		return false
 	}
@@ -401,6 +404,9 @@
 	if r.unreached {
 		x.unreached++
 	}
+	if r.evacuated {
+		x.tried = slices.DeleteFunc(x.tried, func(id string) bool { return id == r.server.ID })
+	}
 	if r.connLost {
 		x.f.opts.Quarantine.ReportLoss(x.fingerprint, r.server.ID)
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -33,9 +34,11 @@
 type server struct {
 	id      string
 	address string
-	mu      sync.Mutex
-	arrived []*http.Request
-	bodies  []string
+	// dataCentre is "a" if it is empty.
+	dataCentre string
+	mu         sync.Mutex
+	arrived    []*http.Request
+	bodies     []string
 }
 
 func (s *server) arrivals() int {
@@ -141,7 +144,12 @@
 	directory  *directory.Directory
 	board      *readings.Board
 	budget     *retrybudget.Budget
-	url        string
+	pool       *serverconn.Pool
+	// awaitCurrent is called before anything is sent.
+	awaitCurrent func()
+	// onCheck, if set, is for servers to call at a status check.
+	onCheck atomic.Pointer[func()]
+	url     string
 	// instances is the size of the fleet that the forwarder knows of.
 	instances int
 	// peers are those to which it can delegate requests.
@@ -152,7 +160,16 @@
 // /hedged/ are repeatable, those to /order/, /brief/ and /quick/ are not.
 func newFixture(t *testing.T, servers ...*server) *fixture {
 	t.Helper()
-	f := newStartingFixture(t, servers...)
+	f := newFixtureWithoutEvacuations(t, servers...)
+	f.directory.SetEvacuated(0, nil)
+	return f
+}
+
+// newFixtureWithoutEvacuations starts a forwarder that does not know the evacuated data
+// centres.
+func newFixtureWithoutEvacuations(t *testing.T, servers ...*server) *fixture {
+	t.Helper()
+	f := newUninformedMember(t, 1, servers...)
 	close(f.viewReady)
 	close(f.loadsReady)
 	return f
@@ -167,16 +184,26 @@
 
 // newMember starts the forwarder of one of several instances.
 func newMember(t *testing.T, instances int, servers ...*server) *fixture {
+	t.Helper()
+	f := newUninformedMember(t, instances, servers...)
+	f.directory.SetEvacuated(0, nil)
+	return f
+}
+
+// newUninformedMember is like newMember, but the instance doesn't know the evacuated data
+// centres.
+func newUninformedMember(t *testing.T, instances int, servers ...*server) *fixture {
 	t.Helper()
 	f := &fixture{
 		instances: instances,
 		directory: directory.New(), board: readings.NewBoard(), quarantine: &fakeQuarantine{}, viewReady: make(chan struct{}), loadsReady: make(chan struct{}),
-		budget: retrybudget.New(retrybudget.Limits{Ratio: 5, Burst: 100}, 1),
+		budget: retrybudget.New(retrybudget.Limits{Ratio: 5, Burst: 100}, 1), pool: serverconn.NewPool(),
+		awaitCurrent: func() {},
 	}
 	var changes []directory.Change
 	for i, s := range servers {
 		changes = append(changes, directory.Change{Version: uint64(i + 1), Server: directory.Server{
-			ID: s.id, Service: "main", Address: s.address, Slots: 6, DataCentre: "a",
+			ID: s.id, Service: "main", Address: s.address, Slots: 6, DataCentre: cmp.Or(s.dataCentre, "a"),
 		}})
 	}
 	f.directory.Replace(changes, uint64(len(changes)), time.Time{})
@@ -186,6 +213,7 @@
 	service.Name = "main"
 	service.ObjectiveLatencyMS = 10_000
 	service.HealthPath = "/health"
+	service.MaxBodyBytes = 8 << 20
 	current.Swap(table.Compile(table.Document{
 		Version: 1, Services: []table.Service{service},
 		Routes: []table.Route{
@@ -198,12 +226,12 @@
 	}))
 	f.forwarder = forward.New(forward.Options{
 		Protocol: platform.Headers{}, Current: current, Directory: f.directory, Board: f.board,
-		Budget: f.budget, Pool: serverconn.NewPool(), Backlogs: admission.NewBacklogs(),
+		Budget: f.budget, Pool: f.pool, Backlogs: admission.NewBacklogs(),
 		ConnLimit: func(*table.Service) int { return 0 }, Instances: func() int { return f.instances }, DataCentre: "a",
 		ID: "entry", Peer: f.pickPeer, PeerPool: serverconn.NewPool(),
 		Log: slog.New(slog.DiscardHandler), Observer: &observer{}, Quarantine: f.quarantine, ViewReady: f.viewReady, LoadsReady: f.loadsReady,
 		Refresh:   func(context.Context, []readings.Target, time.Duration) {},
-		CheckRate: func() float64 { return 0 },
+		CheckRate: func() float64 { return 0 }, AwaitCurrent: func(context.Context) { f.awaitCurrent() },
 		OnNotice: func(server directory.Server, notice readings.Notice, fromCheck bool) {
 			f.board.KeepQuiet(server.ID, time.Now().Add(notice.Quiet))
 			f.board.RecordLimit(server.ID, notice.Limit, fromCheck, time.Now())
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -53,6 +53,9 @@
 	// OnNotice is called with what each answer of a server says about requests to come;
 	// fromCheck is set if it answered a status check. OnNotice must not block.
 	OnNotice func(server directory.Server, notice readings.Notice, fromCheck bool)
+	// AwaitCurrent is called before anything is sent. It waits while the evacuated data
+	// centres may have changed without this process having had a chance to learn of it.
+	AwaitCurrent func(ctx context.Context)
 	// ViewReady is closed when the table and the servers are known, or when startup
 	// stops waiting for them. LoadsReady is closed likewise for the loads of servers.
 	// Requests wait until both are closed.
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -172,6 +172,7 @@
 		x:       x,
 		granted: make(chan grant, 1),
 	}
+	q.f.opts.AwaitCurrent(ctx)
 	fresh := q.refresh(ctx, w)
 	now := time.Now()
 	q.mu.Lock()
@@ -300,8 +301,7 @@
 
 // enqueueLocked queues a request, or refuses it if it can't be served in time.
 func (q *queue) enqueueLocked(w *waiter, now time.Time) *outcome.Error {
-	untried := func(s directory.Server) bool { return !slices.Contains(w.x.tried, s.ID) }
-	if !slices.ContainsFunc(q.servers(), untried) {
+	if !q.hasUntried(w) {
 		return w.x.refusal(outcome.CodeNoServer, "the service has no usable server")
 	}
 	if until := q.quietUntil(w, now); until.After(now) && w.MissesDeadline(until, q.minServiceTime()) {
@@ -336,6 +336,11 @@
 	return nil
 }
 
+// hasUntried reports whether there is a server that the request was not sent to.
+func (q *queue) hasUntried(w *waiter) bool {
+	return slices.ContainsFunc(q.servers(), func(s directory.Server) bool { return !slices.Contains(w.x.tried, s.ID) })
+}
+
 // quietUntil returns the earliest time at which a server that the request was not sent to
 // wants requests: now, unless all of them want quiet.
 func (q *queue) quietUntil(w *waiter, now time.Time) time.Time {
@@ -370,6 +375,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.refuseExpiredLocked(now)
+	q.refuseEvacuatedLocked(now)
 	if len(q.waiters) > 0 && q.f.opts.Board.LinksLost() {
 		q.releaseLocked(now)
 	}
@@ -451,6 +457,25 @@
 	q.publishBacklogLocked(now)
 }
 
+// refuseEvacuatedLocked refuses the waiting requests for which evacuations left no server.
+// Without an evacuation, requests wait, since a server that restarts is back soon.
+func (q *queue) refuseEvacuatedLocked(now time.Time) {
+	if len(q.waiters) == 0 || !q.f.opts.Directory.AnyEvacuated() {
+		return
+	}
+	before := len(q.waiters)
+	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
+		if q.hasUntried(w) {
+			return false
+		}
+		w.granted <- grant{failed: w.x.refusal(outcome.CodeNoServer, "the service has no usable server")}
+		return true
+	})
+	if len(q.waiters) != before {
+		q.publishBacklogLocked(now)
+	}
+}
+
 // releaseLocked ends the wait of all requests, because this instance has lost its links to the
 // servers, if a peer can serve them.
 func (q *queue) releaseLocked(now time.Time) {
--- a/forward/refresh.go
+++ b/forward/refresh.go
@@ -56,7 +56,7 @@
 			fresh = append(fresh, server.ID)
 			if load.Age > freshAge && !load.Limit.Named {
 				stale = append(stale, readings.Target{
-					Server: server.ID, Address: server.Address, Born: server.Born, Path: x.service.HealthPath,
+					Server: server.ID, DataCentre: server.DataCentre, Address: server.Address, Born: server.Born, Path: x.service.HealthPath,
 					Connections: q.f.opts.ConnLimit(x.service),
 				})
 			}
--- a/forward/refresh_test.go
+++ b/forward/refresh_test.go
@@ -114,7 +114,7 @@
 		}()
 		f := New(Options{
 			Directory: dir, Board: board, Pool: serverconn.NewPool(), Backlogs: admission.NewBacklogs(),
-			CheckRate: func() float64 { return 0 },
+			CheckRate: func() float64 { return 0 }, AwaitCurrent: func(context.Context) {},
 			Instances: func() int { return 1 }, ConnLimit: func(*table.Service) int { return 0 }, LoadsReady: started,
 			Refresh: func(_ context.Context, targets []readings.Target, _ time.Duration) {
 				if !onDemand {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -177,6 +177,7 @@
 		d.pool.Dial = opts.DialServer
 	}
 	d.pool.OnDial = func(address string, ok bool) { d.board.Connected(address, ok, time.Now()) }
+	d.directory.OnReturned = d.serversReturned
 	d.settings.Store(set)
 	if err := d.wireExchange(); err != nil {
 		return nil, err
@@ -204,7 +205,7 @@
 	}
 	d.feed = feed.New(feed.Options{
 		ID: d.self.ID, Store: d.opts.Store, Directory: d.directory, Current: d.current, Exchange: d.exchange,
-		FirstStart: d.opts.Settings.FirstStart, ReadDelay: d.readDelay(), Logger: d.logger.With("part", "feed"),
+		FirstStart: d.opts.Settings.FirstStart, ReadDelay: d.readDelay(), InFlight: d.inFlightAt, Logger: d.logger.With("part", "feed"),
 	})
 	d.exchange.Follow(d.feed)
 	return nil
@@ -237,6 +238,9 @@
 		OnNotice: func(target readings.Target, notice readings.Notice) {
 			d.recordNotice(target.Server, target.Born, notice, true)
 		},
+		Excluded: func(target readings.Target) bool {
+			return !d.feed.Current() || d.directory.Evacuated(target.DataCentre)
+		},
 		Logger: d.logger.With("part", "checks"),
 	})
 	d.forwarder = forward.New(forward.Options{
@@ -244,7 +248,7 @@
 		Budget: d.budget, Pool: d.pool, Backlogs: d.backlogs, ConnLimit: d.connLimit, Instances: d.sharers, ID: d.self.ID, DataCentre: d.self.DataCentre,
 		Peer: d.peer, PeerPool: d.peerPool,
 		Log: d.logger.With("part", "forward"), Observer: d.observer, Quarantine: d.crashes,
-		ViewReady: d.viewReady, LoadsReady: d.loadsReady,
+		ViewReady: d.viewReady, LoadsReady: d.loadsReady, AwaitCurrent: d.feed.AwaitCurrent,
 		Refresh:   d.checks.Refresh,
 		CheckRate: func() float64 { return d.settings.Load().ChecksPerSecond * demandShare },
 		OnNotice: func(server directory.Server, notice readings.Notice, fromCheck bool) {
@@ -357,7 +361,7 @@
 				intervals[server.Service] = d.checkInterval(server.Service, dataCentre)
 			}
 			targets = append(targets, readings.Target{
-				Server: server.ID, Address: server.Address, Born: server.Born,
+				Server: server.ID, DataCentre: dataCentre, Address: server.Address, Born: server.Born,
 				Path: service.HealthPath, Connections: d.connLimit(service), Interval: intervals[server.Service],
 			})
 		}
@@ -451,7 +455,7 @@
 }
 
 // sweep removes the connections and readings of servers that are no longer in the
-// directory.
+// directory. Those of evacuated servers stay.
 func (d *Daemon) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -461,7 +465,11 @@
 			return nil
 		case now := <-ticker.C:
 			addresses, keys := make(map[string]bool), make(map[readings.ServerKey]bool)
-			for _, server := range d.directory.All() {
+			servers := d.directory.All()
+			for _, evacuated := range d.directory.EvacuatedServers() {
+				servers = append(servers, evacuated...)
+			}
+			for _, server := range servers {
 				addresses[server.Address], keys[readings.KeyOf(server.ID)] = true, true
 			}
 			d.pool.Sweep(now, func(address string) bool { return addresses[address] })
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		targets = append(targets, readings.Target{
-			Server: all[i].ID, Address: all[i].Address, Born: all[i].Born, Path: service.HealthPath, Connections: d.connLimit(service),
+			Server: all[i].ID, DataCentre: all[i].DataCentre, Address: all[i].Address, Born: all[i].Born, Path: service.HealthPath, Connections: d.connLimit(service),
 		})
 		if len(targets) == count {
 			break
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -95,6 +95,7 @@
 		{"request_seconds_p50", "Median time of whole answers, in seconds.", func() float64 { return d.observer.quantile(50) }},
 		{"request_seconds_p99", "99th percentile of the time of whole answers, in seconds.", func() float64 { return d.observer.quantile(99) }},
 		{"table_version", "Version of the table in force; 0 if none is.", func() float64 { return float64(d.tableVersion()) }},
+		{"evacuated_data_centres", "Data centres whose backend servers get no requests.", func() float64 { return float64(d.evacuatedCount()) }},
 		{"view_age_seconds", "Age of the view of the store, in seconds.", func() float64 { return d.feed.Age().Seconds() }},
 		{"instances_alive", "Instances heard lately, with this one.", func() float64 { return float64(len(d.exchange.Alive(""))) }},
 		{"servers_unreachable", "1 while no backend server answers this instance, else 0.", func() float64 {
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -77,8 +77,11 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// hasView reports whether the instance has a table and the list of backend servers.
-func (d *Daemon) hasView() bool { return d.current.Load() != nil && d.directory.Synced() }
+// hasView reports whether the instance has a table and the list of backend servers, and knows
+// which data centres are evacuated.
+func (d *Daemon) hasView() bool {
+	return d.current.Load() != nil && d.directory.Synced() && d.directory.EvacuationsKnown()
+}
 
 // peerLimits returns the limits on the connections of peers: those of callers, with room for
 // the headers of a delegation. Peers close connections that they don't use.
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -40,8 +40,9 @@
 
 // Target is a server to check.
 type Target struct {
-	Server  string
-	Address string
+	Server     string
+	DataCentre string
+	Address    string
 	// Born is the start time of the server in Unix milliseconds; 0 if unknown.
 	Born int64
 	// Path is the path of the status check.
@@ -53,7 +54,7 @@
 	Interval time.Duration
 }
 
-// CheckOptions configure [Checks]. All are required.
+// CheckOptions configure [Checks]. All but Excluded are required.
 type CheckOptions struct {
 	Board   *Board
 	Pool    *serverconn.Pool
@@ -68,6 +69,9 @@
 	OnReplaced func(server string)
 	// OnNotice is called with what each answer says about requests to come.
 	OnNotice func(target Target, notice Notice)
+	// Excluded reports whether nothing may be sent to a server now. It is asked immediately
+	// before each check.
+	Excluded func(target Target) bool
 	Logger   *slog.Logger
 }
 
@@ -176,7 +180,14 @@
 func (c *Checks) check(ctx context.Context, target Target) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
+	if c.excluded(target) {
+		return
+	}
 	conn, err := c.opts.Pool.Get(ctx, target.Address, target.Connections)
+	if err == nil && c.excluded(target) {
+		conn.Close()
+		return
+	}
 	if err != nil {
 		c.opts.Logger.Debug("status check failed", "server", target.Server, "error", err)
 		c.record(target, timestamped(Reading{Server: KeyOf(target.Server), Health: HealthUnreachable}))
@@ -185,6 +196,17 @@
 	c.record(target, c.checkOn(ctx, conn, target))
 }
 
+// excluded reports whether a check must not be made, and ends it if so.
+func (c *Checks) excluded(target Target) bool {
+	if c.opts.Excluded == nil || !c.opts.Excluded(target) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.running, target.Server)
+	return true
+}
+
 // record records the result of a check.
 func (c *Checks) record(target Target, reading Reading) {
 	now := time.Now()
