soak: a data centre is evacuated while a daemon is stopped

The servers are in two data centres, one of which is drawn. Nothing may reach it from 5 s after the row was written, also when a daemon goes on that was stopped meanwhile.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -81,6 +81,9 @@
 	draining      atomic.Bool
 	running       atomic.Int32
 	arrivals      atomic.Int64
+	zone          string
+	// reachedTotal counts requests and status checks.
+	reachedTotal atomic.Int64
 	// limited is set while the server names serverLimit; reached holds the times of the
 	// requests and status checks that it got since.
 	limited atomic.Bool
@@ -92,12 +95,12 @@
 	replace func()
 }
 
-func startBackend(id, service string, s *store, j *journal) (*backend, error) {
+func startBackend(id, service, zone string, s *store, j *journal) (*backend, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	b := &backend{id: id, service: service, startedMillis: time.Now().UnixMilli(), store: s, journal: j, stop: make(chan struct{})}
+	b := &backend{id: id, service: service, zone: zone, startedMillis: time.Now().UnixMilli(), store: s, journal: j, stop: make(chan struct{})}
 	if b.link, err = newLink("127.0.0.1", listener.Addr().String()); err != nil {
 		return nil, err
 	}
@@ -128,7 +131,7 @@
 	}
 	b.store.put("servers", b.id, map[string]any{
 		"addr": b.link.address(), "born": b.startedMillis,
-		"info":   map[string]any{"service": b.service, "version": "v1", "zone": "a", "slots": backendSlots},
+		"info":   map[string]any{"service": b.service, "version": "v1", "zone": b.zone, "slots": backendSlots},
 		"status": map[string]any{"state": state, "seq": seq, "warmup_left": "0ms"},
 	})
 }
@@ -151,6 +154,7 @@
 
 // ServeHTTP implements [http.Handler].
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.reachedTotal.Add(1)
 	if b.limited.Load() {
 		w.Header().Set("Server-Limit", fmt.Sprint(serverLimit))
 		b.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -51,8 +51,14 @@
 	limitTime  = 3 * time.Second
 	limitSpan  = 4 * time.Second
 	limitSlack = 5
+	// They require that, from evacuationTime after an order to evacuate a data centre, its
+	// servers get nothing.
+	evacuationTime = 5 * time.Second
 )
 
+// zones are the data centres of the servers, in turn. The daemons are in the first.
+var zones = []string{"a", "a", "b"}
+
 // callResult is what a caller observed of one request; status is 0 without a complete
 // response.
 type callResult struct {
@@ -139,6 +145,7 @@
 	time.Sleep(settleDuration)
 	s.checkOutcomes()
 	s.checkRecovery()
+	s.checkEvacuation()
 	s.checkLimits()
 	s.checkContainment()
 	if !t.Failed() {
@@ -167,7 +174,7 @@
 }
 
 func (s *soak) addBackend(n int) {
-	b, err := startBackend(fmt.Sprintf("i-%d-%d", n, s.sequence.Add(1)), "main", s.store, s.journal)
+	b, err := startBackend(fmt.Sprintf("i-%d-%d", n, s.sequence.Add(1)), "main", zones[n%len(zones)], s.store, s.journal)
 	if err != nil {
 		s.t.Error(err)
 		return
@@ -343,6 +350,46 @@
 	}
 }
 
+// checkEvacuation evacuates a data centre while callers send on and a daemon is stopped, which
+// goes on after the servers there may get nothing any longer, and then ends the evacuation.
+func (s *soak) checkEvacuation() {
+	zone := zones[s.rng.IntN(len(zones))]
+	reached := func() (total int64) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, b := range s.backends {
+			if b.zone == zone {
+				total += b.reachedTotal.Load()
+			}
+		}
+		return total
+	}
+	ctx, cancel := context.WithCancel(s.t.Context())
+	var wg sync.WaitGroup
+	for n := range clients {
+		wg.Go(func() { s.client(ctx, n) })
+	}
+	time.Sleep(time.Second)
+	stopped := s.daemons[s.rng.IntN(len(s.daemons))]
+	stopped.signal(syscall.SIGSTOP)
+	s.store.put("op", "evacuate/"+zone, map[string]any{})
+	time.Sleep(evacuationTime)
+	before := reached()
+	stopped.signal(syscall.SIGCONT)
+	time.Sleep(2 * time.Second)
+	evacuated := reached()
+	if evacuated != before {
+		s.t.Errorf("%d requests and status checks reached the evacuated data centre %s", evacuated-before, zone)
+	}
+	s.store.put("op", "evacuate/"+zone, nil)
+	time.Sleep(propagationTimeout)
+	cancel()
+	wg.Wait()
+	if reached() == evacuated {
+		s.t.Errorf("nothing reached the data centre %s after its evacuation ended", zone)
+	}
+}
+
 // checkLimits lets two servers name a limit while callers send on.
 func (s *soak) checkLimits() {
 	s.mu.Lock()
