feed: a set that nobody could read is read by the process itself

The condition on the known set in followTable had no effect: reads of peers don't count while the set is unknown. The test now has a peer that can't read the operator's rows, and a partial change of which a peer's set includes a part.

--- a/feed/evacuation_test.go
+++ b/feed/evacuation_test.go
@@ -249,24 +249,32 @@
 }
 
 // TestNewProcessReadsEvacuationsItself guards against a new process that waits for good because
-// its peers know the table but not the evacuated data centres.
+// its peer reads the servers, but could not read the operator's rows. Either of the two would
+// be the first reader.
 func TestNewProcessReadsEvacuationsItself(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newStore()
-		s.put(serverIn("a", "a"))
-		s.setTable(1)
-		s.setEvacuated("b", true)
-		network := gossiptest.NewNetwork()
-		i, _ := newInstance(t, network, s, 1)
-		i.current.Swap(table.Compile(table.Document{Version: 1}))
-		// Another instance is heard to read the store.
-		other, member := newInstance(t, network, s, 0)
-		other.start(t)
-		i.exchange.Add(member)
-		i.start(t)
-		time.Sleep(evacuationLimit)
-		gomega.NewWithT(t).Expect(i.directory.Evacuated("b")).To(gomega.BeTrue())
-	})
+	for n := range 2 {
+		synctest.Test(t, func(t *testing.T) {
+			s := newStore()
+			s.put(serverIn("a", "a"))
+			s.setEvacuated("b", true)
+			network := gossiptest.NewNetwork()
+			newcomer, member := newInstance(t, network, s, n)
+			other, otherMember := newInstance(t, network, s, 1-n)
+			other.access.noDesired = true
+			for _, i := range []*instance{newcomer, other} {
+				// The table is known, so that it is no reason to read.
+				i.current.Swap(table.Compile(table.Document{Version: 1}))
+			}
+			other.exchange.Add(member)
+			other.start(t)
+			time.Sleep(propagationLimit)
+			newcomer.exchange.Add(otherMember)
+			newcomer.start(t)
+			time.Sleep(propagationLimit)
+			gomega.NewWithT(t).Expect(newcomer.directory.Evacuated("b")).To(gomega.BeTrue())
+			gomega.NewWithT(t).Expect(other.directory.Evacuated("b")).To(gomega.BeTrue())
+		})
+	}
 }
 
 func newUnconnected() *Feed {
@@ -305,6 +313,10 @@
 		{"peer of an earlier era", []func(*Feed){peer(directory.MakeVersion(1, 3), "b"), peer(12)}, []string{"b"}, directory.MakeVersion(1, 3)},
 		{"delayed read", []func(*Feed){peer(12, "b"), read(11, true, nil)}, []string{"b"}, 12},
 		{"read of a change that a peer's set includes", []func(*Feed){read(10, true, nil), peer(14), read(15, false, row(12, true))}, nil, 14},
+		{"read of changes that a peer's set includes in part", []func(*Feed){
+			read(10, true, nil), peer(14),
+			read(16, false, map[string]Evacuation{"b": {InForce: true, Version: 12}, "c": {InForce: true, Version: 15}}),
+		}, []string{"c"}, 15},
 		{"complete read finds the row missing", []func(*Feed){peer(12, "b"), read(20, true, nil)}, nil, 20},
 		{"second reader learns of the removal later", []func(*Feed){peer(12, "b"), read(20, true, nil), peer(18)}, nil, 20},
 		{"unknown set does not change in part", []func(*Feed){read(12, false, row(12, true))}, nil, 0},
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -383,13 +383,14 @@
 }
 
 // followTable waits for changes of the desired state whenever this instance is the one that
-// has to read. Every instance reads the first table and the evacuated data centres itself
-// unless it receives them before.
+// has to read. Every instance reads the first table itself unless it receives one before. What
+// peers have read does not count while the evacuated data centres are unknown, so that it also
+// reads those.
 func (f *Feed) followTable(ctx context.Context) {
 	var version uint64
 	for ctx.Err() == nil {
 		now := time.Now()
-		if now.Before(f.readNotBefore) || f.hasDesired() && !f.shouldRead(now) {
+		if now.Before(f.readNotBefore) || f.opts.Current.Load() != nil && !f.shouldRead(now) {
 			sleep(ctx, pollInterval)
 			continue
 		}
@@ -405,11 +406,6 @@
 	}
 }
 
-// hasDesired reports whether this instance has a table and knows the evacuated data centres.
-func (f *Feed) hasDesired() bool {
-	return f.opts.Current.Load() != nil && f.opts.Directory.EvacuationsKnown()
-}
-
 func (f *Feed) readTable(ctx context.Context, after uint64) (uint64, error) {
 	asked := time.Now()
 	var state Desired
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -129,8 +129,9 @@
 	mu    sync.Mutex
 	down  bool
 	calls int
-	// undecodable makes reads fail to decode the table.
-	undecodable bool
+	// undecodable makes reads fail to decode the table, noDesired makes all reads of the
+	// desired state fail.
+	undecodable, noDesired bool
 	// afterChange, if set, is called when a change of the desired state has been read.
 	afterChange func()
 }
@@ -194,6 +195,9 @@
 	if err := a.countCall(); err != nil {
 		return Desired{}, 0, err
 	}
+	if a.noDesired {
+		return Desired{}, 0, errUnavailable
+	}
 	a.store.mu.Lock()
 	defer a.store.mu.Unlock()
 	state, _ := a.desiredLocked(0)
