--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -142,7 +142,7 @@
 			HasReport: true, Report: m.report, Age: now.Sub(m.at), UnreportedInFlight: m.unseen[instance],
 		}})
 	}
-	return placement.Assess(candidates)
+	return placement.Assess(candidates, placement.UsualOf(candidates))
 }
 
 func (m *machine) enqueue(j *job, instance int) {
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -41,8 +41,9 @@
 
 // Target is a server to check.
 type Target struct {
-	Server  string
-	Address string
+	Server     string
+	DataCentre string
+	Address    string
 	// Born is the start time of the server in Unix milliseconds; 0 if unknown.
 	Born int64
 	// Path is the path of the status check.
@@ -54,7 +55,7 @@
 	Interval time.Duration
 }
 
-// CheckOptions configure [Checks]. All are required.
+// CheckOptions configure [Checks]. All but Excluded are required.
 type CheckOptions struct {
 	Board   *Board
 	Pool    *serverconn.Pool
@@ -69,6 +70,9 @@
 	OnReplaced func(server string)
 	// OnNotice is called with what each answer says about requests to come.
 	OnNotice func(target Target, notice Notice)
+	// Excluded reports whether nothing may be sent to a server now. It is asked immediately
+	// before each check.
+	Excluded func(target Target) bool
 	Logger   *slog.Logger
 }
 
@@ -177,7 +181,14 @@
 func (c *Checks) check(ctx context.Context, target Target) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
+	if c.excluded(target) {
+		return
+	}
 	conn, err := c.opts.Pool.Get(ctx, target.Address, target.Connections)
+	if err == nil && c.excluded(target) {
+		conn.Close()
+		return
+	}
 	var full *serverconn.FullError
 	if errors.As(err, &full) && c.opts.Board.warmsUp(target.Server) {
 		// The server was not asked, so that it doesn't count as cold.
@@ -200,6 +211,17 @@
 	c.next[server] = now.Add(failedInterval)
 }
 
+// excluded reports whether a check must not be made, and ends it if so.
+func (c *Checks) excluded(target Target) bool {
+	if c.opts.Excluded == nil || !c.opts.Excluded(target) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.running, target.Server)
+	return true
+}
+
 // record records the result of a check.
 func (c *Checks) record(target Target, reading Reading) {
 	now := time.Now()
