forward: a server that is known to be busy goes before one that an old report shows as idle

Cause: if none of the servers that a request has looked at is idle, it fell back to all servers by their old reports, of which those that say "idle" were chosen.

--- a/forward/queue.go
+++ b/forward/queue.go
@@ -232,7 +232,7 @@
 func (q *queue) tryReserveLocked(w *waiter, fresh []string, now time.Time) (reservation, bool) {
 	others := q.f.opts.Backlogs.Others(q.service, now)
 	if others == (admission.Counts{}) {
-		if r, ok := q.reserveLocked(w, q.promising(fresh, now), now); ok {
+		if r, ok := q.reserveFreshLocked(w, fresh, now); ok {
 			return r, true
 		}
 	}
@@ -241,12 +241,21 @@
 	if admission.Shares(placement.SpareCapacity(candidates.assessed, q.maxTime(w, now)), own, others) != own {
 		return q.reserveLocked(w, candidates.limited(), now)
 	}
-	if r, ok := q.reserveLocked(w, q.promising(fresh, now), now); ok {
+	if r, ok := q.reserveFreshLocked(w, fresh, now); ok {
 		return r, true
 	}
 	return q.reserveLocked(w, candidates, now)
 }
 
+// reserveFreshLocked reserves capacity at one of the servers whose loads are fresh. A server
+// that is known to be busy is better than one that an old report shows as idle.
+func (q *queue) reserveFreshLocked(w *waiter, fresh []string, now time.Time) (reservation, bool) {
+	if len(fresh) == 0 {
+		return reservation{}, false
+	}
+	return q.reserveLocked(w, q.assess(q.named(fresh), now), now)
+}
+
 // counts returns the numbers of waiters that can meet their target and of those that
 // can't.
 func counts(waiters []*waiter, now time.Time, expected time.Duration) admission.Counts {
--- a/forward/refresh.go
+++ b/forward/refresh.go
@@ -127,12 +127,17 @@
 	if len(ids) == 0 {
 		return candidateSet{}
 	}
+	candidates := q.assess(q.named(ids), now)
+	return candidates.filter(func(i int) bool { return candidates.assessed[i].Promising() })
+}
+
+// named returns the servers with the given IDs.
+func (q *queue) named(ids []string) []directory.Server {
 	var servers []directory.Server
 	for _, server := range q.servers() {
 		if slices.Contains(ids, server.ID) {
 			servers = append(servers, server)
 		}
 	}
-	candidates := q.assess(servers, now)
-	return candidates.filter(func(i int) bool { return candidates.assessed[i].Promising() })
+	return servers
 }
