quota: shares of caps are lent to an allocator that grants them by demand

An instance that alone holds 1/n of each cap refuses most of a workspace whose callers sit on a few instances.

--- /dev/null
+++ b/quota/fleet_test.go
@@ -0,0 +1,380 @@
+package quota
+
+import (
+	"container/heap"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pomelolock/pomelolock/quota/quotapb"
+)
+
+// The tests in this file play a fleet on a virtual clock: real shares and allocators, messages
+// that are delayed, lost or cut, and callers that arrive at random.
+
+var (
+	testLimits = Limits{Window: 5 * time.Second, Excess: 0.1, Slack: 20}
+	epoch      = time.Unix(1_000_000, 0)
+)
+
+const (
+	pollInterval = 50 * time.Millisecond
+	// totalDemand is the number of requests a second of all workspaces, largestPart the
+	// part of the largest, capFactor the cap in multiples of the usual demand.
+	totalDemand = 924.0
+	largestPart = 0.28
+	capFactor   = 1.6
+	workspaces  = 74
+)
+
+// node is one instance of the fleet.
+type node struct {
+	id         string
+	index      int
+	generation int
+	startedAt  time.Time
+	share      *Share
+	allocator  *Allocator
+	up         bool
+	// frozenUntil is when a frozen node runs again, inbox what arrived meanwhile.
+	frozenUntil time.Time
+	inbox       []func()
+	leaving     bool
+	knowsFrom   time.Time
+}
+
+// tenant is a workspace with its callers.
+type tenant struct {
+	name   string
+	demand float64
+	cap    Cap
+	// at are the instances that its callers use, parts the parts of the demand there.
+	at     []int
+	parts  []float64
+	factor float64
+	// served are the times of requests served, central those that one bucket for the
+	// whole fleet serves.
+	served  []time.Time
+	arrived int
+	central bucket
+	// counted from the warm-up on.
+	countServed, countCentral int
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+type fleet struct {
+	now     time.Time
+	events  eventHeap
+	seq     int
+	random  *rand.Rand
+	nodes   []*node
+	tenants []*tenant
+	caps    *Table
+	// minDelay and maxDelay bound the time that a message takes, loss is the part lost.
+	minDelay, maxDelay time.Duration
+	loss               float64
+	// cut reports whether messages between two nodes are lost.
+	cut func(a, b int) bool
+	// readers lists the nodes that can be allocators, as one node sees them.
+	readers  func(of int) []string
+	static   bool
+	warm     time.Time
+	messages int
+	bytes    int
+}
+
+// newFleet starts instances and workspaces whose callers sit on so many of them.
+func newFleet(seed uint64, instances, spread int) *fleet {
+	f := &fleet{now: epoch, random: rand.New(rand.NewPCG(seed, 1)), minDelay: time.Millisecond, maxDelay: 12 * time.Millisecond}
+	f.cut = func(int, int) bool { return false }
+	f.readers = func(int) []string { return f.liveReaders() }
+	f.addTenants(instances, spread)
+	for i := range instances {
+		f.nodes = append(f.nodes, &node{id: fmt.Sprint("i", i), index: i})
+		f.start(i, f.now)
+	}
+	return f
+}
+
+// liveReaders returns the live instances of a small fleet, and 15 of a large one.
+func (f *fleet) liveReaders() []string {
+	var ids []string
+	for _, n := range f.nodes {
+		if n.up && !n.leaving {
+			ids = append(ids, n.id)
+		}
+		if len(f.nodes) >= 60 && len(ids) == 15 {
+			break
+		}
+	}
+	return ids
+}
+
+func (f *fleet) addTenants(instances, spread int) {
+	sum, weights := 0.0, make([]float64, workspaces)
+	for i := 1; i < workspaces; i++ {
+		weights[i] = 1 / (float64(i) + 3)
+		sum += weights[i]
+	}
+	caps := make(map[string]Cap)
+	for i := range workspaces {
+		t := &tenant{name: fmt.Sprint("w", i), demand: totalDemand * largestPart, factor: 1}
+		if i > 0 {
+			t.demand = totalDemand * (1 - largestPart) * weights[i] / sum
+		}
+		t.cap = Cap{PerSecond: capFactor * t.demand, Burst: capFactor * t.demand}
+		caps[t.name] = t.cap
+		t.central = bucket{level: t.cap.Burst, depth: t.cap.Burst, at: f.now}
+		count := min(spread, instances)
+		t.at = f.random.Perm(instances)[:count]
+		t.parts = []float64{0.6, 0.3, 0.1}
+		if count != len(t.parts) {
+			t.parts = nil
+			for range count {
+				t.parts = append(t.parts, 1/float64(count))
+			}
+		}
+		f.tenants = append(f.tenants, t)
+		for j := range t.at {
+			f.arrive(t, j)
+		}
+	}
+	f.caps = NewTable(1, caps)
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.events, event{f.now.Add(d), f.seq, do})
+}
+
+// at plans an event at a time after the start.
+func (f *fleet) at(t time.Duration, do func()) { f.after(epoch.Add(t).Sub(f.now), do) }
+
+// start starts a new process on an instance.
+func (f *fleet) start(i int, known time.Time) {
+	n := f.nodes[i]
+	n.generation++
+	n.up, n.startedAt, n.frozenUntil, n.inbox, n.knowsFrom = true, f.now, time.Time{}, nil, known
+	n.share = NewShare(ShareOptions{
+		Process: f.random.Uint32(), Started: f.now, Random: rand.New(rand.NewPCG(f.random.Uint64(), 2)), Logger: slog.New(slog.DiscardHandler),
+	})
+	n.allocator = NewAllocator(f.now, false)
+	n.share.SetLimits(testLimits)
+	n.allocator.SetLimits(testLimits)
+	n.share.SetTable(f.caps, f.now)
+	n.allocator.SetTable(f.caps)
+	f.poll(n, n.generation)
+}
+
+func (f *fleet) kill(i int) { f.nodes[i].up = false }
+
+func (f *fleet) freeze(i int, d time.Duration) {
+	n := f.nodes[i]
+	n.frozenUntil = f.now.Add(d)
+	f.after(d, func() {
+		waiting := n.inbox
+		n.inbox = nil
+		for _, do := range waiting {
+			do()
+		}
+	})
+}
+
+func (f *fleet) poll(n *node, generation int) {
+	jitter := time.Duration(f.random.Int64N(int64(pollInterval / 5)))
+	f.after(pollInterval-jitter, func() {
+		if n.generation != generation || !n.up {
+			return
+		}
+		f.poll(n, generation)
+		if f.now.Before(n.frozenUntil) || f.static {
+			return
+		}
+		f.pollNow(n)
+	})
+}
+
+func (f *fleet) view(n *node) Fleet {
+	if f.now.Before(n.knowsFrom) {
+		return Fleet{Instances: 512, Readers: f.readers(n.index)}
+	}
+	return Fleet{Instances: len(f.nodes), Lend: !n.leaving, Readers: f.readers(n.index)}
+}
+
+func (f *fleet) pollNow(n *node) {
+	for _, m := range n.share.Poll(f.view(n), f.now) {
+		f.send(n, m)
+	}
+}
+
+func (f *fleet) send(n *node, m Message) {
+	for _, to := range f.nodes {
+		if to.id != m.To {
+			continue
+		}
+		req := proto.Clone(m.Request).(*quotapb.ShareRequest)
+		f.deliver(n, to, proto.Size(req), func() {
+			answer := to.allocator.Receive(n.id, req, f.now)
+			f.deliver(to, n, proto.Size(answer), func() { n.share.Receive(to.id, answer, f.now) })
+		})
+	}
+}
+
+// deliver carries a message: at once within an instance.
+func (f *fleet) deliver(from, to *node, size int, do func()) {
+	delay := time.Duration(0)
+	if from != to {
+		f.messages++
+		f.bytes += size
+		delay = f.minDelay + time.Duration(f.random.Int64N(int64(f.maxDelay-f.minDelay)))
+		if f.random.Float64() < f.loss || f.cut(from.index, to.index) {
+			return
+		}
+	}
+	generation := to.generation
+	f.after(delay, func() {
+		receive := func() {
+			if to.up && to.generation == generation {
+				do()
+			}
+		}
+		if f.now.Before(to.frozenUntil) {
+			to.inbox = append(to.inbox, receive)
+			return
+		}
+		receive()
+	})
+}
+
+// arrive plans the next request of a workspace at one of its instances.
+func (f *fleet) arrive(t *tenant, j int) {
+	rate := t.demand * t.parts[j] * t.factor
+	f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), func() {
+		f.arrive(t, j)
+		n := f.nodes[t.at[j]]
+		if !n.up || f.now.Before(n.frozenUntil) {
+			return
+		}
+		t.arrived++
+		t.central.level = min(t.central.level+t.cap.PerSecond*f.now.Sub(t.central.at).Seconds(), t.cap.Burst)
+		t.central.at = f.now
+		counted := !f.now.Before(f.warm)
+		if t.central.level >= 1 {
+			t.central.level--
+			if counted {
+				t.countCentral++
+			}
+		}
+		if n.share.Take(t.name, f.now).OK {
+			t.served = append(t.served, f.now)
+			if counted {
+				t.countServed++
+			}
+		}
+	})
+}
+
+// useStaticShares makes all instances use their own shares and exchange nothing.
+func (f *fleet) useStaticShares() {
+	f.static = true
+	for _, n := range f.nodes {
+		n.share.fleet.Instances = len(f.nodes)
+	}
+}
+
+// run plays until a time after the start.
+func (f *fleet) run(until time.Duration) {
+	end := epoch.Add(until)
+	for len(f.events) > 0 && !f.events[0].at.After(end) {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = end
+}
+
+// countFrom sets the time after the start from which requests are counted.
+func (f *fleet) countFrom(t time.Duration) { f.warm = epoch.Add(t) }
+
+// refusedBelow returns the part of the requests refused of those that one bucket for the whole
+// fleet serves, over all workspaces.
+func (f *fleet) refusedBelow() float64 {
+	missing, central := 0, 0
+	for _, t := range f.tenants {
+		missing += max(t.countCentral-t.countServed, 0)
+		central += t.countCentral
+	}
+	return float64(missing) / float64(max(central, 1))
+}
+
+// worstWindow returns the highest number of requests served in any window, as a part of the
+// bound, and the workspace.
+func (f *fleet) worstWindow() (float64, string) {
+	worst, name := 0.0, ""
+	for _, t := range f.tenants {
+		bound := bound(t.cap)
+		from := 0
+		for i, at := range t.served {
+			for at.Sub(t.served[from]) >= testLimits.Window {
+				from++
+			}
+			if part := float64(i-from+1) / bound; part > worst {
+				worst, name = part, t.name
+			}
+		}
+	}
+	return worst, name
+}
+
+// bound is that of docs/HARD-LOAD.md.
+func bound(c Cap) float64 {
+	return (c.PerSecond*testLimits.Window.Seconds()+c.Burst)*(1+testLimits.Excess) + testLimits.Slack
+}
+
+func TestTrial(t *testing.T) {
+	for _, n := range []int{1, 18, 103, 472} {
+		for _, mode := range []string{"calm", "loss", "static", "spread"} {
+			spread := 3
+			if mode == "spread" {
+				spread = 10
+			}
+			f := newFleet(1, n, spread)
+			if mode == "static" {
+				f.useStaticShares()
+			}
+			if mode == "loss" {
+				f.loss, f.maxDelay = 0.03, 300*time.Millisecond
+			}
+			f.countFrom(5 * time.Second)
+			began := time.Now()
+			f.run(15 * time.Second)
+			worst, name := f.worstWindow()
+			t.Logf("%3d %-7s refused below cap %.4f, worst window %.3f (%s), msgs/s/inst %.2f bytes/s/inst %.0f took %v", n, mode, f.refusedBelow(), worst, name,
+				float64(f.messages)/15/float64(n), float64(f.bytes)/15/float64(n), time.Since(began))
+		}
+	}
+}
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -10,3 +10,52 @@
 	// Slack is a number of requests.
 	Slack float64
 }
+
+const (
+	// floorShare is the part of Excess and Slack that instances without any share get as
+	// permits. The rest covers chance and instances that know different sizes of the fleet.
+	floorShare = 0.5
+	// depthShare is the part of Slack by which all buckets together are deeper than the
+	// cap's burst. A small burst that is divided among several instances leaves less than
+	// one request to each otherwise.
+	depthShare = 0.25
+)
+
+// depth returns the depth of all buckets of a workspace together.
+func (l Limits) depth(c Cap) float64 { return c.Burst + depthShare*l.Slack }
+
+// floor returns the number of permits a second that the instances get together.
+func (l Limits) floor(c Cap) float64 {
+	window := l.Window.Seconds()
+	return floorShare * (l.Excess*(c.PerSecond*window+c.Burst) + l.Slack) / window
+}
+
+// Cap limits the requests of a workspace over the whole fleet.
+type Cap struct {
+	// PerSecond is the number of requests a second; 0 if there is no cap.
+	PerSecond, Burst float64
+}
+
+// Table holds the caps of one version of the table of routes. It is immutable.
+type Table struct {
+	version uint64
+	caps    map[uint64]Cap
+}
+
+// NewTable returns the caps of a version by the names of workspaces. Those without a cap are
+// left out.
+func NewTable(version uint64, caps map[string]Cap) *Table {
+	t := &Table{version: version, caps: make(map[uint64]Cap, len(caps))}
+	for name, c := range caps {
+		if c.PerSecond > 0 {
+			t.caps[hash(name)] = c
+		}
+	}
+	return t
+}
+
+// Version returns the version of the table.
+func (t *Table) Version() uint64 { return t.version }
+
+// Capped reports whether any workspace has a cap.
+func (t *Table) Capped() bool { return len(t.caps) > 0 }
