entry, forward: requests beyond a workspace's cap are refused with 429

The quarantine's messenger took all messages of other instances; a dispatcher by kind now passes each to its handler. Delegated requests are charged at the instance that delegates.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -55,6 +55,8 @@
 	body     *requestBody
 	// delegation is set if a peer delegated the request.
 	delegation *delegation
+	// taken is the workspace whose cap the request was taken out of; "" if none.
+	taken string
 	// fingerprint identifies the content of the request.
 	fingerprint [32]byte
 
@@ -88,6 +90,9 @@
 		if resp != nil {
 			resp.close()
 		}
+		if len(x.reservations) == 0 && len(x.peers) == 0 {
+			x.returnUnit()
+		}
 		x.log("caller left", slog.Any("tried", x.reservations), slog.Duration("after", time.Since(x.receivedAt)))
 		panic(http.ErrAbortHandler)
 	case failed != nil:
@@ -133,6 +138,9 @@
 	case x.caller.Timeout > 0:
 		x.firstSentAt = x.receivedAt.Add(-x.f.timeouts.elapsed(route.Host+route.PathPrefix, x.caller.Timeout))
 	}
+	if failed := x.takeUnit(); failed != nil {
+		return failed
+	}
 	if x.delegation == nil {
 		x.f.opts.Budget.Earn(x.service.Name)
 	}
@@ -462,6 +470,9 @@
 
 // writeError logs and writes an error response.
 func (x *exchange) writeError(failed *outcome.Error) {
+	if failed.Outcome == outcome.NotRun {
+		x.returnUnit()
+	}
 	took := time.Since(x.receivedAt)
 	service := ""
 	if x.service != nil {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -16,7 +16,7 @@
 	"github.com/pomelolock/pomelolock/table"
 )
 
-// Options configures a [Forwarder]. All fields are required.
+// Options configures a [Forwarder]. All fields but Quota are required.
 type Options struct {
 	Protocol  Protocol
 	Current   *table.Current
@@ -40,6 +40,8 @@
 	Observer Observer
 	// Quarantine refuses requests that crash servers.
 	Quarantine Quarantine
+	// Quota caps the requests of workspaces; nil if nothing does.
+	Quota Quota
 	// Peer returns a peer that reaches servers, other than the given ones; false if none is
 	// known. PeerPool holds the connections to peers.
 	Peer     func(except []string) (Peer, bool)
--- /dev/null
+++ b/forward/quota.go
@@ -0,0 +1,54 @@
+package forward
+
+import (
+	"log/slog"
+	"net/http"
+
+	"github.com/pomelolock/pomelolock/outcome"
+	"github.com/pomelolock/pomelolock/quota"
+	"github.com/pomelolock/pomelolock/table"
+)
+
+// Quota caps the requests of workspaces over the whole fleet. The methods must not block.
+type Quota interface {
+	// Take takes a request out of the workspace's cap, or refuses it.
+	Take(workspace string) quota.Decision
+	// Return returns a request that was taken and certainly did not run.
+	Return(workspace string)
+}
+
+// workspace returns the workspace of the caller's key, or nil if there is none.
+func (x *exchange) workspace() *table.Workspace {
+	return x.snapshot.Workspace(table.HashKey(x.caller.Key))
+}
+
+// takeUnit takes the request out of the cap of its workspace, or refuses it. A delegated
+// request was taken at the instance that delegates it.
+func (x *exchange) takeUnit() *outcome.Error {
+	if x.f.opts.Quota == nil || x.delegation != nil || !x.snapshot.HasWorkspaces() {
+		return nil
+	}
+	workspace := x.workspace()
+	if workspace == nil || workspace.RatePerSecond <= 0 {
+		return nil
+	}
+	d := x.f.opts.Quota.Take(workspace.Name)
+	if d.OK {
+		x.taken = workspace.Name
+		return nil
+	}
+	x.log("over cap", slog.String("workspace", workspace.Name), slog.Float64("cap", d.Cap.PerSecond), slog.Float64("burst", d.Cap.Burst),
+		slog.Float64("share", d.PerSecond), slog.Float64("depth", d.Depth), slog.String("source", string(d.Source)), slog.Duration("age", d.Age))
+	return &outcome.Error{
+		Outcome: outcome.NotRun, Status: http.StatusTooManyRequests, Code: outcome.CodeOverCap,
+		Detail: "the workspace sends more than its cap", RetryAfter: d.RetryAfter,
+	}
+}
+
+// returnUnit returns the request, which certainly did not run, to the cap of its workspace.
+func (x *exchange) returnUnit() {
+	if x.taken != "" {
+		x.f.opts.Quota.Return(x.taken)
+		x.taken = ""
+	}
+}
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -71,7 +71,7 @@
 func (d *Daemon) wireCrashes() {
 	d.crashes = &crashes{
 		Quarantine: quarantine.New(quarantine.Options{
-			Messenger: &messenger{exchange: d.exchange, logger: d.logger.With("part", "quarantine")},
+			Messenger: &messenger{exchange: d.exchange, messages: d.messages, logger: d.logger.With("part", "quarantine")},
 			Logger:    d.logger.With("part", "quarantine"),
 			Losses:    crashLosses, ShareEvery: crashShareInterval,
 		}),
@@ -85,6 +85,7 @@
 // [quarantine.Messenger].
 type messenger struct {
 	exchange *gossip.Exchange
+	messages *messages
 	logger   *slog.Logger
 }
 
@@ -102,13 +103,9 @@
 	return m.exchange.SendMessage(to, uint32(kind), payload)
 }
 
-// Handle implements [quarantine.Messenger]. Only the kind of the last call is handled.
+// Handle implements [quarantine.Messenger].
 func (m *messenger) Handle(kind peerpb.Kind, h peer.Handler) {
-	m.exchange.HandleMessages(func(from string, got uint32, payload []byte) {
-		if got != uint32(kind) {
-			m.logger.Warn("message of an unknown kind", "from", from, "kind", got)
-			return
-		}
+	m.messages.handle(kind, func(from string, payload []byte) {
 		if _, err := h(context.Background(), from, payload); err != nil {
 			m.logger.Warn("handling the message failed", "from", from, "error", err)
 		}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -118,6 +118,8 @@
 	feed      *feed.Feed
 	checks    *readings.Checks
 	crashes   *crashes
+	messages  *messages
+	quotas    *quotas
 	forwarder *forward.Forwarder
 	observer  *observer
 	metrics   *metrics.Registry
@@ -182,6 +184,7 @@
 		return nil, err
 	}
 	d.wireCrashes()
+	d.wireQuota()
 	d.wireRequests()
 	if err := d.wireMetrics(); err != nil {
 		return nil, err
@@ -207,6 +210,8 @@
 		FirstStart: d.opts.Settings.FirstStart, ReadDelay: d.readDelay(), Logger: d.logger.With("part", "feed"),
 	})
 	d.exchange.Follow(d.feed)
+	d.messages = newMessages(d.logger.With("part", "gossip"))
+	d.exchange.HandleMessages(d.messages.receive)
 	return nil
 }
 
@@ -243,7 +248,7 @@
 		Protocol: d.opts.Protocol, Current: d.current, Directory: d.directory, Board: d.board,
 		Budget: d.budget, Pool: d.pool, Backlogs: d.backlogs, ConnLimit: d.connLimit, Instances: d.sharers, ID: d.self.ID, DataCentre: d.self.DataCentre,
 		Peer: d.peer, PeerPool: d.peerPool,
-		Log: d.logger.With("part", "forward"), Observer: d.observer, Quarantine: d.crashes,
+		Log: d.logger.With("part", "forward"), Observer: d.observer, Quarantine: d.crashes, Quota: d.quotas,
 		ViewReady: d.viewReady, LoadsReady: d.loadsReady,
 		Refresh:   d.checks.Refresh,
 		CheckRate: func() float64 { return d.settings.Load().ChecksPerSecond * demandShare },
@@ -407,6 +412,7 @@
 		{"start", d.awaitLoads},
 		{"forward", d.forwarder.Run},
 		{"quarantine", d.crashes.Run},
+		{"quota", d.shareQuotas},
 		{"links", d.watchLinks},
 		{"sweep", d.sweep},
 		{"settings", d.followSettings},
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/pomelolock/pomelolock/metrics"
+	"github.com/pomelolock/pomelolock/quota"
 )
 
 const (
@@ -78,6 +79,14 @@
 		{"status_checks_total", "Status checks of backend servers.", d.pool.Checks.Load},
 		{"limited_requests_total", "Requests sent to backend servers that had named a limit.", func() uint64 { n, _ := d.board.LimitedSends(); return n }},
 		{"limited_checks_total", "Status checks of backend servers that had named a limit.", func() uint64 { _, n := d.board.LimitedSends(); return n }},
+		{"quota_served_total", "Requests served within the caps of workspaces.", func() uint64 { return d.quotas.share.Stats().Served }},
+		{"quota_refused_total", "Requests refused beyond the caps of workspaces.", func() uint64 { return d.quotas.share.Stats().Refused }},
+		{"quota_floor_total", "Requests of workspaces served without a share of the cap.", func() uint64 { return d.quotas.share.Stats().Floor }},
+		{"quota_loans_total", "Requests that lent the shares of caps to an allocator.", func() uint64 { return d.quotas.share.Stats().Loans }},
+		{"quota_grants_total", "Answers of allocators with shares of caps.", func() uint64 { return d.quotas.share.Stats().Grants }},
+		{"quota_allocators_failed_total", "Allocators of caps that did not answer.", func() uint64 { return d.quotas.share.Stats().Failures }},
+		{"quota_granted_total", "Shares of caps granted to instances.", func() uint64 { return d.quotas.allocator.Stats().Granted }},
+		{"quota_cut_total", "Shares of caps granted late because others still held them.", func() uint64 { return d.quotas.allocator.Stats().Cut }},
 		{"peer_sent_datagrams_total", "Datagrams sent to other instances.", d.exchange.Sent.Load},
 		{"peer_received_datagrams_total", "Datagrams received from other instances.", d.exchange.Received.Load},
 		{"peer_sent_bytes_total", "Bytes of datagrams sent to other instances.", d.exchange.SentBytes.Load},
@@ -87,6 +96,24 @@
 			return err
 		}
 	}
+	for _, f := range []struct {
+		name, help string
+		count      func(quota.Counts) uint64
+	}{
+		{"workspace_served_total", "Requests served of the workspaces with the most requests, and of the rest.", func(c quota.Counts) uint64 { return c.Served }},
+		{"workspace_refused_total", "Requests refused beyond the cap of the workspaces with the most requests, and of the rest.", func(c quota.Counts) uint64 { return c.Refused }},
+	} {
+		read := func() []metrics.Sample {
+			var samples []metrics.Sample
+			for _, c := range d.quotas.share.Counts() {
+				samples = append(samples, metrics.Sample{Label: c.Workspace, Value: f.count(c)})
+			}
+			return samples
+		}
+		if err := d.metrics.Counters(f.name, f.help, "workspace", read); err != nil {
+			return err
+		}
+	}
 	for _, g := range []struct {
 		name, help string
 		read       func() float64
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -8,7 +8,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -49,11 +51,12 @@
 
 	mu           sync.Mutex
 	descriptions map[string]description
+	families     map[string]family
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{registry: gometrics.NewRegistry(), descriptions: make(map[string]description)}
+	return &Registry{registry: gometrics.NewRegistry(), descriptions: make(map[string]description), families: make(map[string]family)}
 }
 
 // Counter registers a counter under a name without prefix. read is called at each
@@ -69,6 +72,53 @@
 	return r.register(name, description{help: help}, read)
 }
 
+// Sample is one of several counters under one name.
+type Sample struct {
+	// Label is the value of the label that tells them apart.
+	Label string
+	Value uint64
+}
+
+// family is a number of counters under one name.
+type family struct {
+	help, label string
+	read        func() []Sample
+}
+
+// Counters registers counters that share a name and differ in the value of one label. read is
+// called at each scrape and must return few samples. Counters fails with [DuplicateError].
+func (r *Registry) Counters(name, help, label string, read func() []Sample) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.families[prefix+name]; ok || r.registry.Get(name) != nil {
+		return &DuplicateError{Name: name}
+	}
+	r.families[prefix+name] = family{help: help, label: label, read: read}
+	return nil
+}
+
+// escapeLabel escapes the value of a label for the text format.
+var escapeLabel = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+// writeFamilies writes the counters that share names, sorted by name.
+func (r *Registry) writeFamilies(w io.Writer) error {
+	r.mu.Lock()
+	families := maps.Clone(r.families)
+	r.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(families)) {
+		f := families[name]
+		if _, err := fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s counter\n", name, f.help, name); err != nil {
+			return fmt.Errorf("write metric %s: %w", name, err)
+		}
+		for _, s := range f.read() {
+			if _, err := fmt.Fprintf(w, "%s{%s=\"%s\"} %d\n", name, f.label, escapeLabel.Replace(s.Label), s.Value); err != nil {
+				return fmt.Errorf("write metric %s: %w", name, err)
+			}
+		}
+	}
+	return nil
+}
+
 func (r *Registry) register(name string, d description, read func() float64) error {
 	if err := r.registry.Register(name, gometrics.NewFunctionalGaugeFloat64(read)); err != nil {
 		return &DuplicateError{Name: name}
@@ -102,7 +152,7 @@
 			return fmt.Errorf("write metric %s: %w", full, err)
 		}
 	}
-	return nil
+	return r.writeFamilies(w)
 }
 
 func (r *Registry) description(name string) description {
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -34,6 +34,21 @@
 		gomega.Expect(err).To(gomega.Equal(&metrics.DuplicateError{Name: "requests_total"}))
 	})
 
+	ginkgo.It("serves counters that differ in a label", func() {
+		read := func() []metrics.Sample {
+			return []metrics.Sample{{Label: "a\"b\\c\nd", Value: 3}, {Value: 1}}
+		}
+		gomega.Expect(registry.Counters("served_total", "Requests served.", "workspace", read)).To(gomega.Succeed())
+		gomega.Expect(registry.Counters("served_total", "Another.", "workspace", read)).To(gomega.Equal(&metrics.DuplicateError{Name: "served_total"}))
+		recorder := httptest.NewRecorder()
+		registry.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		gomega.Expect(recorder.Body.String()).To(gomega.HaveSuffix(`# HELP pomelolock_served_total Requests served.
+# TYPE pomelolock_served_total counter
+pomelolock_served_total{workspace="a\"b\\c\nd"} 3
+pomelolock_served_total{workspace=""} 1
+`))
+	})
+
 	ginkgo.It("serves the Prometheus text format", func() {
 		recorder := httptest.NewRecorder()
 		registry.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -75,6 +75,7 @@
 	CodeServerFailed    Code = "server_failed"
 	CodeServerUnreached Code = "server_unreached"
 	CodeCrashesServers  Code = "crashes_servers"
+	CodeOverCap         Code = "over_cap"
 	CodeCallerGone      Code = "caller_gone"
 )
 
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -143,17 +143,12 @@
 	at    time.Time
 }
 
-// NewAllocator returns an Allocator of a process that started at the given time. firstStart is
-// set if no process of the fleet ran before.
-func NewAllocator(started time.Time, firstStart bool) *Allocator {
-	a := &Allocator{
-		table: NewTable(0, nil), openAt: started, members: make(map[memberKey]*member), heard: list.New(),
+// NewAllocator returns an Allocator of a process that started at the given time.
+func NewAllocator(started time.Time) *Allocator {
+	return &Allocator{
+		table: NewTable(0, nil), openAt: started.Add(grantTTL), members: make(map[memberKey]*member), heard: list.New(),
 		groups: make(map[group]*pool), workspaces: make(map[uint64]*account),
 	}
-	if !firstStart {
-		a.openAt = started.Add(grantTTL)
-	}
-	return a
 }
 
 // SetLimits sets the limits.
@@ -195,7 +190,8 @@
 	a.update(c)
 }
 
-// Receive handles an instance's request and returns the answer.
+// Receive handles an instance's request and returns the answer. The answer names no table as
+// long as the allocator can't grant anything.
 func (a *Allocator) Receive(from string, req *quotapb.ShareRequest, now time.Time) *quotapb.ShareGrant {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -204,7 +200,7 @@
 	}
 	a.now = now
 	a.stats.Requests++
-	reply := &quotapb.ShareGrant{Number: req.GetNumber(), Process: req.GetProcess(), TableVersion: a.table.version}
+	reply := &quotapb.ShareGrant{Number: req.GetNumber(), Process: req.GetProcess()}
 	a.expire(now)
 	m := a.member(memberKey{group{req.GetShards(), req.GetShard()}, from}, req.GetProcess(), now)
 	if m == nil {
@@ -214,6 +210,7 @@
 	a.lend(m, req, now)
 	a.claim(m, req)
 	if !now.Before(a.openAt) {
+		reply.TableVersion = a.table.version
 		for _, d := range req.GetDemands() {
 			if g := a.grant(m, d, req.GetNumber(), now); g != nil {
 				reply.Grants = append(reply.Grants, g)
--- a/quota/share.go
+++ b/quota/share.go
@@ -48,17 +48,15 @@
 	maxRetryAfter = 5 * time.Second
 )
 
-// ShareOptions configure a [Share]. All but FirstStart are required.
+// ShareOptions configure a [Share]. All are required.
 type ShareOptions struct {
 	// Process identifies the process among those of the instance.
 	Process uint32
 	// Started is the time at which the process started. All times come from one clock
 	// that is never set.
 	Started time.Time
-	// FirstStart is set if no process of the fleet ran before.
-	FirstStart bool
-	Random     *rand.Rand
-	Logger     *slog.Logger
+	Random  *rand.Rand
+	Logger  *slog.Logger
 }
 
 // Fleet describes the other instances to a [Share].
@@ -370,11 +368,8 @@
 	if count == len(s.lendings) {
 		return
 	}
-	ownFrom := s.opts.Started
-	if !s.opts.FirstStart {
-		// A process that ended may have lent its shares.
-		ownFrom = ownFrom.Add(loanTTL)
-	}
+	// A process of this instance that ended may have lent its shares.
+	ownFrom := s.opts.Started.Add(loanTTL)
 	for _, b := range s.used {
 		b.advance(s, now)
 	}
@@ -548,7 +543,8 @@
 	delete(s.sent, answer.GetNumber())
 	l := sent.lending
 	if from != l.allocator {
-		if from == l.preferred {
+		// One without a table, or that waits after its start, has nothing to grant yet.
+		if from == l.preferred && answer.GetTableVersion() != 0 {
 			l.recovered = from
 		}
 		return
