quota: shares are lent in two planes with allocators of their own

A killed allocator left all capped workspaces without shares for 2.3 s. Half of a cap covers most of the usual demand, so that one failure now costs little. More than two planes were ruled out for their messages. A round trip measured as zero counted as unknown, which delayed the repetition of requests.

--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -41,7 +41,7 @@
 	// Requests counts the requests received, Granted the grants of workspaces, Cut those
 	// that were less than the division provides because others still held more.
 	Requests, Granted, Cut uint64
-	// Members is the number of instances that ask.
+	// Members is the number of instances that ask, counted for each plane and shard.
 	Members int
 }
 
@@ -64,13 +64,12 @@
 	// loans orders the members that lend by the time until which they do.
 	loans loanHeap
 	// expiries holds the outstanding grants in the order in which they expire.
-	expiries   []expiry
-	workspaces map[uint64]*account
-	stats      AllocatorStats
+	expiries []expiry
+	stats    AllocatorStats
 }
 
-// group is one shard of a division into shards. Instances may divide differently while the
-// size of the fleet changes.
+// group is one shard of one plane of a division. Instances may divide differently while the size
+// of the fleet changes.
 type group struct{ shards, shard uint32 }
 
 type memberKey struct {
@@ -85,6 +84,8 @@
 	// low follows the fraction, with a delay if it rises, as of lowAt.
 	low   float64
 	lowAt time.Time
+	// workspaces holds the sums of the claims on each workspace.
+	workspaces map[uint64]*account
 }
 
 // member is an instance that asks for shares.
@@ -147,7 +148,7 @@
 func NewAllocator(started time.Time) *Allocator {
 	return &Allocator{
 		table: NewTable(0, nil), openAt: started.Add(grantTTL), members: make(map[memberKey]*member), heard: list.New(),
-		groups: make(map[group]*pool), workspaces: make(map[uint64]*account),
+		groups: make(map[group]*pool),
 	}
 }
 
@@ -234,7 +235,7 @@
 		a.members[key] = m
 		p := a.groups[key.group]
 		if p == nil {
-			p = &pool{lowAt: now}
+			p = &pool{lowAt: now, workspaces: make(map[uint64]*account)}
 			a.groups[key.group] = p
 		}
 		p.members++
@@ -333,17 +334,18 @@
 	}
 }
 
-func (a *Allocator) account(workspace uint64) *account {
-	acc := a.workspaces[workspace]
+func (a *Allocator) account(c *claim) *account {
+	workspaces := a.groups[c.member.key.group].workspaces
+	acc := workspaces[c.workspace]
 	if acc == nil {
 		acc = &account{}
-		a.workspaces[workspace] = acc
+		workspaces[c.workspace] = acc
 	}
 	return acc
 }
 
 func (a *Allocator) setDemand(c *claim, listed bool, demand float64) {
-	acc := a.account(c.workspace)
+	acc := a.account(c)
 	acc.demand += demand - c.demand
 	smooth := c.smooth + (demand-c.smooth)*depthSmoothing
 	if !listed || !c.listed {
@@ -371,7 +373,7 @@
 	for _, o := range c.outstanding {
 		used.perSecond, used.depth = max(used.perSecond, o.perSecond), max(used.depth, o.depth)
 	}
-	acc := a.account(c.workspace)
+	acc := a.account(c)
 	acc.used.perSecond += used.perSecond - c.used.perSecond
 	acc.used.depth += used.depth - c.used.depth
 	c.used = used
@@ -382,8 +384,9 @@
 		return
 	}
 	delete(c.member.claims, c.workspace)
-	if acc := a.workspaces[c.workspace]; acc != nil && acc.claims == 0 && acc.used.perSecond < 1e-9 && acc.used.depth < 1e-9 {
-		delete(a.workspaces, c.workspace)
+	workspaces := a.groups[c.member.key.group].workspaces
+	if acc := workspaces[c.workspace]; acc != nil && acc.claims == 0 && acc.used.perSecond < 1e-9 && acc.used.depth < 1e-9 {
+		delete(workspaces, c.workspace)
 	}
 }
 
@@ -397,7 +400,7 @@
 	}
 	p := a.groups[m.key.group]
 	low, lent := p.lowest(now), min(p.fraction, 1)
-	acc := a.account(c.workspace)
+	acc := a.account(c)
 	want := divide(share{limit.PerSecond * low, a.limits.depth(limit) * low}, c, acc)
 	give := share{
 		min(want.perSecond, max(limit.PerSecond*lent-acc.used.perSecond+c.used.perSecond, 0)),
@@ -472,9 +475,9 @@
 	done := 0
 	for done < len(a.expiries) && !a.expiries[done].at.After(now) {
 		c := a.expiries[done].claim
-		c.outstanding = keep(c.outstanding, func(o outstanding) bool { return o.expires.After(now) })
-		a.update(c)
 		if a.members[c.member.key] == c.member {
+			c.outstanding = keep(c.outstanding, func(o outstanding) bool { return o.expires.After(now) })
+			a.update(c)
 			a.dropUnused(c)
 		}
 		done++
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -41,11 +41,12 @@
 // time: a grant while it is valid, then nothing, and the instance's own share once what was
 // lent has lapsed.
 type bucket struct {
-	name    string
-	hash    uint64
-	cap     Cap
-	lending *lending
-	grant   grant
+	name string
+	hash uint64
+	cap  Cap
+	// lendings and grants are those of the planes.
+	lendings [planes]*lending
+	grants   [planes]grant
 
 	// level is the number of requests that the bucket holds as of at, or, if it is
 	// shallower than one request, the part of the next one that has accrued.
@@ -63,42 +64,66 @@
 	floor    permits
 }
 
-// current returns the share in force and its source.
+// current returns the share in force, the sum over the planes, and what it is from.
 func (b *bucket) current(s *Share, now time.Time) (share, Source) {
-	switch {
-	case now.Before(b.grant.until):
-		return b.grant.share, SourceGrant
-	case !now.Before(b.lending.ownFrom):
-		return s.ownShare(b.cap), SourceOwn
+	var sum share
+	source := SourceFloor
+	for plane, l := range b.lendings {
+		part := share{}
+		switch {
+		case now.Before(b.grants[plane].until):
+			part, source = b.grants[plane].share, SourceGrant
+		case !now.Before(l.ownFrom):
+			part = s.ownShare(b.cap)
+			if source == SourceFloor {
+				source = SourceOwn
+			}
+		}
+		sum.perSecond, sum.depth = sum.perSecond+part.perSecond, sum.depth+part.depth
 	}
-	return share{}, SourceFloor
+	return sum, source
 }
 
-// advance fills the bucket up to a time.
-func (b *bucket) advance(s *Share, now time.Time) {
-	if !now.After(b.at) {
-		return
-	}
-	if b.grant.until.After(b.at) {
-		end := now
-		if b.grant.until.Before(now) {
-			end = b.grant.until
+// age returns the time since the newest part of the share in force was granted, or since the
+// own share is in force.
+func (b *bucket) age(source Source, now time.Time) time.Duration {
+	var newest time.Time
+	for plane, l := range b.lendings {
+		if at := b.grants[plane].sentAt; source == SourceGrant && at.After(newest) {
+			newest = at
+		}
+		if source == SourceOwn && l.ownFrom.After(newest) && !l.ownFrom.After(now) {
+			newest = l.ownFrom
 		}
-		b.fill(b.grant.share, end, s.random)
 	}
-	if now.Before(b.grant.until) {
-		return
+	if newest.IsZero() {
+		return 0
 	}
-	if own := b.lending.ownFrom; now.Before(own) {
-		b.empty(now)
-	} else {
-		if own.After(b.at) {
-			b.empty(own)
+	return now.Sub(newest)
+}
+
+// advance fills the bucket up to a time.
+func (b *bucket) advance(s *Share, now time.Time) {
+	for b.at.Before(now) {
+		end := now
+		for plane, l := range b.lendings {
+			for _, change := range []time.Time{b.grants[plane].until, l.ownFrom} {
+				if change.After(b.at) && change.Before(end) {
+					end = change
+				}
+			}
 		}
-		b.fill(s.ownShare(b.cap), now, s.random)
+		current, _ := b.current(s, b.at)
+		b.fill(current, end, s.random)
 	}
 }
 
+// adapt applies a share that changed at the time up to which the bucket is filled.
+func (b *bucket) adapt(s *Share) {
+	current, _ := b.current(s, b.at)
+	b.resize(current.depth, s.random)
+}
+
 // empty discards what the bucket holds.
 func (b *bucket) empty(now time.Time) {
 	b.level, b.depth, b.heldUntil, b.at = 0, 0, time.Time{}, now
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -1,8 +1,8 @@
 // Package quota caps the requests of workspaces over the whole fleet. It has no network: the
 // caller carries its messages.
 //
-// Each instance owns an equal share of every cap. It lends its shares to an allocator, one of
-// the instances, which grants them to the instances that need them. [Share] is the part of an
+// Each instance owns an equal share of every cap. It lends its shares to allocators, which are
+// some of the instances and grant them to those that need them. [Share] is the part of an
 // instance that lends and uses shares, [Allocator] the part that grants them.
 // docs/design/usage-caps.md states why the sum of all shares in use stays within the cap.
 package quota
@@ -28,6 +28,10 @@
 	// delays up to 300 ms and 3 in 100 messages lost, more than 5 in 100 requests were
 	// refused below the cap.
 	loanTTL = 1800 * time.Millisecond
+	// planes is the number of parts in which each instance lends its shares, each part to an
+	// allocator of its own. If one fails, the others still cover most of the demand until
+	// its loans have lapsed.
+	planes = 2
 	// instancesPerShard is the number of instances that one allocator serves.
 	instancesPerShard = 150
 	// shardMargin is the relative change of the fleet's size beyond a boundary at which
--- a/quota/share.go
+++ b/quota/share.go
@@ -122,9 +122,10 @@
 	stats  Stats
 }
 
-// lending is the state of one shard: to whom its shares are lent, and who is asked for grants.
+// lending is the state of one plane of one shard: to whom its shares are lent, and who is asked
+// for grants.
 type lending struct {
-	shard int
+	plane, shard int
 	// readers are the instances that can be allocators, ranked the same by rank.
 	readers, ranked []string
 	// allocator is the one that is asked, lentTo the one that the last loan went to.
@@ -219,16 +220,16 @@
 			depth = after / before
 		}
 		b.cap = c
-		b.grant.share = b.grant.scaled(rate, depth)
-		if current, _ := b.current(s, now); current.depth < b.depth {
-			b.resize(current.depth, s.random)
+		for plane := range b.grants {
+			b.grants[plane].share = b.grants[plane].scaled(rate, depth)
 		}
+		b.adapt(s)
 	}
 }
 
-// ownShare returns the instance's own part of a cap.
+// ownShare returns the instance's own part of a cap in one plane.
 func (s *Share) ownShare(c Cap) share {
-	n := float64(max(s.fleet.Instances, 1))
+	n := float64(planes * max(s.fleet.Instances, 1))
 	return share{c.PerSecond / n, s.limits.depth(c) / n}
 }
 
@@ -247,10 +248,15 @@
 		return nil
 	}
 	s.resizeLendings(now)
-	b := &bucket{name: workspace, hash: key, cap: c, at: now, lending: s.lendings[shardOf(key, len(s.lendings))]}
-	if own := b.lending.ownFrom; now.After(own) {
+	b := &bucket{name: workspace, hash: key, cap: c, lendings: s.lendingsOf(key)}
+	for _, l := range b.lendings {
 		// Nothing has used the own share since it came into force.
-		b.at = own
+		if l.ownFrom.After(b.at) {
+			b.at = l.ownFrom
+		}
+	}
+	if b.at.After(now) {
+		b.at = now
 	}
 	s.buckets[key] = b
 	s.used = append(s.used, b)
@@ -270,13 +276,7 @@
 	b.advance(s, now)
 	current, source := b.current(s, now)
 	d := Decision{OK: b.take(), Cap: b.cap, PerSecond: current.perSecond, Depth: current.depth, Source: source}
-	switch source {
-	case SourceGrant:
-		d.Age = now.Sub(b.grant.sentAt)
-	case SourceOwn:
-		d.Age = now.Sub(b.lending.ownFrom)
-	case SourceFloor:
-	}
+	d.Age = b.age(source, now)
 	if !d.OK && (current.perSecond <= 0 || current.depth <= 0) {
 		d.Source = SourceFloor
 		d.OK = b.floor.take(s.limits.floor(b.cap)/float64(max(s.fleet.Instances, 1)), now, s.random)
@@ -293,8 +293,11 @@
 	counts.Refused++
 	s.stats.Refused++
 	b.refused.add(now)
-	if source == SourceFloor || source == SourceGrant && b.demand.perSecond(now) > urgentRise*b.reported {
-		b.lending.urgent = true
+	rising := b.demand.perSecond(now) > urgentRise*b.reported
+	for plane, l := range b.lendings {
+		if now.Before(l.ownFrom) && (rising || !now.Before(b.grants[plane].until)) {
+			l.urgent = true
+		}
 	}
 	d.RetryAfter = s.retryAfter(b, current, now)
 	return d
@@ -364,8 +367,8 @@
 // resizeLendings adapts the number of shards to the size of the fleet. What was lent by the
 // shards before has to lapse first.
 func (s *Share) resizeLendings(now time.Time) {
-	count := shardCount(s.fleet.Instances, len(s.lendings))
-	if count == len(s.lendings) {
+	count := shardCount(s.fleet.Instances, s.shards())
+	if count == s.shards() {
 		return
 	}
 	// A process of this instance that ended may have lent its shares.
@@ -379,19 +382,47 @@
 		}
 	}
 	s.lendings = nil
-	for shard := range count {
-		s.lendings = append(s.lendings, &lending{shard: shard, ownFrom: ownFrom, suspects: make(map[string]time.Time)})
+	for plane := range planes {
+		for shard := range count {
+			s.lendings = append(s.lendings, &lending{plane: plane, shard: shard, ownFrom: ownFrom, suspects: make(map[string]time.Time)})
+		}
 	}
 	for _, b := range s.used {
-		b.lending = s.lendings[shardOf(b.hash, count)]
+		b.lendings = s.lendingsOf(b.hash)
+	}
+}
+
+// shards returns the number of shards.
+func (s *Share) shards() int { return len(s.lendings) / planes }
+
+// lendingsOf returns the lendings of a workspace.
+func (s *Share) lendingsOf(workspace uint64) [planes]*lending {
+	var all [planes]*lending
+	for plane := range all {
+		all[plane] = s.lendings[plane*s.shards()+shardOf(workspace, s.shards())]
+	}
+	return all
+}
+
+// rank ranks the instances that can be the allocator of a lending. The first ones of the planes
+// before come last, so that the planes don't fail together.
+func (s *Share) rank(l *lending, readers []string) []string {
+	key := func(plane int) string { return fmt.Sprintf("quota/%d/%d/%d", s.shards(), l.shard, plane) }
+	ranked := membership.Ranked(key(l.plane), readers)
+	for plane := range l.plane {
+		first := membership.Owner(key(plane), readers)
+		if i := slices.Index(ranked, first); i >= 0 {
+			ranked = append(slices.Delete(ranked, i, i+1), first)
+		}
 	}
+	return ranked
 }
 
 // poll returns the requests of one shard.
 func (s *Share) poll(l *lending, now time.Time) []Message {
 	if !slices.Equal(l.readers, s.fleet.Readers) {
 		l.readers = slices.Clone(s.fleet.Readers)
-		l.ranked = membership.Ranked(fmt.Sprintf("quota/%d/%d", l.shard, len(s.lendings)), l.readers)
+		l.ranked = s.rank(l, l.readers)
 	}
 	s.checkAnswers(l, now)
 	preferred := ""
@@ -434,7 +465,7 @@
 // to another one has lapsed.
 func (s *Share) choose(l *lending, allocator string, now time.Time) {
 	if l.allocator != "" {
-		s.opts.Logger.Info("allocator changed", "shard", l.shard, "allocator", allocator, "before", l.allocator,
+		s.opts.Logger.Info("allocator changed", "plane", l.plane, "shard", l.shard, "allocator", allocator, "before", l.allocator,
 			"failed", now.Before(l.suspects[l.allocator]), "own_share_in", l.ownFrom.Sub(now), "instances", s.fleet.Instances)
 	}
 	l.allocator, l.answered, l.recovered = allocator, 0, ""
@@ -455,7 +486,7 @@
 	}
 	l.waitingSince, l.repeated, l.answered = time.Time{}, false, 0
 	s.stats.Failures++
-	s.opts.Logger.Info("allocator does not answer", "shard", l.shard, "allocator", l.allocator,
+	s.opts.Logger.Info("allocator does not answer", "plane", l.plane, "shard", l.shard, "allocator", l.allocator,
 		"last_request", now.Sub(l.lastSent), "own_share_in", l.ownFrom.Sub(now))
 }
 
@@ -479,12 +510,12 @@
 	if s.fleet.Lend && l.answered != 0 && (l.lentTo == l.allocator || own) {
 		if own {
 			for _, b := range s.used {
-				if b.lending == l {
+				if b.lendings[l.plane] == l {
 					b.advance(s, now)
 				}
 			}
 		}
-		m.Request.Instances = uint32(s.fleet.Instances)
+		m.Request.Instances = uint32(planes * s.fleet.Instances)
 		l.lentTo, l.ownFrom = l.allocator, now.Add(loanTTL)
 		own = false
 		s.stats.Loans++
@@ -505,7 +536,7 @@
 	s.sent[s.number] = sentRequest{lending: l, to: to, at: now}
 	return Message{To: to, Request: &quotapb.ShareRequest{
 		Number: s.number, Process: s.opts.Process, TableVersion: s.table.version,
-		Shards: uint32(len(s.lendings)), Shard: uint32(l.shard),
+		Shards: uint32(len(s.lendings)), Shard: uint32(l.plane*s.shards() + l.shard),
 	}}
 }
 
@@ -516,14 +547,14 @@
 	return &quotapb.Demand{Workspace: number, PerSecond: -1}
 }
 
-// demands returns the demands of the workspaces in use.
+// demands returns the demands of the workspaces in use on one plane.
 func (s *Share) demands(l *lending, now time.Time) []*quotapb.Demand {
 	var list []*quotapb.Demand
 	for _, b := range s.used {
-		if b.lending == l {
+		if b.lendings[l.plane] == l {
 			b.advance(s, now)
 			b.reported = b.demand.perSecond(now) + b.missing()/refillTime
-			list = append(list, &quotapb.Demand{Workspace: b.hash, PerSecond: float32(b.reported)})
+			list = append(list, &quotapb.Demand{Workspace: b.hash, PerSecond: float32(b.reported / planes)})
 		}
 	}
 	slices.SortFunc(list, func(a, b *quotapb.Demand) int {
@@ -549,7 +580,7 @@
 		}
 		return
 	}
-	l.measure(now.Sub(sent.at))
+	l.measure(max(now.Sub(sent.at), time.Microsecond))
 	l.waitingSince, l.repeated = time.Time{}, false
 	if answer.GetNumber() < l.answered {
 		return
@@ -568,13 +599,14 @@
 		granted[g.GetWorkspace()] = share{float64(g.GetPerSecond()), float64(g.GetBurst())}
 	}
 	for _, b := range s.used {
-		if b.lending != l {
+		if b.lendings[l.plane] != l {
 			continue
 		}
 		b.advance(s, now)
 		g, ok := granted[b.hash]
 		if !ok {
-			b.grant = grant{}
+			b.grants[l.plane] = grant{}
+			b.adapt(s)
 			continue
 		}
 		if r, ok := s.lowered[b.hash]; ok && answer.GetTableVersion() < r.version {
@@ -585,8 +617,8 @@
 			g = share{}
 		}
 		g.perSecond, g.depth = min(g.perSecond, b.cap.PerSecond), min(g.depth, s.limits.depth(b.cap))
-		b.grant = grant{share: g, sentAt: sent.at, until: sent.at.Add(grantTTL)}
-		b.fill(g, now, s.random)
+		b.grants[l.plane] = grant{share: g, sentAt: sent.at, until: sent.at.Add(grantTTL)}
+		b.adapt(s)
 	}
 }
 
