--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -32,6 +32,11 @@
 	maxAnswers     = 4
 	// maxMembers bounds the instances of all shards. The largest fleet has 512.
 	maxMembers = 4096
+	// maxClaims bounds the workspaces of all instances, which take about 470 bytes each. What
+	// is beyond it gets no grant.
+	maxClaims = 65536
+	// maxDemand bounds a demand, so that values that are not numbers don't spoil the sums.
+	maxDemand = 1e9
 	// clockMargin allows for the rounding of request numbers.
 	clockMargin = 2 * time.Millisecond
 )
@@ -65,7 +70,9 @@
 	loans loanHeap
 	// expiries holds the outstanding grants in the order in which they expire.
 	expiries []expiry
-	stats    AllocatorStats
+	// claims is the number of the claims of all members.
+	claims int
+	stats  AllocatorStats
 }
 
 // group is one shard of one plane of a division. Instances may divide differently while the size
@@ -320,11 +327,19 @@
 		}
 		c := m.claims[d.GetWorkspace()]
 		if c == nil {
+			if a.claims >= maxClaims {
+				continue
+			}
 			c = &claim{member: m, workspace: d.GetWorkspace()}
 			m.claims[d.GetWorkspace()] = c
+			a.claims++
 		}
 		c.round = m.round
-		a.setDemand(c, true, float64(d.GetPerSecond()))
+		demand := float64(d.GetPerSecond())
+		if !(demand <= maxDemand) {
+			demand = 0
+		}
+		a.setDemand(c, true, demand)
 	}
 	for _, c := range m.claims {
 		if c.round != m.round {
@@ -384,6 +399,7 @@
 		return
 	}
 	delete(c.member.claims, c.workspace)
+	a.claims--
 	workspaces := a.groups[c.member.key.group].workspaces
 	if acc := workspaces[c.workspace]; acc != nil && acc.claims == 0 && acc.used.perSecond < 1e-9 && acc.used.depth < 1e-9 {
 		delete(workspaces, c.workspace)
--- a/quota/share_test.go
+++ b/quota/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -76,6 +77,8 @@
 		a.SetTable(NewTable(1, map[string]Cap{"w": {PerSecond: 100, Burst: 10}}))
 		req := &quotapb.ShareRequest{Number: 1, Process: 7, Shards: 1}
 		a.Receive("b", req, epoch.Add(after))
+		// A demand that is not a number must not spoil the sums.
+		a.Receive("c", &quotapb.ShareRequest{Number: 1, Shards: 1, Demands: []*quotapb.Demand{{Workspace: hash("w"), PerSecond: float32(math.NaN())}}}, epoch.Add(after))
 		req = &quotapb.ShareRequest{Number: 2, Process: 7, Shards: 1, Instances: 1, Demands: []*quotapb.Demand{
 			acknowledgement(1), {Workspace: hash("w"), PerSecond: 50},
 		}}
@@ -232,10 +235,19 @@
 	}
 	g.Expect(sum).To(gomega.BeEquivalentTo(10_000))
 	g.Expect(a.members).To(gomega.HaveLen(maxMembers))
+	for i := range maxMembers {
+		req := &quotapb.ShareRequest{Number: uint64(i + 1), Shards: 1}
+		for j := range maxDemands {
+			req.Demands = append(req.Demands, &quotapb.Demand{Workspace: uint64(j), PerSecond: 1})
+		}
+		a.Receive(fmt.Sprint("i", i), req, epoch)
+	}
+	g.Expect(a.claims).To(gomega.Equal(maxClaims))
 	s.Poll(Fleet{Instances: 1, Readers: []string{"a"}}, epoch.Add(idleTime))
 	g.Expect(s.buckets).To(gomega.BeEmpty())
 	a.Receive("i", &quotapb.ShareRequest{Number: 1, Shards: 1}, epoch.Add(memberTTL))
 	g.Expect(a.members).To(gomega.HaveLen(1))
+	g.Expect(a.claims).To(gomega.BeZero())
 	g.Expect(a.groups).To(gomega.HaveLen(1))
 	for _, p := range a.groups {
 		g.Expect(p.workspaces).To(gomega.BeEmpty())
