--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -150,6 +150,8 @@
 	// onCheck, if set, is for servers to call at a status check.
 	onCheck atomic.Pointer[func()]
 	url     string
+	current *table.Current
+	quota   *fakeQuota
 	// instances is the size of the fleet that the forwarder knows of.
 	instances int
 	// peers are those to which it can delegate requests.
@@ -211,7 +213,7 @@
 func newMemberOf(t *testing.T, instances int, change func(*table.Service), servers ...*server) *fixture {
 	t.Helper()
 	f := &fixture{
-		instances: instances,
+		instances: instances, current: table.NewCurrent(), quota: &fakeQuota{},
 		directory: directory.New(), board: readings.NewBoard(), quarantine: &fakeQuarantine{}, viewReady: make(chan struct{}), loadsReady: make(chan struct{}),
 		budget: retrybudget.New(retrybudget.Limits{Ratio: 5, Burst: 100}, 1), pool: serverconn.NewPool(),
 		awaitCurrent: func() {},
@@ -223,7 +225,6 @@
 		}})
 	}
 	f.directory.Replace(changes, uint64(len(changes)), time.Time{})
-	current := table.NewCurrent()
 	var service table.Service
 	service.SetDefaults()
 	service.Name = "main"
@@ -231,7 +232,7 @@
 	service.HealthPath = "/health"
 	change(&service)
 	service.MaxBodyBytes = 8 << 20
-	current.Swap(table.Compile(table.Document{
+	f.current.Swap(table.Compile(table.Document{
 		Version: 1, Services: []table.Service{service},
 		Routes: []table.Route{
 			{Host: "h", PathPrefix: "/look/", Service: "main", Repeatable: true, Attempts: 2, DeadlineMS: 2000},
@@ -242,7 +243,7 @@
 		},
 	}))
 	f.forwarder = forward.New(forward.Options{
-		Protocol: platform.Headers{}, Current: current, Directory: f.directory, Board: f.board,
+		Protocol: platform.Headers{}, Current: f.current, Quota: f.quota, Directory: f.directory, Board: f.board,
 		Budget: f.budget, Pool: f.pool, Backlogs: admission.NewBacklogs(),
 		ConnLimit: func(*table.Service) int { return 0 }, Instances: func() int { return f.instances }, DataCentre: "a",
 		WarmUp: func() readings.WarmUpLimits { return readings.WarmUpLimits{Excess: 1.5, Slack: 8} },
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -118,6 +118,8 @@
 	feed      *feed.Feed
 	checks    *readings.Checks
 	crashes   *crashes
+	messages  *messages
+	quotas    *quotas
 	forwarder *forward.Forwarder
 	observer  *observer
 	metrics   *metrics.Registry
@@ -186,6 +188,7 @@
 		return nil, err
 	}
 	d.wireCrashes()
+	d.wireQuota()
 	d.wireRequests()
 	if err := d.wireMetrics(); err != nil {
 		return nil, err
@@ -211,6 +214,8 @@
 		FirstStart: d.opts.Settings.FirstStart, ReadDelay: d.readDelay(), InFlight: d.inFlightAt, Logger: d.logger.With("part", "feed"),
 	})
 	d.exchange.Follow(d.feed)
+	d.messages = newMessages(d.logger.With("part", "gossip"))
+	d.exchange.HandleMessages(d.messages.receive)
 	return nil
 }
 
@@ -250,7 +255,7 @@
 		Protocol: d.opts.Protocol, Current: d.current, Directory: d.directory, Board: d.board,
 		Budget: d.budget, Pool: d.pool, Backlogs: d.backlogs, ConnLimit: d.connLimit, Instances: d.sharers, ID: d.self.ID, DataCentre: d.self.DataCentre,
 		Peer: d.peer, PeerPool: d.peerPool,
-		Log: d.logger.With("part", "forward"), Observer: d.observer, Quarantine: d.crashes,
+		Log: d.logger.With("part", "forward"), Observer: d.observer, Quarantine: d.crashes, Quota: d.quotas,
 		ViewReady: d.viewReady, LoadsReady: d.loadsReady, AwaitCurrent: d.feed.AwaitCurrent,
 		Refresh:   d.checks.Refresh,
 		CheckRate: func() float64 { return d.settings.Load().ChecksPerSecond * demandShare },
@@ -421,6 +426,7 @@
 		{"start", d.awaitLoads},
 		{"forward", d.forwarder.Run},
 		{"quarantine", d.crashes.Run},
+		{"quota", d.shareQuotas},
 		{"links", d.watchLinks},
 		{"cold servers", d.watchColdServers},
 		{"sweep", d.sweep},
