callerconn: log lines of malformed headers quote nothing

The errors of http.ReadRequest quote the line or the URL that they can't read, which may hold a key. Only the kind of the error is logged. Ruled out: a list of headers to mask, since a malformed line has no reliable name.

--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -166,11 +167,26 @@
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		return
 	}
-	c.server.opts.Logger.Info("reading the request headers failed", slog.Int("status", status), slog.Any("error", err))
+	c.server.opts.Logger.Info("reading the request headers failed", slog.Int("status", status), slog.String("error", headFault(err)))
 	resp := &http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Close: true}
 	_ = resp.Write(c.raw)
 }
 
+// headFault returns the kind of an error of [http.ReadRequest] without the line or the field
+// that it quotes, which may hold a key.
+func headFault(err error) string {
+	text := err.Error()
+	var long *hop.HeadSizeError
+	var failed *net.OpError
+	if errors.As(err, &long) || errors.As(err, &failed) {
+		return text
+	}
+	if end := strings.IndexAny(text, `:"`); end >= 0 {
+		text = text[:end]
+	}
+	return strings.TrimSpace(text)
+}
+
 // begin registers the request as in flight. It returns false if the connection is
 // closing.
 func (c *conn) begin(req *http.Request, turn <-chan struct{}) (*response, bool) {
--- a/callerconn/server_test.go
+++ b/callerconn/server_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/pomelolock/pomelolock/internal/hop"
 )
 
 // headerBytes is the header size limit in the tests, larger than the read buffer.
@@ -244,3 +246,24 @@
 	defer cancel()
 	g.Expect(s.Shutdown(ctx)).To(gomega.MatchError(context.DeadlineExceeded))
 }
+
+// TestFaultsOfHeadersAreLoggedWithoutTheirText guards against keys in the log: the errors of
+// the HTTP parser quote the line that they can't read.
+func TestFaultsOfHeadersAreLoggedWithoutTheirText(t *testing.T) {
+	for _, text := range []string{
+		"GET / HTTP/1.1\r\nHost: x\r\nX-Api-Key k-secret\r\n\r\n",
+		"X-Api-Key: k-secret\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: k-secret\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: k-secret\r\n\r\n",
+		"GET / k-secret\r\n\r\n",
+		"GET http://[k-secret HTTP/1.1\r\n\r\n",
+	} {
+		g := gomega.NewWithT(t)
+		_, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+		g.Expect(err).To(gomega.HaveOccurred(), text)
+		g.Expect(headFault(err)).NotTo(gomega.ContainSubstring("k-secret"), text)
+		g.Expect(headFault(err)).NotTo(gomega.BeEmpty())
+	}
+	long := &hop.HeadSizeError{}
+	gomega.NewWithT(t).Expect(headFault(long)).To(gomega.Equal(long.Error()))
+}
