platform, table: tables with conflicting workspaces are refused

A key in two workspaces, an empty or doubled name, or a name that a header can't carry makes a table unusable as a whole; the error says where.

--- a/table/workspace.go
+++ b/table/workspace.go
@@ -3,6 +3,10 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // KeyHash is the SHA-256 hash of a key. Tables and indexes hold hashes, so that keys don't
@@ -51,3 +55,57 @@
 	RatePerSecond float64 `json:"rate_per_second,omitempty"`
 	Burst         float64 `json:"burst,omitempty"`
 }
+
+// WorkspaceError reports a workspace that makes a table unusable. It holds no keys and no
+// hashes.
+type WorkspaceError struct {
+	// Index and Name locate the workspace in the table.
+	Index int
+	Name  string
+	// Conflict is set if the fault is that a key or the name is also that of the workspace
+	// with the index Other and the name OtherName.
+	Conflict  bool
+	Other     int
+	OtherName string
+	Reason    string
+}
+
+func (e *WorkspaceError) Error() string {
+	if !e.Conflict {
+		return fmt.Sprintf("workspaces[%d] (%q): %s", e.Index, e.Name, e.Reason)
+	}
+	return fmt.Sprintf("workspaces[%d] (%q): %s workspaces[%d] (%q)", e.Index, e.Name, e.Reason, e.Other, e.OtherName)
+}
+
+// CheckWorkspaces checks that each key and each name belongs to one workspace, and that a
+// name reaches backend servers unchanged in a header. It fails with [WorkspaceError].
+func CheckWorkspaces(workspaces []Workspace) error {
+	names, keys := make(map[string]int, len(workspaces)), make(map[KeyHash]int)
+	for i, w := range workspaces {
+		fault := &WorkspaceError{Index: i, Name: w.Name}
+		if w.Name == "" {
+			fault.Reason = "the name is empty"
+			return fault
+		}
+		if !httpguts.ValidHeaderFieldValue(w.Name) || strings.TrimSpace(w.Name) != w.Name {
+			fault.Reason = "the name is not usable as the value of a header"
+			return fault
+		}
+		if first, ok := names[w.Name]; ok {
+			return fault.conflict("has the same name as", first, workspaces)
+		}
+		names[w.Name] = i
+		for _, hash := range w.KeyHashes {
+			if first, ok := keys[hash]; ok && first != i {
+				return fault.conflict("has a key that is also one of", first, workspaces)
+			}
+			keys[hash] = i
+		}
+	}
+	return nil
+}
+
+func (e *WorkspaceError) conflict(reason string, first int, workspaces []Workspace) *WorkspaceError {
+	e.Conflict, e.Reason, e.Other, e.OtherName = true, reason, first, workspaces[first].Name
+	return e
+}
