feed, gossip: the proof that the table is the newest

Readers record the time of the store's clock of each read of the table; datagrams carry it if the table has workspaces and the settings ask for it. Each process calibrates with one call. A peer's proof counts only if its table is not newer. A refused table keeps the proof only for the version right before it, since a version may have been missed otherwise. Ruled out: a separate call for the store's time, since an empty read of changes has it.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -14,6 +14,7 @@
 	"github.com/pomelolock/pomelolock/gossip"
 	"github.com/pomelolock/pomelolock/gossip/gossippb"
 	"github.com/pomelolock/pomelolock/membership"
+	"github.com/pomelolock/pomelolock/storeclock"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -95,6 +96,15 @@
 	Complete    bool
 	// StoreNow is the time of the store's steady clock at which the state was current.
 	StoreNow time.Duration
+	// Refused is set if the newest table can't be used; Table is nil then.
+	Refused *Refusal
+}
+
+// Refusal describes a table of the store that can't be used. The one in force stays.
+type Refusal struct {
+	// Version is the version of the table; 0 if it can't be read.
+	Version uint64
+	Err     error
 }
 
 // Options configure a [Feed]. All but ReadDelay are required.
@@ -111,6 +121,11 @@
 	// its peers before it reads the store.
 	ReadDelay time.Duration
 	Logger    *slog.Logger
+	// Proof holds the proof that the table in force is the newest, RevokeWithin returns the
+	// time within which a withdrawn key stops being served, or 0 if no proof is needed. Both
+	// are nil if there is no such setting.
+	Proof        *storeclock.Clock
+	RevokeWithin func() time.Duration
 }
 
 // Feed keeps the local view up to date with the store. It implements
@@ -134,6 +149,10 @@
 	// era is how often the store was restored from a copy, as far as this process or a
 	// peer knows.
 	era uint64
+	// heardTable is the highest version of the table that a peer has.
+	heardTable uint64
+	// refused is the newest table of the store if it can't be used.
+	refused *Refusal
 	// heardState is set once a peer has sent its state.
 	heardState bool
 	// table is the active table, encoded as JSON.
@@ -169,6 +188,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { f.followServers(ctx) })
 	wg.Go(func() { f.followTable(ctx) })
+	wg.Go(func() { f.keepCalibrated(ctx) })
 	wg.Wait()
 	return nil
 }
@@ -361,7 +381,7 @@
 	var version uint64
 	for ctx.Err() == nil {
 		now := time.Now()
-		if now.Before(f.readNotBefore) || f.opts.Current.Load() != nil && !f.shouldRead(now) {
+		if now.Before(f.readNotBefore) || f.opts.Current.Load() != nil && !f.shouldRead(now) && !f.shouldProve() {
 			sleep(ctx, pollInterval)
 			continue
 		}
@@ -381,11 +401,13 @@
 	var state Desired
 	var version uint64
 	var err error
+	sent := f.localTime()
 	if after == 0 {
 		state, version, err = f.readDesired(ctx)
 	} else {
-		limited, cancel := context.WithTimeout(ctx, tablePollTime+callTimeout)
-		state, version, err = f.opts.Store.DesiredChange(limited, after, tablePollTime)
+		wait := f.pollTime()
+		limited, cancel := context.WithTimeout(ctx, wait+callTimeout)
+		state, version, err = f.opts.Store.DesiredChange(limited, after, wait)
 		cancel()
 	}
 	var history *HistoryError
@@ -396,9 +418,13 @@
 		f.opts.Logger.Debug("table unreadable", "error", err)
 		return after, err
 	}
+	if state.Refused != nil {
+		f.opts.Logger.Warn("table refused", "version", state.Refused.Version, "version_in_force", f.tableVersion(), "error", state.Refused.Err)
+	}
 	if state.Table != nil {
 		f.activate(*state.Table, "store")
 	}
+	f.recordTableRead(sent, version, state)
 	return version, nil
 }
 
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -21,6 +21,7 @@
 	"github.com/pomelolock/pomelolock/gossip/gossippb"
 	"github.com/pomelolock/pomelolock/gossip/gossiptest"
 	"github.com/pomelolock/pomelolock/readings"
+	"github.com/pomelolock/pomelolock/storeclock"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -33,13 +34,17 @@
 	tableAt uint64
 	// historyFrom is the oldest version whose changes are kept.
 	historyFrom uint64
-	changed     chan struct{}
+	// startedAt is when the store's clock was at zero, keys whether tables have a workspace.
+	startedAt time.Time
+	keys      bool
+	refused   *Refusal
+	changed   chan struct{}
 }
 
 var errUnavailable = errors.New("store unavailable")
 
 func newStore() *store {
-	return &store{entries: make(map[string]directory.Change), changed: make(chan struct{})}
+	return &store{entries: make(map[string]directory.Change), changed: make(chan struct{}), startedAt: time.Now().Add(-time.Minute)}
 }
 
 func (s *store) put(c directory.Change) {
@@ -54,11 +59,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.table, s.tableAt = &table.Document{Version: version}, s.version
+	s.table, s.tableAt, s.refused = &table.Document{Version: version}, s.version, nil
+	if s.keys {
+		s.table.Workspaces = []table.Workspace{{Name: "bikes"}}
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// now returns the time of the store's clock.
+func (s *store) now() time.Duration { return time.Since(s.startedAt) }
+
 // copy returns a copy of the store.
 func (s *store) copy() *store {
 	s.mu.Lock()
@@ -81,6 +92,9 @@
 	s.table, s.tableAt = from.table, next(from.tableAt)
 	s.version = next(from.version)
 	s.historyFrom = s.version
+	s.refused = nil
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // access is the connection of one instance to the store. It can be made to fail and
@@ -153,7 +167,7 @@
 	}
 	a.store.mu.Lock()
 	defer a.store.mu.Unlock()
-	return Desired{Table: a.table, Complete: true}, a.version, nil
+	return Desired{Table: a.table, Complete: true, StoreNow: a.now(), Refused: a.refused}, a.version, nil
 }
 
 func (a *access) DesiredChange(ctx context.Context, after uint64, wait time.Duration) (Desired, uint64, error) {
@@ -165,14 +179,27 @@
 	for {
 		a.store.mu.Lock()
 		doc, at, version, changed := a.table, a.tableAt, a.version, a.changed
+		now, refused, from := a.now(), a.refused, a.historyFrom
 		a.store.mu.Unlock()
+		if after < from {
+			return Desired{}, 0, &HistoryError{Version: after}
+		}
 		if at > after {
-			return Desired{Table: doc}, version, nil
+			return Desired{Table: doc, StoreNow: now, Refused: refused}, version, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return Desired{}, version, nil
+			a.store.mu.Lock()
+			defer a.store.mu.Unlock()
+			if a.historyFrom > after {
+				return Desired{}, 0, &HistoryError{Version: after}
+			}
+			if a.tableAt > after {
+				// The change came at the same moment.
+				return Desired{Table: a.table, StoreNow: a.now(), Refused: a.refused}, a.version, nil
+			}
+			return Desired{StoreNow: a.now()}, a.version, nil
 		case <-ctx.Done():
 			return Desired{}, 0, ctx.Err()
 		}
@@ -185,9 +212,13 @@
 	directory *directory.Directory
 	current   *table.Current
 	exchange  *gossip.Exchange
+	conn      *gossiptest.Conn
 	feed      *Feed
-	stop      context.CancelFunc
-	done      chan struct{}
+	// proof and revokeWithin are set if the instance needs a proof of the table.
+	proof        *storeclock.Clock
+	revokeWithin time.Duration
+	stop         context.CancelFunc
+	done         chan struct{}
 }
 
 func (i *instance) servers() []string {
@@ -207,21 +238,26 @@
 
 // newInstance returns an instance that is not running yet.
 func newInstance(t *testing.T, network *gossiptest.Network, s *store, n int) (*instance, gossip.Member) {
+	t.Helper()
+	return newInstanceIn(t, network, s, n, "a")
+}
+
+func newInstanceIn(t *testing.T, network *gossiptest.Network, s *store, n int, dataCentre string) (*instance, gossip.Member) {
 	t.Helper()
 	conn := network.Listen()
 	i := &instance{
 		id: fmt.Sprint("entry-", n), access: &access{store: s}, directory: directory.New(),
-		current: table.NewCurrent(), done: make(chan struct{}),
+		current: table.NewCurrent(), conn: conn, done: make(chan struct{}),
 	}
 	var err error
 	i.exchange, err = gossip.New(gossip.Options{
-		Conn: conn, Address: conn.Address(), ID: i.id, DataCentre: "a", Board: readings.NewBoard(),
+		Conn: conn, Address: conn.Address(), ID: i.id, DataCentre: dataCentre, RelayCapacity: 1000, Board: readings.NewBoard(),
 		Backlogs: admission.NewBacklogs(), Logger: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return i, gossip.Member{ID: i.id, DataCentre: "a", Address: conn.Address()}
+	return i, gossip.Member{ID: i.id, DataCentre: dataCentre, Address: conn.Address()}
 }
 
 // fleet starts instances that share a store and are members of one gossip group.
@@ -250,7 +286,7 @@
 func (i *instance) start(t *testing.T) {
 	f := New(Options{
 		ID: i.id, Store: i.access, Directory: i.directory, Current: i.current, Exchange: i.exchange,
-		Logger: slog.New(slog.DiscardHandler),
+		Logger: slog.New(slog.DiscardHandler), Proof: i.proof, RevokeWithin: func() time.Duration { return i.revokeWithin },
 	})
 	i.feed = f
 	i.exchange.Follow(f)
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -12,9 +12,12 @@
 
 // Freshness implements [gossip.Follower].
 func (f *Feed) Freshness() gossip.Freshness {
+	// The proof is read before the version: of a later version, it proves less.
+	asOf := f.tableAsOf()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return gossip.Freshness{
+		TableAsOf:      asOf,
 		ServersVersion: f.opts.Directory.Version(),
 		TableVersion:   f.tableVersion(),
 		At:             f.freshAt,
@@ -50,6 +53,7 @@
 
 // ReceiveFreshness implements [gossip.Follower].
 func (f *Feed) ReceiveFreshness(_ string, theirs gossip.Freshness) (behind bool) {
+	f.receiveProof(theirs)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	servers, tableVersion := f.opts.Directory.Version(), f.tableVersion()
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -49,6 +49,8 @@
 	// stateRequestInterval is the minimum time between two requests for state. It is
 	// the time in which an instance with a slow link receives the whole state.
 	stateRequestInterval = 150 * time.Millisecond
+	// maxTableAsOfMS bounds a received time of the store's clock to what a duration holds.
+	maxTableAsOfMS = math.MaxInt64 / uint64(time.Millisecond)
 	// largeFleetReaders is the number of instances from which only the relays read the
 	// store for all.
 	largeFleetReaders = 60
@@ -65,6 +67,9 @@
 	Read Read
 	// Era is how often the store was restored from a copy.
 	Era uint64
+	// TableAsOf is the time of the store's clock, in this era, at which the table version is
+	// known to have been the newest; 0 if there is none.
+	TableAsOf time.Duration
 }
 
 // Read identifies one read of the store.
@@ -448,6 +453,8 @@
 		Process:        f.Read.Process,
 		Read:           f.Read.Number,
 		Era:            f.Era,
+		// Rounded down, so that passing it on never makes it newer.
+		TableAsOfMs: uint64(max(f.TableAsOf.Milliseconds(), 0)),
 	}
 	return msg
 }
@@ -532,7 +539,7 @@
 // sendState sends the state that an instance wants.
 func (e *Exchange) sendState(want *gossippb.Want, to netip.AddrPort) {
 	own := e.follower.Freshness()
-	own.At, own.Read = time.Time{}, Read{}
+	own.At, own.Read, own.TableAsOf = time.Time{}, Read{}, 0
 	now := time.Now()
 	if e.stateCache.own != own || len(e.stateCache.states) > maxCachedStates || now.Sub(e.stateCache.filled) > stateCacheTTL {
 		e.stateCache = stateCache{own: own, filled: now, states: make(map[string][][]byte)}
@@ -708,6 +715,7 @@
 		At:             now.Add(-time.Duration(f.GetAgeMs()) * time.Millisecond),
 		Read:           Read{Process: f.GetProcess(), Number: f.GetRead()},
 		Era:            f.GetEra(),
+		TableAsOf:      time.Duration(min(f.GetTableAsOfMs(), maxTableAsOfMS)) * time.Millisecond,
 	})
 	if !behind || now.Sub(e.stateRequested) < stateRequestInterval {
 		return
