forward: keys name the workspace, before each attempt

With workspaces in the table, the key is judged on arrival, before each attempt and after the wait in the queue, by the newest table and its age. Servers get the workspace and no key; a peer judges again and gets the key. Ruled out: judging only on arrival, and passing the workspace to the peer, which would decide by the table of the delegating instance.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -33,6 +33,8 @@
 type attempt struct {
 	x           *exchange
 	reservation reservation
+	// identity is that of the exchange when the attempt began.
+	identity identity
 }
 
 // response is a server's response: buffered completely, or a buffered prefix and a
@@ -172,6 +174,7 @@
 
 func (a *attempt) request(left time.Duration) *http.Request {
 	out := a.x.outgoing()
+	a.identity.apply(a.x.f.opts.Protocol, out.Header)
 	a.x.f.opts.Protocol.Address(out.Header, a.reservation.server.ID, left)
 	return out
 }
--- a/forward/delegate.go
+++ b/forward/delegate.go
@@ -105,7 +105,7 @@
 // number of servers, or if the links to all are lost.
 func (x *exchange) delegatee(unreached int) (Peer, bool) {
 	lost := x.f.opts.Board.LinksLost()
-	if x.delegation != nil || len(x.peers) >= maxPeers || !lost && x.unreached < unreached {
+	if x.delegation != nil || len(x.peers) >= maxPeers || !lost && x.unreached < unreached || !x.keepsKey() {
 		return Peer{}, false
 	}
 	peer, ok := x.f.opts.Peer(x.peers)
@@ -117,8 +117,9 @@
 	return peer, true
 }
 
-// delegate sends the request to a peer and reads the response.
-func (x *exchange) delegate(ctx context.Context, peer Peer, attempts int) result {
+// delegate sends the request to a peer and reads the response. The peer judges the key
+// again, by a table that is no older than the given version.
+func (x *exchange) delegate(ctx context.Context, peer Peer, attempts int, tableVersion uint64) result {
 	r := result{peer: peer.ID}
 	conn, err := x.f.opts.PeerPool.Get(ctx, peer.Address, 0)
 	if err != nil {
@@ -133,7 +134,7 @@
 	}
 	out := x.outgoing()
 	delegation{
-		by: x.f.opts.ID, attempts: attempts, timeout: left, elapsed: time.Since(x.firstSentAt), table: x.tableVersion(),
+		by: x.f.opts.ID, attempts: attempts, timeout: left, elapsed: time.Since(x.firstSentAt), table: tableVersion,
 	}.write(out.Header)
 	resp, err := conn.RoundTrip(ctx, out, x.matches)
 	if err != nil {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -55,6 +55,10 @@
 	body     *requestBody
 	// delegation is set if a peer delegated the request.
 	delegation *delegation
+	// identity is who sent the request, by the newest table; denied is the error if that table
+	// did not let it through.
+	identity identity
+	denied   *outcome.Error
 	// fingerprint identifies the content of the request.
 	fingerprint [32]byte
 
@@ -124,6 +128,10 @@
 		}
 	}
 	x.route = route
+	if failed := x.authorize(); failed != nil {
+		return failed
+	}
+	// From here on the workspace of the request is known (x.identity.workspace).
 	x.deadline = x.receivedAt.Add(x.timeout())
 	x.firstSentAt = x.receivedAt
 	switch {
@@ -231,19 +239,23 @@
 		x.f.delegated.Add(1)
 		x.sent++
 		running++
-		go func() { results <- x.delegate(ctx, peer, attempts) }()
+		version := max(x.tableVersion(), x.identity.table)
+		go func() { results <- x.delegate(ctx, peer, attempts, version) }()
 		return true
 	}
 	launch := func() *outcome.Error {
+		if failed := x.authorize(); failed != nil {
+			return failed
+		}
 		if delegate(maxUnreached) {
 			return nil
 		}
 		if x.delegation != nil && x.f.opts.Board.LinksLost() {
 			return x.refusal(outcome.CodeServerUnreached, "this instance reaches no server")
 		}
-		reservation, failed := x.f.queue(x.service.Name).acquire(ctx, x, running == 0)
+		reservation, failed := x.acquire(ctx, running == 0)
 		if failed != nil {
-			if delegate(1) {
+			if failed != x.denied && delegate(1) {
 				return nil
 			}
 			return failed
@@ -252,7 +264,7 @@
 		x.reservations = append(x.reservations, reservation)
 		x.sent++
 		running++
-		a := &attempt{x: x, reservation: reservation}
+		a := &attempt{x: x, reservation: reservation, identity: x.identity}
 		go func() { results <- a.run(ctx) }()
 		return nil
 	}
@@ -437,6 +449,9 @@
 	if last.resp != nil {
 		return last.resp, nil
 	}
+	if x.denied != nil && !x.mayHaveRun {
+		return nil, x.denied
+	}
 	if last.refusal != nil && (last.refusal.Outcome != outcome.NotRun || !x.mayHaveRun) {
 		return nil, last.refusal
 	}
@@ -473,6 +488,7 @@
 	if x.delegation != nil {
 		writePeerError(x.w.Header(), failed)
 	}
+	x.countDenied(failed)
 	x.f.opts.Observer.Refused(service, string(failed.Code), took)
 	if err := x.f.opts.Protocol.WriteError(x.w, failed, x.caller.ID); err != nil {
 		x.log("answer not written", slog.Any("error", err))
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -145,7 +146,11 @@
 	// instances is the size of the fleet that the forwarder knows of.
 	instances int
 	// peers are those to which it can delegate requests.
-	peers []forward.Peer
+	peers   []forward.Peer
+	current *table.Current
+	// tableAge is the age of the table in force, in nanoseconds.
+	tableAge atomic.Int64
+	logs     logBuffer
 }
 
 // newFixture starts a forwarder whose startup is complete. Requests to /look/ and
@@ -180,13 +185,13 @@
 		}})
 	}
 	f.directory.Replace(changes, uint64(len(changes)), time.Time{})
-	current := table.NewCurrent()
+	f.current = table.NewCurrent()
 	var service table.Service
 	service.SetDefaults()
 	service.Name = "main"
 	service.ObjectiveLatencyMS = 10_000
 	service.HealthPath = "/health"
-	current.Swap(table.Compile(table.Document{
+	f.current.Swap(table.Compile(table.Document{
 		Version: 1, Services: []table.Service{service},
 		Routes: []table.Route{
 			{Host: "h", PathPrefix: "/look/", Service: "main", Repeatable: true, Attempts: 2, DeadlineMS: 2000},
@@ -194,16 +199,21 @@
 			{Host: "h", PathPrefix: "/hedged/", Service: "main", Repeatable: true, Attempts: 2, DeadlineMS: 2000, TargetMS: 100},
 			{Host: "h", PathPrefix: "/brief/", Service: "main", Attempts: 2, DeadlineMS: 80},
 			{Host: "h", PathPrefix: "/quick/", Service: "main", Attempts: 2, DeadlineMS: 80, TargetMS: 40},
+			{Host: "h", PathPrefix: "/public/", Service: "main", Attempts: 2, DeadlineMS: 2000, Public: true},
 		},
 	}))
 	f.forwarder = forward.New(forward.Options{
-		Protocol: platform.Headers{}, Current: current, Directory: f.directory, Board: f.board,
+		Protocol: platform.Headers{}, Current: f.current, Directory: f.directory, Board: f.board,
 		Budget: f.budget, Pool: serverconn.NewPool(), Backlogs: admission.NewBacklogs(),
 		ConnLimit: func(*table.Service) int { return 0 }, Instances: func() int { return f.instances }, DataCentre: "a",
 		ID: "entry", Peer: f.pickPeer, PeerPool: serverconn.NewPool(),
-		Log: slog.New(slog.DiscardHandler), Observer: &observer{}, Quarantine: f.quarantine, ViewReady: f.viewReady, LoadsReady: f.loadsReady,
+		Log: slog.New(slog.NewTextHandler(&f.logs, nil)), Observer: &observer{}, Quarantine: f.quarantine, ViewReady: f.viewReady, LoadsReady: f.loadsReady,
 		Refresh:   func(context.Context, []readings.Target, time.Duration) {},
 		CheckRate: func() float64 { return 0 },
+		TableAge:  func() time.Duration { return time.Duration(f.tableAge.Load()) },
+		KeyRules: func() forward.KeyRules {
+			return forward.KeyRules{ServeWithin: serveWithin, CertainWithin: certainWithin}
+		},
 		OnNotice: func(server directory.Server, notice readings.Notice, fromCheck bool) {
 			f.board.KeepQuiet(server.ID, time.Now().Add(notice.Quiet))
 			f.board.RecordLimit(server.ID, notice.Limit, fromCheck, time.Now())
@@ -223,6 +233,12 @@
 
 // call sends one request and returns the response and its body.
 func (f *fixture) call(t *testing.T, method, path, body string) (*http.Response, string) {
+	t.Helper()
+	return f.callWith(t, method, path, body, nil)
+}
+
+// callWith is like call with further headers.
+func (f *fixture) callWith(t *testing.T, method, path, body string, header http.Header) (*http.Response, string) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
@@ -233,6 +249,7 @@
 	req.Host = "h"
 	req.Header.Set("Request-Id", "r"+strconv.FormatInt(sequence.Add(1), 10))
 	req.Header.Set("Deadline-Ms", "1500")
+	maps.Copy(req.Header, header)
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		t.Fatal(err)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -53,6 +53,10 @@
 	// OnNotice is called with what each answer of a server says about requests to come;
 	// fromCheck is set if it answered a status check. OnNotice must not block.
 	OnNotice func(server directory.Server, notice readings.Notice, fromCheck bool)
+	// TableAge returns the time since the table in force is known to have been the newest.
+	TableAge func() time.Duration
+	// KeyRules returns how old the table may be by which keys are judged.
+	KeyRules func() KeyRules
 	// ViewReady is closed when the table and the servers are known, or when startup
 	// stops waiting for them. LoadsReady is closed likewise for the loads of servers.
 	// Requests wait until both are closed.
@@ -87,6 +91,9 @@
 	// Delegated counts the requests delegated to peers, ForPeers those that peers delegated
 	// to this instance.
 	Delegated, ForPeers uint64
+	// UnknownKey counts the requests refused without a key of a workspace, UnprovenTable
+	// those refused because the table was too old to judge them.
+	UnknownKey, UnprovenTable uint64
 	// InFlight is the number of requests being served now.
 	InFlight int64
 }
@@ -97,6 +104,7 @@
 	opts                      Options
 	requests, retries, hedges atomic.Uint64
 	delegated, forPeers       atomic.Uint64
+	unknownKey, unprovenTable atomic.Uint64
 	inFlight                  atomic.Int64
 
 	mu       sync.Mutex
@@ -163,6 +171,7 @@
 	return Stats{
 		Requests: f.requests.Load(), Retries: f.retries.Load(), Hedges: f.hedges.Load(),
 		Delegated: f.delegated.Load(), ForPeers: f.forPeers.Load(),
+		UnknownKey: f.unknownKey.Load(), UnprovenTable: f.unprovenTable.Load(),
 		InFlight: f.inFlight.Load(),
 	}
 }
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -168,7 +168,7 @@
 // of its attempts is running.
 func (q *queue) acquire(ctx context.Context, x *exchange, wait bool) (reservation, *outcome.Error) {
 	w := &waiter{
-		Request: admission.Request{Priority: x.route.Priority, Target: x.firstSentAt.Add(x.target()), Deadline: x.deadline},
+		Request: admission.Request{Priority: x.priority(), Target: x.firstSentAt.Add(x.target()), Deadline: x.deadline},
 		x:       x,
 		granted: make(chan grant, 1),
 	}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -76,6 +76,10 @@
 	CodeServerUnreached Code = "server_unreached"
 	CodeCrashesServers  Code = "crashes_servers"
 	CodeCallerGone      Code = "caller_gone"
+	// CodeUnauthorized means that the request has no key of a workspace, CodeTableStale
+	// that the instance can't judge its key because its table may not be the newest.
+	CodeUnauthorized Code = "unauthorized"
+	CodeTableStale   Code = "table_stale"
 )
 
 // Error is a failed request, to which pomelolock sends an error response.
