--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/pomelolock/pomelolock/readings"
 	"github.com/pomelolock/pomelolock/retrybudget"
 	"github.com/pomelolock/pomelolock/serverconn"
+	"github.com/pomelolock/pomelolock/storeclock"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -88,7 +89,7 @@
 	Remove(ctx context.Context, id string) error
 }
 
-// Options configure a [Daemon]. All but DialServer are required.
+// Options configure a [Daemon]. All but BootTime and DialServer are required.
 type Options struct {
 	Settings *Settings
 	Store    Store
@@ -96,6 +97,9 @@
 	// Reload reads the settings file again.
 	Reload func() (*Settings, error)
 	Logger *slog.Logger
+	// BootTime returns the time since the machine started, including suspension; nil selects
+	// [storeclock.BootTime].
+	BootTime func() time.Duration
 	// DialServer opens connections to backend servers; nil selects TCP.
 	DialServer func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -116,6 +120,7 @@
 	peerPool  *serverconn.Pool
 	exchange  *gossip.Exchange
 	feed      *feed.Feed
+	proof     *storeclock.Clock
 	checks    *readings.Checks
 	crashes   *crashes
 	forwarder *forward.Forwarder
@@ -169,6 +174,7 @@
 		pool:       serverconn.NewPool(),
 		peerPool:   serverconn.NewPool(),
 		observer:   newObserver(),
+		proof:      storeclock.New(opts.BootTime),
 		hangup:     catchHangup(),
 		viewReady:  make(chan struct{}),
 		loadsReady: make(chan struct{}),
@@ -205,6 +211,7 @@
 	d.feed = feed.New(feed.Options{
 		ID: d.self.ID, Store: d.opts.Store, Directory: d.directory, Current: d.current, Exchange: d.exchange,
 		FirstStart: d.opts.Settings.FirstStart, ReadDelay: d.readDelay(), Logger: d.logger.With("part", "feed"),
+		Proof: d.proof, RevokeWithin: d.revokeWithin,
 	})
 	d.exchange.Follow(d.feed)
 	return nil
@@ -244,6 +251,7 @@
 		Budget: d.budget, Pool: d.pool, Backlogs: d.backlogs, ConnLimit: d.connLimit, Instances: d.sharers, ID: d.self.ID, DataCentre: d.self.DataCentre,
 		Peer: d.peer, PeerPool: d.peerPool,
 		Log: d.logger.With("part", "forward"), Observer: d.observer, Quarantine: d.crashes,
+		TableAge: d.tableAge, KeyRules: d.keyRules,
 		ViewReady: d.viewReady, LoadsReady: d.loadsReady,
 		Refresh:   d.checks.Refresh,
 		CheckRate: func() float64 { return d.settings.Load().ChecksPerSecond * demandShare },
--- a/internal/entry/daemon_test.go
+++ b/internal/entry/daemon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -34,6 +35,19 @@
 	mu     sync.Mutex
 	server string
 	table  *table.Document
+	// down makes reads of the table fail.
+	down bool
+}
+
+var errUnavailable = errors.New("store unavailable")
+
+// startedAt is when the store's clock was at zero.
+var startedAt = time.Now().Add(-time.Minute)
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
 }
 
 func (s *store) Servers(context.Context) ([]directory.Change, uint64, error) {
@@ -51,7 +65,10 @@
 func (s *store) Desired(context.Context) (feed.Desired, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return feed.Desired{Table: s.table, Complete: true}, 1, nil
+	if s.down {
+		return feed.Desired{}, 0, errUnavailable
+	}
+	return feed.Desired{Table: s.table, Complete: true, StoreNow: time.Since(startedAt)}, 1, nil
 }
 
 func (s *store) DesiredChange(ctx context.Context, after uint64, _ time.Duration) (feed.Desired, uint64, error) {
@@ -62,7 +79,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return feed.Desired{Table: s.table}, after, nil
+	if s.down {
+		return feed.Desired{}, 0, errUnavailable
+	}
+	return feed.Desired{Table: s.table, StoreNow: time.Since(startedAt)}, after, nil
 }
 
 func (s *store) Remove(context.Context, string) error { return nil }
@@ -146,11 +166,16 @@
 // run starts an instance that connects to servers with the given function, or by TCP.
 func run(t *testing.T, settings *entry.Settings, store *store, server dial) *instance {
 	t.Helper()
-	i := &instance{settings: settings, store: store, done: make(chan error, 1)}
-	d, err := entry.New(entry.Options{
-		Settings: settings, Store: store, Protocol: platform.Headers{},
-		Reload: func() (*entry.Settings, error) { return settings, nil }, Logger: slog.New(slog.DiscardHandler), DialServer: server,
-	})
+	return runWith(t, entry.Options{Settings: settings, Store: store, DialServer: server})
+}
+
+// runWith starts an instance with the given settings, store, dial function and clock.
+func runWith(t *testing.T, opts entry.Options) *instance {
+	t.Helper()
+	i := &instance{settings: opts.Settings, store: opts.Store.(*store), done: make(chan error, 1)}
+	opts.Protocol, opts.Logger = platform.Headers{}, slog.New(slog.DiscardHandler)
+	opts.Reload = func() (*entry.Settings, error) { return opts.Settings, nil }
+	d, err := entry.New(opts)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -165,6 +190,12 @@
 var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
 
 func (i *instance) get(t *testing.T, path string) (int, string) {
+	t.Helper()
+	return i.getWith(t, path, "")
+}
+
+// getWith is like get with the key of a workspace, unless that is "".
+func (i *instance) getWith(t *testing.T, path, key string) (int, string) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+i.settings.Caller+path, nil)
 	if err != nil {
@@ -172,6 +203,9 @@
 	}
 	req.Host = "h"
 	req.Header.Set("Request-Id", "r1")
+	if key != "" {
+		req.Header.Set("X-Api-Key", key)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, err.Error()
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -73,6 +73,8 @@
 		{"hedges_total", "Second attempts beside a slow one.", func() uint64 { return stats().Hedges }},
 		{"delegated_total", "Requests delegated to other instances.", func() uint64 { return stats().Delegated }},
 		{"for_peers_total", "Requests that other instances delegated to this one.", func() uint64 { return stats().ForPeers }},
+		{"unknown_keys_total", "Requests refused without a key of a workspace.", func() uint64 { return stats().UnknownKey }},
+		{"table_unproven_total", "Requests refused because the table was too old to judge their key.", func() uint64 { return stats().UnprovenTable }},
 		{"server_connections_opened_total", "Connections opened to backend servers.", d.pool.Opened.Load},
 		{"server_connections_reused_total", "Uses of kept connections to backend servers.", d.pool.Reused.Load},
 		{"status_checks_total", "Status checks of backend servers.", d.pool.Checks.Load},
@@ -96,6 +98,7 @@
 		{"request_seconds_p99", "99th percentile of the time of whole answers, in seconds.", func() float64 { return d.observer.quantile(99) }},
 		{"table_version", "Version of the table in force; 0 if none is.", func() float64 { return float64(d.tableVersion()) }},
 		{"view_age_seconds", "Age of the view of the store, in seconds.", func() float64 { return d.feed.Age().Seconds() }},
+		{"table_proof_age_seconds", "Time since the table in force is known to have been the newest, in seconds; 0 if no proof is needed.", d.proofAge},
 		{"instances_alive", "Instances heard lately, with this one.", func() float64 { return float64(len(d.exchange.Alive(""))) }},
 		{"servers_unreachable", "1 while no backend server answers this instance, else 0.", func() float64 {
 			if d.board.LinksLost() {
--- a/internal/entry/start.go
+++ b/internal/entry/start.go
@@ -25,7 +25,7 @@
 func (d *Daemon) awaitLoads(ctx context.Context) error {
 	defer close(d.loadsReady)
 	began := time.Now()
-	d.await(ctx, maxViewWait, d.hasView)
+	d.await(ctx, maxViewWait, func() bool { return d.hasView() && d.judgesKeys() })
 	close(d.viewReady)
 	d.await(ctx, maxLoadsWait, func() bool {
 		known, servers := d.loadsKnown()
