--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -104,6 +104,19 @@
 	mu    sync.Mutex
 	down  bool
 	calls int
+	// tableDown makes only the reads of the table fail.
+	tableDown bool
+}
+
+// countTableCall is like countCall for a read of the table.
+func (a *access) countTableCall() error {
+	err := a.countCall()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.tableDown {
+		return errUnavailable
+	}
+	return err
 }
 
 func (a *access) setDown(down bool) {
@@ -162,7 +175,7 @@
 }
 
 func (a *access) Desired(context.Context) (Desired, uint64, error) {
-	if err := a.countCall(); err != nil {
+	if err := a.countTableCall(); err != nil {
 		return Desired{}, 0, err
 	}
 	a.store.mu.Lock()
@@ -171,7 +184,7 @@
 }
 
 func (a *access) DesiredChange(ctx context.Context, after uint64, wait time.Duration) (Desired, uint64, error) {
-	if err := a.countCall(); err != nil {
+	if err := a.countTableCall(); err != nil {
 		return Desired{}, 0, err
 	}
 	timer := time.NewTimer(wait)
--- a/feed/proof_test.go
+++ b/feed/proof_test.go
@@ -218,6 +218,30 @@
 	})
 }
 
+// TestOthersReadTheTableIfTheReaderCannot makes the table unreadable for the reader, which
+// still reads the servers. It guards against a fleet that relies on that reader alone.
+func TestOthersReadTheTableIfTheReaderCannot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		s := newStore()
+		s.keys = true
+		s.put(server("a"))
+		s.setTable(3)
+		instances := provingFleet(t, gossiptest.NewNetwork(), s, 6)
+		time.Sleep(3 * time.Second)
+		one := reader(t, instances)
+		one.access.mu.Lock()
+		one.access.tableDown = true
+		one.access.mu.Unlock()
+		for range 400 {
+			time.Sleep(50 * time.Millisecond)
+			for _, i := range instances {
+				g.Expect(i.serves()).To(gomega.BeTrue())
+			}
+		}
+	})
+}
+
 // TestSuspendedMachineHasAnOldProof guards against a local clock that leaves out suspension.
 func TestSuspendedMachineHasAnOldProof(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/forward/authorize_test.go
+++ b/forward/authorize_test.go
@@ -210,6 +210,33 @@
 	}
 }
 
+// TestRouteThatIsPublicNoLongerNeedsAKey guards against a waiting request without a key that
+// runs by the table of its arrival.
+func TestRouteThatIsPublicNoLongerNeedsAKey(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startServer(t, "s1", ok)
+	f := newStartingFixture(t, s)
+	f.setWorkspaces(workspace("bikes", 1, key))
+	close(f.viewReady)
+	status := make(chan int, 1)
+	go func() {
+		resp, _ := f.call(t, http.MethodGet, "/public/", "")
+		status <- resp.StatusCode
+	}()
+	g.Eventually(func() int64 { return f.forwarder.Stats().InFlight }).WithTimeout(time.Second).Should(gomega.Equal(int64(1)))
+	time.Sleep(50 * time.Millisecond)
+	doc := f.current.Load().Document()
+	doc.Version++
+	doc.Routes = slices.Clone(doc.Routes)
+	for i := range doc.Routes {
+		doc.Routes[i].Public = false
+	}
+	f.current.Swap(table.Compile(doc))
+	close(f.loadsReady)
+	g.Expect(<-status).To(gomega.Equal(http.StatusUnauthorized))
+	g.Expect(s.arrivals()).To(gomega.BeZero())
+}
+
 // TestKeyIsJudgedAgainBeforeARetry withdraws the key while the first server has the request.
 // It guards against a second attempt, and against "has not run" if the first may have run.
 func TestKeyIsJudgedAgainBeforeARetry(t *testing.T) {
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -24,12 +24,15 @@
 	version  uint64
 	received []*gossippb.State
 	departed []string
+	// tableAsOf is the proof of the table, encoded the number of states that were made.
+	tableAsOf time.Duration
+	encoded   int
 }
 
 func (f *follower) Freshness() Freshness {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Freshness{ServersVersion: f.version, At: time.Now()}
+	return Freshness{ServersVersion: f.version, At: time.Now(), TableAsOf: f.tableAsOf}
 }
 
 func (f *follower) ReceiveFreshness(_ string, theirs Freshness) bool {
@@ -61,6 +64,7 @@
 	if version >= f.version {
 		return nil
 	}
+	f.encoded++
 	state := &gossippb.State{Base: version, Version: f.version}
 	for i := range 400 {
 		state.Servers = append(state.Servers, &gossippb.Server{Id: fmt.Sprintf("server-%d-%d", i, time.Now().UnixNano()), Version: f.version})
@@ -412,3 +416,34 @@
 	g.Expect(sendInterval(43, false)).To(gomega.BeNumerically("~", 95*time.Millisecond, 5*time.Millisecond))
 	g.Expect(sendInterval(40, true)).To(gomega.Equal(2 * baseInterval))
 }
+
+// TestStateIsEncodedOnceAcrossProofs guards against a state that is encoded again for each
+// instance that wants it, because the proof of the table was renewed in between.
+func TestStateIsEncodedOnceAcrossProofs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := fleet(t, "a")[0]
+	n.follower.mu.Lock()
+	n.follower.version = 5
+	n.follower.mu.Unlock()
+	for asOf := range 3 {
+		n.follower.mu.Lock()
+		n.follower.tableAsOf = time.Duration(asOf) * time.Second
+		n.follower.mu.Unlock()
+		n.exchange.sendState(&gossippb.Want{}, n.member.Address)
+	}
+	n.follower.mu.Lock()
+	defer n.follower.mu.Unlock()
+	g.Expect(n.follower.encoded).To(gomega.Equal(1))
+}
+
+// TestProofIsSentRoundedDown guards against a proof that gets newer when it is passed on, and
+// against bytes for it if there is none.
+func TestProofIsSentRoundedDown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := fleet(t, "a")[0]
+	g.Expect(n.exchange.updateDatagram(time.Now()).GetFreshness().GetTableAsOfMs()).To(gomega.BeZero())
+	n.follower.mu.Lock()
+	n.follower.tableAsOf = 7*time.Millisecond + 999*time.Microsecond
+	n.follower.mu.Unlock()
+	g.Expect(n.exchange.updateDatagram(time.Now()).GetFreshness().GetTableAsOfMs()).To(gomega.Equal(uint64(7)))
+}
