--- a/feed/feed.go
+++ b/feed/feed.go
@@ -14,6 +14,7 @@
 	"github.com/pomelolock/pomelolock/gossip"
 	"github.com/pomelolock/pomelolock/gossip/gossippb"
 	"github.com/pomelolock/pomelolock/membership"
+	"github.com/pomelolock/pomelolock/storeclock"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -77,8 +78,7 @@
 	// ServerChanges returns the changes after a version. It fails with
 	// [HistoryError] if the store no longer has them.
 	ServerChanges(ctx context.Context, after uint64) (changes []directory.Change, version uint64, err error)
-	// Desired returns the whole desired state. Desired and DesiredChange fail with
-	// [TableError] if only the table can't be decoded.
+	// Desired returns the whole desired state.
 	Desired(ctx context.Context) (state Desired, version uint64, err error)
 	// DesiredChange waits for changes of the desired state after a version and returns
 	// them, or none within the wait. It fails with [HistoryError] if the store no longer
@@ -96,6 +96,15 @@
 	Complete    bool
 	// StoreNow is the time of the store's steady clock at which the state was current.
 	StoreNow time.Duration
+	// Refused is set if the newest table can't be used; Table is nil then.
+	Refused *Refusal
+}
+
+// Refusal describes a table of the store that can't be used. The one in force stays.
+type Refusal struct {
+	// Version is the version of the table; 0 if it can't be read.
+	Version uint64
+	Err     error
 }
 
 // Evacuation is what the store says about the evacuation of a data centre.
@@ -107,15 +116,6 @@
 	Version uint64
 }
 
-// TableError reports that the table in the store can't be decoded. The rest of the state that
-// is returned with it is valid.
-type TableError struct{ Err error }
-
-func (e *TableError) Error() string { return "feed: table not decoded: " + e.Err.Error() }
-
-// Unwrap returns the cause.
-func (e *TableError) Unwrap() error { return e.Err }
-
 // Options configure a [Feed]. All but ReadDelay and InFlight are required.
 type Options struct {
 	ID        string
@@ -133,6 +133,11 @@
 	// servers, for the log.
 	InFlight func(servers []directory.Server) int
 	Logger   *slog.Logger
+	// Proof holds the proof that the table in force is the newest, RevokeWithin returns the
+	// time within which a withdrawn key stops being served, or 0 if no proof is needed. Both
+	// are nil if there is no such setting.
+	Proof        *storeclock.Clock
+	RevokeWithin func() time.Duration
 }
 
 // Feed keeps the local view up to date with the store. It implements
@@ -156,6 +161,10 @@
 	// era is how often the store was restored from a copy, as far as this process or a
 	// peer knows.
 	era uint64
+	// heardTable is the highest version of the table that a peer has.
+	heardTable uint64
+	// refused is the newest table of the store if it can't be used.
+	refused *Refusal
 	// heardState is set once a peer has sent its state.
 	heardState bool
 	// table is the active table, encoded as JSON.
@@ -196,6 +205,7 @@
 	wg.Go(func() { f.followServers(ctx) })
 	wg.Go(func() { f.followTable(ctx) })
 	wg.Go(func() { f.watchPauses(ctx) })
+	wg.Go(func() { f.keepCalibrated(ctx) })
 	wg.Wait()
 	return nil
 }
@@ -390,7 +400,7 @@
 	var version uint64
 	for ctx.Err() == nil {
 		now := time.Now()
-		if now.Before(f.readNotBefore) || f.opts.Current.Load() != nil && !f.shouldRead(now) {
+		if now.Before(f.readNotBefore) || f.opts.Current.Load() != nil && !f.shouldRead(now) && !f.shouldProve() {
 			sleep(ctx, pollInterval)
 			continue
 		}
@@ -411,30 +421,31 @@
 	var state Desired
 	var version uint64
 	var err error
+	sent := f.localTime()
 	if after == 0 {
 		state, version, err = f.readDesired(ctx)
 	} else {
-		limited, cancel := context.WithTimeout(ctx, tablePollTime+callTimeout)
-		state, version, err = f.opts.Store.DesiredChange(limited, after, tablePollTime)
+		wait := f.pollTime()
+		limited, cancel := context.WithTimeout(ctx, wait+callTimeout)
+		state, version, err = f.opts.Store.DesiredChange(limited, after, wait)
 		cancel()
 	}
 	var history *HistoryError
 	if errors.As(err, &history) {
 		return 0, nil
 	}
-	var undecodable *TableError
-	switch {
-	case errors.As(err, &undecodable):
-		// The version advances: reading the same row again would not help.
-		f.opts.Logger.Warn("table not decoded", "version", version, "error", err)
-	case err != nil:
+	if err != nil {
 		f.opts.Logger.Debug("table unreadable", "error", err)
 		return after, err
 	}
 	f.applyEvacuations(state, version, asked)
+	if state.Refused != nil {
+		f.opts.Logger.Warn("table refused", "version", state.Refused.Version, "version_in_force", f.tableVersion(), "error", state.Refused.Err)
+	}
 	if state.Table != nil {
 		f.activate(*state.Table, "store")
 	}
+	f.recordTableRead(sent, version, state)
 	return version, nil
 }
 
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -21,6 +21,7 @@
 	"github.com/pomelolock/pomelolock/gossip/gossippb"
 	"github.com/pomelolock/pomelolock/gossip/gossiptest"
 	"github.com/pomelolock/pomelolock/readings"
+	"github.com/pomelolock/pomelolock/storeclock"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -36,14 +37,18 @@
 	// historyFrom is the oldest version after which the changes of servers are kept,
 	// desiredFrom that of the desired state.
 	historyFrom, desiredFrom uint64
-	changed                  chan struct{}
+	// startedAt is when the store's clock was at zero, keys whether tables have a workspace.
+	startedAt time.Time
+	keys      bool
+	refused   *Refusal
+	changed   chan struct{}
 }
 
 var errUnavailable = errors.New("store unavailable")
 
 func newStore() *store {
 	return &store{
-		entries: make(map[string]directory.Change), evacuations: make(map[string]Evacuation), changed: make(chan struct{}),
+		entries: make(map[string]directory.Change), evacuations: make(map[string]Evacuation), startedAt: time.Now().Add(-time.Minute), changed: make(chan struct{}),
 	}
 }
 
@@ -59,7 +64,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.table, s.tableAt = &table.Document{Version: version}, s.version
+	s.table, s.tableAt, s.refused = &table.Document{Version: version}, s.version, nil
+	if s.keys {
+		s.table.Workspaces = []table.Workspace{{Name: "bikes"}}
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -78,8 +86,9 @@
 // anything did.
 func (s *store) desiredLocked(after uint64) (state Desired, changed bool) {
 	state = Desired{Evacuations: make(map[string]Evacuation), Complete: after == 0}
+	state.StoreNow = s.now()
 	if s.tableAt > after {
-		state.Table = s.table
+		state.Table, state.Refused = s.table, s.refused
 	}
 	for centre, row := range s.evacuations {
 		if row.Version > after && (after > 0 || row.InForce) {
@@ -89,6 +98,9 @@
 	return state, state.Table != nil || len(state.Evacuations) > 0
 }
 
+// now returns the time of the store's clock.
+func (s *store) now() time.Duration { return time.Since(s.startedAt) }
+
 // copy returns a copy of the store.
 func (s *store) copy() *store {
 	s.mu.Lock()
@@ -118,6 +130,7 @@
 	s.table, s.tableAt = from.table, next(from.tableAt)
 	s.version = next(from.version)
 	s.historyFrom, s.desiredFrom = s.version, s.version
+	s.refused = nil
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -134,6 +147,19 @@
 	undecodable, noDesired bool
 	// afterChange, if set, is called when a change of the desired state has been read.
 	afterChange func()
+	// tableDown makes only the reads of the table fail.
+	tableDown bool
+}
+
+// countTableCall is like countCall for a read of the table.
+func (a *access) countTableCall() error {
+	err := a.countCall()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.tableDown {
+		return errUnavailable
+	}
+	return err
 }
 
 func (a *access) setDown(down bool) {
@@ -192,7 +218,7 @@
 }
 
 func (a *access) Desired(context.Context) (Desired, uint64, error) {
-	if err := a.countCall(); err != nil {
+	if err := a.countTableCall(); err != nil {
 		return Desired{}, 0, err
 	}
 	if a.noDesired {
@@ -209,14 +235,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.undecodable && state.Table != nil {
-		state.Table = nil
-		return state, version, &TableError{Err: errors.New("syntax error")}
+		state.Table, state.Refused = nil, &Refusal{Err: errors.New("syntax error")}
 	}
 	return state, version, nil
 }
 
 func (a *access) DesiredChange(ctx context.Context, after uint64, wait time.Duration) (Desired, uint64, error) {
-	if err := a.countCall(); err != nil {
+	if err := a.countTableCall(); err != nil {
 		return Desired{}, 0, err
 	}
 	timer := time.NewTimer(wait)
@@ -238,7 +263,14 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return Desired{}, version, nil
+			a.store.mu.Lock()
+			defer a.store.mu.Unlock()
+			if a.desiredFrom > after {
+				return Desired{}, 0, &HistoryError{Version: after}
+			}
+			// A change may have come at the same moment.
+			state, _ := a.desiredLocked(after)
+			return a.decoded(state, a.version)
 		case <-ctx.Done():
 			return Desired{}, 0, ctx.Err()
 		}
@@ -247,14 +279,17 @@
 
 type instance struct {
 	id        string
-	conn      *gossiptest.Conn
 	access    *access
 	directory *directory.Directory
 	current   *table.Current
 	exchange  *gossip.Exchange
+	conn      *gossiptest.Conn
 	feed      *Feed
-	stop      context.CancelFunc
-	done      chan struct{}
+	// proof and revokeWithin are set if the instance needs a proof of the table.
+	proof        *storeclock.Clock
+	revokeWithin time.Duration
+	stop         context.CancelFunc
+	done         chan struct{}
 }
 
 func (i *instance) servers() []string {
@@ -274,6 +309,11 @@
 
 // newInstance returns an instance that is not running yet.
 func newInstance(t *testing.T, network *gossiptest.Network, s *store, n int) (*instance, gossip.Member) {
+	t.Helper()
+	return newInstanceIn(t, network, s, n, "a")
+}
+
+func newInstanceIn(t *testing.T, network *gossiptest.Network, s *store, n int, dataCentre string) (*instance, gossip.Member) {
 	t.Helper()
 	conn := network.Listen()
 	i := &instance{
@@ -282,13 +322,13 @@
 	}
 	var err error
 	i.exchange, err = gossip.New(gossip.Options{
-		Conn: conn, Address: conn.Address(), ID: i.id, DataCentre: "a", Board: readings.NewBoard(),
+		Conn: conn, Address: conn.Address(), ID: i.id, DataCentre: dataCentre, RelayCapacity: 1000, Board: readings.NewBoard(),
 		Backlogs: admission.NewBacklogs(), Logger: slog.New(slog.DiscardHandler),
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return i, gossip.Member{ID: i.id, DataCentre: "a", Address: conn.Address()}
+	return i, gossip.Member{ID: i.id, DataCentre: dataCentre, Address: conn.Address()}
 }
 
 // fleet starts instances that share a store and are members of one gossip group.
@@ -317,7 +357,7 @@
 func (i *instance) start(t *testing.T) {
 	f := New(Options{
 		ID: i.id, Store: i.access, Directory: i.directory, Current: i.current, Exchange: i.exchange,
-		Logger: slog.New(slog.DiscardHandler),
+		Logger: slog.New(slog.DiscardHandler), Proof: i.proof, RevokeWithin: func() time.Duration { return i.revokeWithin },
 	})
 	i.feed = f
 	i.exchange.Follow(f)
--- a/feed/pause.go
+++ b/feed/pause.go
@@ -154,8 +154,7 @@
 	if after == 0 || errors.As(err, &history) {
 		state, version, err = f.opts.Store.Desired(ctx)
 	}
-	var undecodable *TableError
-	if err != nil && !errors.As(err, &undecodable) {
+	if err != nil {
 		return err
 	}
 	f.applyEvacuations(state, version, asked)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -156,6 +157,9 @@
 	instances int
 	// peers are those to which it can delegate requests.
 	peers []forward.Peer
+	// tableAge is the age of the table in force, in nanoseconds.
+	tableAge atomic.Int64
+	logs     logBuffer
 }
 
 // newFixture starts a forwarder whose startup is complete. Requests to /look/ and
@@ -240,6 +244,7 @@
 			{Host: "h", PathPrefix: "/hedged/", Service: "main", Repeatable: true, Attempts: 2, DeadlineMS: 2000, TargetMS: 100},
 			{Host: "h", PathPrefix: "/brief/", Service: "main", Attempts: 2, DeadlineMS: 80},
 			{Host: "h", PathPrefix: "/quick/", Service: "main", Attempts: 2, DeadlineMS: 80, TargetMS: 40},
+			{Host: "h", PathPrefix: "/public/", Service: "main", Attempts: 2, DeadlineMS: 2000, Public: true},
 		},
 	}))
 	f.forwarder = forward.New(forward.Options{
@@ -248,9 +253,13 @@
 		ConnLimit: func(*table.Service) int { return 0 }, Instances: func() int { return f.instances }, DataCentre: "a",
 		WarmUp: func() readings.WarmUpLimits { return readings.WarmUpLimits{Excess: 1.5, Slack: 8} },
 		ID:     "entry", Peer: f.pickPeer, PeerPool: serverconn.NewPool(),
-		Log: slog.New(slog.DiscardHandler), Observer: &observer{}, Quarantine: f.quarantine, ViewReady: f.viewReady, LoadsReady: f.loadsReady,
+		Log: slog.New(slog.NewTextHandler(&f.logs, nil)), Observer: &observer{}, Quarantine: f.quarantine, ViewReady: f.viewReady, LoadsReady: f.loadsReady,
 		Refresh:   func(context.Context, []readings.Target, time.Duration) {},
 		CheckRate: func() float64 { return 0 }, AwaitCurrent: func(context.Context) { f.awaitCurrent() },
+		TableAge: func() time.Duration { return time.Duration(f.tableAge.Load()) },
+		KeyRules: func() forward.KeyRules {
+			return forward.KeyRules{ServeWithin: serveWithin, CertainWithin: certainWithin}
+		},
 		OnNotice: func(server directory.Server, notice readings.Notice, fromCheck bool) {
 			f.board.KeepQuiet(server.ID, time.Now().Add(notice.Quiet))
 			f.board.RecordLimit(server.ID, notice.Limit, fromCheck, time.Now())
@@ -270,6 +279,12 @@
 
 // call sends one request and returns the response and its body.
 func (f *fixture) call(t *testing.T, method, path, body string) (*http.Response, string) {
+	t.Helper()
+	return f.callWith(t, method, path, body, nil)
+}
+
+// callWith is like call with further headers.
+func (f *fixture) callWith(t *testing.T, method, path, body string, header http.Header) (*http.Response, string) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
@@ -280,6 +295,7 @@
 	req.Host = "h"
 	req.Header.Set("Request-Id", "r"+strconv.FormatInt(sequence.Add(1), 10))
 	req.Header.Set("Deadline-Ms", "1500")
+	maps.Copy(req.Header, header)
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		t.Fatal(err)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -60,6 +60,10 @@
 	// AwaitCurrent is called before anything is sent. It waits while the evacuated data
 	// centres may have changed without this process having had a chance to learn of it.
 	AwaitCurrent func(ctx context.Context)
+	// TableAge returns the time since the table in force is known to have been the newest.
+	TableAge func() time.Duration
+	// KeyRules returns how old the table may be by which keys are judged.
+	KeyRules func() KeyRules
 	// ViewReady is closed when the table and the servers are known, or when startup
 	// stops waiting for them. LoadsReady is closed likewise for the loads of servers.
 	// Requests wait until both are closed.
@@ -94,6 +98,9 @@
 	// Delegated counts the requests delegated to peers, ForPeers those that peers delegated
 	// to this instance.
 	Delegated, ForPeers uint64
+	// UnknownKey counts the requests refused without a key of a workspace, UnprovenTable
+	// those refused because the table was too old to judge them.
+	UnknownKey, UnprovenTable uint64
 	// InFlight is the number of requests being served now.
 	InFlight int64
 }
@@ -104,6 +111,7 @@
 	opts                      Options
 	requests, retries, hedges atomic.Uint64
 	delegated, forPeers       atomic.Uint64
+	unknownKey, unprovenTable atomic.Uint64
 	inFlight                  atomic.Int64
 
 	mu       sync.Mutex
@@ -170,6 +178,7 @@
 	return Stats{
 		Requests: f.requests.Load(), Retries: f.retries.Load(), Hedges: f.hedges.Load(),
 		Delegated: f.delegated.Load(), ForPeers: f.forPeers.Load(),
+		UnknownKey: f.unknownKey.Load(), UnprovenTable: f.unprovenTable.Load(),
 		InFlight: f.inFlight.Load(),
 	}
 }
--- a/forward/quota.go
+++ b/forward/quota.go
@@ -6,7 +6,6 @@
 
 	"github.com/pomelolock/pomelolock/outcome"
 	"github.com/pomelolock/pomelolock/quota"
-	"github.com/pomelolock/pomelolock/table"
 )
 
 // Quota caps the requests of workspaces over the whole fleet. The methods must not block.
@@ -17,19 +16,11 @@
 	Return(workspace string)
 }
 
-// workspace returns the workspace of the caller's key, or nil if there is none.
-func (x *exchange) workspace() *table.Workspace {
-	return x.snapshot.Workspace(table.HashKey(x.caller.Key))
-}
-
 // takeUnit takes the request out of the cap of its workspace, or refuses it. A delegated
 // request was taken at the instance that delegates it.
 func (x *exchange) takeUnit() *outcome.Error {
-	if x.f.opts.Quota == nil || x.delegation != nil || !x.snapshot.HasWorkspaces() {
-		return nil
-	}
-	workspace := x.workspace()
-	if workspace == nil || workspace.RatePerSecond <= 0 {
+	workspace := x.identity.workspace
+	if x.f.opts.Quota == nil || x.delegation != nil || workspace == nil || workspace.RatePerSecond <= 0 {
 		return nil
 	}
 	d := x.f.opts.Quota.Take(workspace.Name)
