--- a/feed/proof_test.go
+++ b/feed/proof_test.go
@@ -307,7 +307,9 @@
 		copied := s.copy()
 		s.setTable(4)
 		time.Sleep(time.Second)
+		s.mu.Lock()
 		s.startedAt = s.startedAt.Add(-time.Hour)
+		s.mu.Unlock()
 		s.restore(copied)
 		time.Sleep(5 * time.Second)
 		for _, i := range instances {
