--- a/table/split.go
+++ b/table/split.go
@@ -63,3 +63,13 @@
 	}
 	return route.Service
 }
+
+// Shares returns the shares of the route's split, or nil if it has none or the column can't be
+// parsed.
+func (r Route) Shares() []Share {
+	shares, err := parseSplit(r.Split)
+	if err != nil {
+		return nil
+	}
+	return shares
+}
