--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -22,7 +22,8 @@
 Exit codes: 0 done, 1 failed, 2 bad usage, settings or table, 3 another table was
 accepted meanwhile, 4 refused without an operator's certificate or token,
 5 platform or instances unreachable, 6 accepted but not in force everywhere,
-7 outcome unknown, 8 declined.`
+7 outcome unknown, 8 declined, 9 the checked table is valid with warnings, 10 the
+checked row of the users' platform is rejected.`
 
 // globals are the flags of all commands.
 type globals struct {
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -26,6 +26,8 @@
 	CodeNotInForce   Code = 6
 	CodeUnknown      Code = 7
 	CodeDeclined     Code = 8
+	CodeWarnings     Code = 9
+	CodeRejected     Code = 10
 )
 
 // usageError reports unusable arguments, flags or input files.
@@ -35,6 +37,32 @@
 
 func (e *usageError) Error() string { return e.reason }
 
+// warningsError reports a table without errors that has warnings.
+type warningsError struct {
+	count int
+}
+
+func (e *warningsError) Error() string {
+	return fmt.Sprintf("the table is valid, with %d warning(s)", e.count)
+}
+
+// rejectedError reports an operator's row that the users' platform would not put in force. A
+// rejected table of the product's own fleet is a [table.InvalidError].
+type rejectedError struct {
+	file  string
+	count int
+}
+
+func (e *rejectedError) Error() string {
+	return fmt.Sprintf("%s has %d error(s); instances would keep the table in force", e.file, e.count)
+}
+
+// isInvalid reports whether err lists the faults of a table.
+func isInvalid(err error) bool {
+	var invalid *table.InvalidError
+	return errors.As(err, &invalid)
+}
+
 // declinedError reports that the operator declined the changes.
 type declinedError struct{}
 
@@ -81,6 +109,8 @@
 	var notInForce *notInForceError
 	var unknown *unknownOutcomeError
 	var declined *declinedError
+	var warnings *warningsError
+	var rejected *rejectedError
 	switch {
 	case err == nil:
 		return CodeDone
@@ -92,6 +122,10 @@
 		return CodeUnknown
 	case errors.As(err, &declined):
 		return CodeDeclined
+	case errors.As(err, &warnings):
+		return CodeWarnings
+	case errors.As(err, &rejected):
+		return CodeRejected
 	}
 	return remoteExitCode(err)
 }
--- a/internal/cli/table.go
+++ b/internal/cli/table.go
@@ -118,20 +118,6 @@
 	return os.WriteFile(path, data, 0o644)
 }
 
-type tableCheckCmd struct {
-	Path string `arg:"" help:"JSON file or directory of CSV files."`
-}
-
-func (c *tableCheckCmd) Run(a *app) error {
-	if _, err := readTable(c.Path); err != nil {
-		return err
-	}
-	return a.print(checkOutput{File: c.Path, Valid: true}, func(w io.Writer) error {
-		_, err := fmt.Fprintf(w, "%s is valid\n", c.Path)
-		return err
-	})
-}
-
 type tableDiffCmd struct {
 	Path string `arg:"" help:"JSON file or directory of CSV files."`
 	From uint64 `help:"Version to compare with; the latest if omitted."`
