--- a/table/lint/effects.go
+++ b/table/lint/effects.go
@@ -96,6 +96,7 @@
 
 // rowEffects returns the changes of the sheets other than routes, one effect for each row.
 func rowEffects(before, after table.Document) []Effect {
+	before.Services, after.Services = inForce(before.Services), inForce(after.Services)
 	var effects []Effect
 	kinds := map[table.ChangeKind]EffectKind{table.RowAdded: Added, table.RowRemoved: Removed, table.CellSet: Changed}
 	for _, change := range table.Diff(before, after) {
@@ -116,6 +117,21 @@
 	return effects
 }
 
+// inForce returns the services without those that a later one of the same name replaces.
+func inForce(services []table.Service) []table.Service {
+	last := make(map[string]int, len(services))
+	for i, service := range services {
+		last[service.Name] = i
+	}
+	var kept []table.Service
+	for i, service := range services {
+		if last[service.Name] == i {
+			kept = append(kept, service)
+		}
+	}
+	return kept
+}
+
 func quoteEmpty(text string) string {
 	if text == "" {
 		return `""`
@@ -329,6 +345,7 @@
 }
 
 func workspaceEffects(before, after []table.Workspace) []Effect {
+	before, after = distinct(before), distinct(after)
 	old := make(map[string]table.Workspace, len(before))
 	for _, w := range before {
 		old[w.Name] = w
@@ -350,7 +367,6 @@
 	}
 	for _, w := range before {
 		if !remaining[w.Name] {
-			remaining[w.Name] = true
 			effects = append(effects, Effect{Kind: Removed, What: whatWorkspace, Subject: w.Name, Details: []Detail{
 				{Name: "keys", Old: strconv.Itoa(len(w.KeyHashes))},
 			}})
@@ -359,6 +375,33 @@
 	return effects
 }
 
+// distinct joins the keys of workspaces of the same name, and of a key that is listed twice
+// keeps one. Everything else is that of the first workspace of the name.
+func distinct(workspaces []table.Workspace) []table.Workspace {
+	type entry struct {
+		name string
+		hash table.KeyHash
+	}
+	rows, seen := make(map[string]int, len(workspaces)), make(map[entry]bool)
+	var joined []table.Workspace
+	for _, w := range workspaces {
+		row, ok := rows[w.Name]
+		if !ok {
+			row = len(joined)
+			rows[w.Name] = row
+			joined = append(joined, w)
+			joined[row].KeyHashes = nil
+		}
+		for _, hash := range w.KeyHashes {
+			if !seen[entry{w.Name, hash}] {
+				seen[entry{w.Name, hash}] = true
+				joined[row].KeyHashes = append(joined[row].KeyHashes, hash)
+			}
+		}
+	}
+	return joined
+}
+
 func workspaceDetails(from, to table.Workspace) []Detail {
 	var details []Detail
 	if n := countMissing(to.KeyHashes, from.KeyHashes); n > 0 {
@@ -376,7 +419,7 @@
 	return details
 }
 
-// countMissing returns the number of different hashes that are not in other.
+// countMissing returns the number of hashes that are not in other.
 func countMissing(hashes, other []table.KeyHash) int {
 	known := make(map[table.KeyHash]bool, len(other))
 	for _, hash := range other {
@@ -385,7 +428,6 @@
 	n := 0
 	for _, hash := range hashes {
 		if !known[hash] {
-			known[hash] = true
 			n++
 		}
 	}
