--- a/table/lint/lint_test.go
+++ b/table/lint/lint_test.go
@@ -262,6 +262,23 @@
 	})
 }
 
+// TestRoutesAreMatchedAsInForce guards against effects that are judged by a route which
+// Snapshot.Match does not choose, such as one with a host before one with a method.
+func TestRoutesAreMatchedAsInForce(t *testing.T) {
+	all := requests()
+	rapid.Check(t, func(t *rapid.T) {
+		doc := table.Document{Routes: drawRoutes(t, "routes")}
+		snapshot := table.Compile(doc)
+		for _, r := range all {
+			want, wantOK := snapshot.Match(r)
+			got, ok := lint.MatchAt(doc, r.Host, r.Method, r.URL.Path)
+			if ok != wantOK || got != want {
+				t.Fatalf("%s %s %s: matched %+v, want %+v", r.Host, r.Method, r.URL.Path, got, want)
+			}
+		}
+	})
+}
+
 // TestEffectsAreThoseOnRequests guards against changes of a request's service that aren't
 // listed, and against listed ones that no request meets.
 func TestEffectsAreThoseOnRequests(t *testing.T) {
@@ -339,6 +356,12 @@
 		{"cap set", func(_, a *table.Document) { a.Workspaces[1].RatePerSecond, a.Workspaces[1].Burst = 1, 2 }, []string{"~ workspace v: cap set none -> 1/s burst 2"}},
 		{"priority", func(_, a *table.Document) { a.Workspaces[1].Priority = &priority }, []string{"~ workspace v: priority of the route -> 2"}},
 		{"workspaces", func(_, a *table.Document) { a.Workspaces[1].Name = "u" }, []string{"+ workspace u: keys 1, cap none", "- workspace v: keys 1"}},
+		{"a workspace and a service listed twice", func(b, a *table.Document) {
+			for _, doc := range []*table.Document{b, a} {
+				doc.Workspaces = append(doc.Workspaces, table.Workspace{Name: "w", KeyHashes: []table.KeyHash{table.HashKey("more")}})
+				doc.Services = append(doc.Services, table.Service{Name: "x", DeadlineMS: 2000})
+			}
+		}, nil},
 		{"all workspaces removed", func(_, a *table.Document) { a.Workspaces = nil }, []string{
 			"~ route any host /x/: workspace key needed true -> false", "~ route any host /y/: workspace key needed true -> false",
 			"- workspace w: keys 1", "- workspace v: keys 1",
