feed: a process that was stopped asks the store again if a call fails

Cause: after a stop, a single rejected call to the store ended the question, and after 1 s the process went on with the set from before the stop. Out of reach of its peers, it then sent to a data centre that was evacuated long before, although it could reach the store.

The read is now repeated every 100 ms until the requests go on, at the same time as before. Holding requests for longer was ruled out: an outage of the store would then stop all traffic. The new case of the test also disables the usual reads, which hid the missing one.

--- a/feed/evacuation_test.go
+++ b/feed/evacuation_test.go
@@ -136,11 +136,13 @@
 	for _, c := range []struct {
 		name        string
 		storeFails  bool
+		rejects     int
 		wantServers []string
 	}{
-		{"store readable", false, []string{"a"}},
+		{"store readable", false, 0, []string{"a"}},
+		{"store rejects a call", false, 1, []string{"a"}},
 		// Peers tell it then; here it is alone.
-		{"store unreadable", true, []string{"a", "b"}},
+		{"store unreadable", true, 0, []string{"a", "b"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -152,6 +154,9 @@
 				s.setEvacuated("b", true)
 				time.Sleep(maxPause + time.Second)
 				stopped.access.setDown(c.storeFails)
+				stopped.access.rejects = c.rejects
+				// The usual reads would hide one that is missing after the stop.
+				stopped.feed.readNotBefore = time.Now().Add(time.Hour)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				var wg sync.WaitGroup
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -132,6 +132,8 @@
 	// undecodable makes reads fail to decode the table, noDesired makes all reads of the
 	// desired state fail.
 	undecodable, noDesired bool
+	// rejects is the number of reads of changes of the desired state that fail.
+	rejects int
 	// afterChange, if set, is called when a change of the desired state has been read.
 	afterChange func()
 }
@@ -219,6 +221,9 @@
 	if err := a.countCall(); err != nil {
 		return Desired{}, 0, err
 	}
+	if a.rejected() {
+		return Desired{}, 0, errUnavailable
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -245,6 +250,16 @@
 	}
 }
 
+func (a *access) rejected() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.rejects == 0 {
+		return false
+	}
+	a.rejects--
+	return true
+}
+
 type instance struct {
 	id        string
 	conn      *gossiptest.Conn
--- a/feed/pause.go
+++ b/feed/pause.go
@@ -18,6 +18,8 @@
 	// not reach the store goes on with what peers, whose datagrams arrive several times
 	// within that time, have told it.
 	maxHold = time.Second
+	// confirmInterval is the time between two reads after a pause if the store rejects them.
+	confirmInterval = 100 * time.Millisecond
 )
 
 // pauses detects that the process was stopped, such as by SIGSTOP or with its whole machine.
@@ -119,16 +121,21 @@
 	}
 }
 
-// confirm reads the evacuated data centres after a pause and ends the hold.
+// confirm reads the evacuated data centres after a pause and ends the hold. It repeats a read
+// that fails, since the store rejects single calls and peers may be out of reach.
 func (f *Feed) confirm(ctx context.Context) {
 	for {
 		f.pauses.mu.Lock()
 		at := f.pauses.at
 		f.pauses.mu.Unlock()
 		err := f.readEvacuations(ctx)
-		if err != nil {
-			sleep(ctx, time.Until(at.Add(maxHold)))
+		held, cancel := context.WithDeadline(ctx, at.Add(maxHold))
+		for err != nil && held.Err() == nil {
+			if sleep(held, confirmInterval); held.Err() == nil {
+				err = f.readEvacuations(held)
+			}
 		}
+		cancel()
 		if ctx.Err() != nil || f.pauses.end(at) {
 			f.opts.Logger.Info("requests go on after the stop", "after", time.Since(at), "error", err)
 			return
