forward: the test of evacuated servers chooses the server that it evacuates

TestServerEvacuatedAfterItWasChosenGetsNothing expected the first request at the server in the same data centre, which is only preferred: 3 of 15 runs failed, and the other cases passed without testing anything if the other server was chosen. The other data centre is now evacuated until the moment under test. 40 runs pass.

--- a/forward/evacuation_test.go
+++ b/forward/evacuation_test.go
@@ -62,10 +62,12 @@
 			s2.dataCentre = "b"
 			f := newFixture(t, s1, s2)
 			onCheck = &f.onCheck
+			// Until then, the other server can't be chosen.
+			f.directory.SetEvacuated(1, []string{"b"})
 			var evacuated atomic.Bool
 			c.prepare(t, f, func() {
 				if !evacuated.Swap(true) {
-					f.directory.SetEvacuated(1, []string{"a"})
+					f.directory.SetEvacuated(2, []string{"a"})
 				}
 			})
 			resp, _ := f.call(t, c.method, c.path, c.body)
