readings: servers without a warm-up cost one look-up

Each request asks for the loads of all servers of its service a few times. Deciding it in the caller was ruled out, since a rate that the table no longer has must be taken back.

--- a/readings/board.go
+++ b/readings/board.go
@@ -353,11 +353,11 @@
 func (b *Board) Load(server string, now time.Time) Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.loadLocked(KeyOf(server), now)
+	return b.servers[KeyOf(server)].load(b, now)
 }
 
-func (b *Board) loadLocked(server ServerKey, now time.Time) Load {
-	s := b.servers[server]
+// load returns the state of a server, of which nothing is known if s is nil.
+func (s *state) load(b *Board, now time.Time) Load {
 	if s == nil {
 		return Load{Permitted: true}
 	}
--- a/readings/warmup.go
+++ b/readings/warmup.go
@@ -257,21 +257,30 @@
 func (b *Board) LoadWarming(server string, warmUp WarmUp, now time.Time) Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	key := KeyOf(server)
-	if s := b.servers[key]; s != nil || warmUp.PerSecond > 0 {
-		b.stateLocked(key).warmth.set(server, warmUp, now)
-	}
-	return b.loadLocked(key, now)
+	return b.setWarmUpLocked(server, warmUp, now).load(b, now)
 }
 
 // SetWarmUp records the server's warm-up.
 func (b *Board) SetWarmUp(server string, warmUp WarmUp, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.setWarmUpLocked(server, warmUp, now)
+}
+
+// setWarmUpLocked records the server's warm-up and returns the state of the server, which is
+// nil if nothing is known of it. It does little for servers without a warm-up, since it is
+// called for each server that a request may choose.
+func (b *Board) setWarmUpLocked(server string, warmUp WarmUp, now time.Time) *state {
 	key := KeyOf(server)
-	if s := b.servers[key]; s != nil || warmUp.PerSecond > 0 {
-		b.stateLocked(key).warmth.set(server, warmUp, now)
+	s := b.servers[key]
+	if warmUp.PerSecond <= 0 && (s == nil || s.warmth.rule.PerSecond <= 0) {
+		return s
+	}
+	if s == nil {
+		s = b.stateLocked(key)
 	}
+	s.warmth.set(server, warmUp, now)
+	return s
 }
 
 // warmsUp reports whether requests to the server are limited while it is cold.
