--- a/feed/pause.go
+++ b/feed/pause.go
@@ -12,7 +12,7 @@
 	// whether data centres were evacuated meanwhile. With the two seconds in which a change
 	// reaches every instance, it stays below the five seconds allowed for an evacuation.
 	maxPause = 2 * time.Second
-	// pauseInterval is the time between two looks at the clock.
+	// pauseInterval is the time between two reads of the clock.
 	pauseInterval = 200 * time.Millisecond
 	// maxHold bounds the time for which requests wait after a pause. An instance that does
 	// not reach the store goes on with what peers, whose datagrams arrive several times
--- a/gossip/gossiptest/gossiptest.go
+++ b/gossip/gossiptest/gossiptest.go
@@ -64,8 +64,7 @@
 	}
 }
 
-// WriteToUDPAddrPort implements [gossip.Conn]. Datagrams to unknown addresses
-// are lost.
+// WriteToUDPAddrPort implements [gossip.Conn]. Datagrams to unknown addresses are lost.
 func (c *Conn) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
 	c.network.mu.Lock()
 	target := c.network.conns[to]
--- a/gossip/updates.go
+++ b/gossip/updates.go
@@ -21,7 +21,7 @@
 	departures map[string]departure
 	// limits holds the newest limits that backend servers named.
 	limits map[string]pendingLimit
-	// cold holds what is newest of the warm-ups of backend servers.
+	// cold holds the newest known warm-ups of backend servers.
 	cold map[string]pendingCold
 	// sent is when the last datagram was sent, contentSent when the last one with
 	// readings and results was.
@@ -43,7 +43,7 @@
 	repeats int
 }
 
-// pendingCold is what a status check said of the warm-up of a backend server.
+// pendingCold is the warm-up of a backend server by a status check.
 type pendingCold struct {
 	readings.ColdHint
 	// repeats is the number of datagrams that still have to carry it.
@@ -84,7 +84,7 @@
 	p.limits[server] = pendingLimit{limit: limit, at: at, repeats: noticeRepeats}
 }
 
-// addCold adds what a status check said of the warm-up of a backend server.
+// addCold adds the warm-up of a backend server unless a newer one is pending.
 func (p *pendingUpdates) addCold(hint readings.ColdHint, repeats int) {
 	if pending, ok := p.cold[hint.Server]; ok && !hint.At.After(pending.At) {
 		return
--- a/internal/entry/coldservers.go
+++ b/internal/entry/coldservers.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// coldInterval is the time between two looks at which servers turned cold or warm.
+	// coldInterval is the interval at which servers that turned cold or warm are logged.
 	coldInterval = 250 * time.Millisecond
-	// maxColdLines bounds the lines of one look about single servers. A whole data centre
+	// maxColdLines bounds the lines about single servers in one interval. A whole data centre
 	// turns cold at once when it returns to service.
 	maxColdLines = 8
 )
@@ -59,7 +59,7 @@
 	oldest := make(map[kind]time.Duration)
 	slices.SortFunc(changes, func(a, b readings.ColdChange) int { return cmp.Compare(a.Server, b.Server) })
 	for i, c := range changes {
-		d.coldTurns.Add(1)
+		d.coldChanges.Add(1)
 		if i >= maxColdLines {
 			k := kind{c.Cold, c.Source}
 			others[k]++
--- a/internal/entry/coldservers_test.go
+++ b/internal/entry/coldservers_test.go
@@ -41,5 +41,5 @@
 	d.logColdChanges(changes, now)
 	g.Expect(strings.Count(log.String(), "\n")).To(gomega.Equal(maxColdLines + 1))
 	g.Expect(log.String()).To(gomega.ContainSubstring(`msg="servers cold" servers=272 source=return`))
-	g.Expect(d.coldTurns.Load()).To(gomega.Equal(uint64(280)))
+	g.Expect(d.coldChanges.Load()).To(gomega.Equal(uint64(280)))
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -144,9 +144,9 @@
 	// joined is set once the instance has read in the store which others there are.
 	joined    atomic.Bool
 	startedAt time.Time
-	// coldServers is the number of cold servers, coldTurns how often any turned cold or warm.
+	// coldServers is the number of cold servers, coldChanges how often one turned cold or warm.
 	coldServers atomic.Int64
-	coldTurns   atomic.Uint64
+	coldChanges atomic.Uint64
 }
 
 // New assembles an instance and opens its listeners. It fails with [SettingError] if
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -79,7 +79,7 @@
 		{"limited_requests_total", "Requests sent to backend servers that had named a limit.", func() uint64 { n, _ := d.board.LimitedSends(); return n }},
 		{"limited_checks_total", "Status checks of backend servers that had named a limit.", func() uint64 { _, n := d.board.LimitedSends(); return n }},
 		{"cold_requests_total", "Requests sent to backend servers that were cold.", d.board.ColdSends},
-		{"cold_turns_total", "Times that a backend server turned cold or warm.", d.coldTurns.Load},
+		{"cold_changes_total", "Times that a backend server turned cold or warm.", d.coldChanges.Load},
 		{"peer_sent_datagrams_total", "Datagrams sent to other instances.", d.exchange.Sent.Load},
 		{"peer_received_datagrams_total", "Datagrams received from other instances.", d.exchange.Received.Load},
 		{"peer_sent_bytes_total", "Bytes of datagrams sent to other instances.", d.exchange.SentBytes.Load},
--- a/readings/warmup.go
+++ b/readings/warmup.go
@@ -32,7 +32,7 @@
 // WarmUp is what a server needs after a start. The zero value is a server that is never
 // treated as cold.
 type WarmUp struct {
-	// PerSecond is the number of requests a second that a cold server bears from all
+	// PerSecond is the number of requests a second that a cold server accepts from all
 	// instances together; 0 if it takes any number.
 	PerSecond float64
 	Limits    WarmUpLimits
--- a/readings/warmup_test.go
+++ b/readings/warmup_test.go
@@ -35,11 +35,11 @@
 }
 
 // TestFleetKeepsTheBoundOfAColdServer guards against instances that together send a cold
-// server more than it bears in any second, whether or not they hear each other.
+// server more than it accepts in any second, whether or not they hear each other.
 func TestFleetKeepsTheBoundOfAColdServer(t *testing.T) {
-	const deaf = -1
+	const unheard = -1
 	for _, instances := range []int{1, 18, 103, 472} {
-		for name, delay := range map[string]time.Duration{"hear": 300 * time.Millisecond, "deaf": deaf} {
+		for name, delay := range map[string]time.Duration{"datagrams arrive": 300 * time.Millisecond, "datagrams are lost": unheard} {
 			for scenario, play := range map[string]func(f *fleet){
 				"all busy": func(f *fleet) { f.play(20*time.Second, delay, all) },
 				"after idle": func(f *fleet) {
@@ -240,7 +240,7 @@
 }
 
 // TestColdChangesAreReportedOnce guards against a server that turns warm unnoticed because its
-// time is over, and against a line for each look.
+// time is over, and against a line for each call.
 func TestColdChangesAreReportedOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b, now := warmBoard()
--- a/table/document.go
+++ b/table/document.go
@@ -110,7 +110,7 @@
 	// found by discovery accepts from the fleet; zero means no known limit.
 	Connections int `json:"connections,omitempty" range:"0,100000"`
 	// WarmUpMS is how long a backend server found by discovery is cold after its start.
-	// While it is cold, it bears WarmUpPerSecond requests a second from the fleet; zero
+	// While it is cold, it accepts WarmUpPerSecond requests a second from the fleet; zero
 	// means no known limit.
 	WarmUpMS        int64   `json:"warm_up_ms,omitempty" range:"0,3600000"`
 	WarmUpPerSecond float64 `json:"warm_up_per_second,omitempty" range:"0,100000"`
