feed: after a failed read the next one doesn't wait for a change

Cause: if the response to a long poll is lost with a change, the reader notices after up to 2.7 s, and its next read was a long poll again, which takes as long to be given up. Two lost responses in a row could thus delay an evacuation by more than the 5 s allowed.

The read after a failed one is now bounded by 0.7 s. It costs one further call after a failure, and a silent store is called more often, by calculation once in 1.2 s by a first reader in place of once in 3.2 s. A shorter long poll was ruled out, since it would double the calls while nothing fails.

--- a/feed/evacuation_test.go
+++ b/feed/evacuation_test.go
@@ -129,6 +129,19 @@
 	})
 }
 
+// TestEvacuationIsKnownAlthoughResponsesAreLost guards against a reader that holds a long poll
+// again after it has waited in vain for the response to one. The limit is that of the operators.
+func TestEvacuationIsKnownAlthoughResponsesAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 5 * time.Second
+		s, instances := twoCentres(t, 4)
+		reader(t, instances).access.losses = 2
+		s.setEvacuated("b", true)
+		time.Sleep(limit)
+		expectServers(t, instances, "a")
+	})
+}
+
 // TestStoppedProcessLearnsOfEvacuationBeforeItSends guards against a process that sends to a
 // data centre by what it knew before it was stopped. The process is stopped by ending its
 // goroutines, its datagrams are lost, and it uses the same state when it goes on.
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -388,6 +388,7 @@
 // reads those.
 func (f *Feed) followTable(ctx context.Context) {
 	var version uint64
+	wait := tablePollTime
 	for ctx.Err() == nil {
 		now := time.Now()
 		if now.Before(f.readNotBefore) || f.opts.Current.Load() != nil && !f.shouldRead(now) {
@@ -398,15 +399,20 @@
 			sleep(ctx, pollInterval)
 			continue
 		}
-		read, err := f.readTable(ctx, version)
-		version = read
+		read, err := f.readTable(ctx, version, wait)
+		version, wait = read, tablePollTime
 		if err != nil {
+			// The response to the failed read may have been lost with a change.
+			wait = 0
 			sleep(ctx, f.readDelay(err))
 		}
 	}
 }
 
-func (f *Feed) readTable(ctx context.Context, after uint64) (uint64, error) {
+// readTable reads the changes of the desired state after a version, for which the store may
+// hold the request for some time, and returns the version from which to continue; 0 means that
+// the next read has to fetch the whole state.
+func (f *Feed) readTable(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
 	asked := time.Now()
 	var state Desired
 	var version uint64
@@ -414,8 +420,8 @@
 	if after == 0 {
 		state, version, err = f.readDesired(ctx)
 	} else {
-		limited, cancel := context.WithTimeout(ctx, tablePollTime+callTimeout)
-		state, version, err = f.opts.Store.DesiredChange(limited, after, tablePollTime)
+		limited, cancel := context.WithTimeout(ctx, wait+callTimeout)
+		state, version, err = f.opts.Store.DesiredChange(limited, after, wait)
 		cancel()
 	}
 	var history *HistoryError
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -134,6 +134,8 @@
 	undecodable, noDesired bool
 	// rejects is the number of reads of changes of the desired state that fail.
 	rejects int
+	// losses is the number of changes of the desired state whose responses are lost.
+	losses int
 	// afterChange, if set, is called when a change of the desired state has been read.
 	afterChange func()
 }
@@ -221,7 +223,7 @@
 	if err := a.countCall(); err != nil {
 		return Desired{}, 0, err
 	}
-	if a.rejected() {
+	if a.take(&a.rejects) {
 		return Desired{}, 0, errUnavailable
 	}
 	timer := time.NewTimer(wait)
@@ -234,6 +236,10 @@
 		if lost {
 			return Desired{}, 0, &HistoryError{Version: after}
 		}
+		if found && a.take(&a.losses) {
+			<-ctx.Done()
+			return Desired{}, 0, ctx.Err()
+		}
 		if found {
 			if a.afterChange != nil {
 				a.afterChange()
@@ -250,13 +256,14 @@
 	}
 }
 
-func (a *access) rejected() bool {
+// take reports whether the number of failures to come is not zero, and counts one.
+func (a *access) take(failures *int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.rejects == 0 {
+	if *failures == 0 {
 		return false
 	}
-	a.rejects--
+	*failures--
 	return true
 }
 
@@ -452,7 +459,7 @@
 	before := newcomer.exchange.SentBytes.Load()
 	_, err := f.readServers(t.Context(), 0)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	_, err = f.readTable(t.Context(), 0)
+	_, err = f.readTable(t.Context(), 0, tablePollTime)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(newcomer.servers()).To(gomega.HaveLen(servers))
 	g.Expect(newcomer.tableVersion()).To(gomega.Equal(uint64(3)))
