--- a/feed/evacuation_test.go
+++ b/feed/evacuation_test.go
@@ -129,6 +129,19 @@
 	})
 }
 
+// TestEvacuationIsKnownAlthoughResponsesAreLost guards against a reader that holds a long poll
+// again after it has waited in vain for the response to one. The limit is that of the operators.
+func TestEvacuationIsKnownAlthoughResponsesAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 5 * time.Second
+		s, instances := twoCentres(t, 4)
+		reader(t, instances).access.losses = 2
+		s.setEvacuated("b", true)
+		time.Sleep(limit)
+		expectServers(t, instances, "a")
+	})
+}
+
 // TestStoppedProcessLearnsOfEvacuationBeforeItSends guards against a process that sends to a
 // data centre by what it knew before it was stopped. The process is stopped by ending its
 // goroutines, its datagrams are lost, and it uses the same state when it goes on.
@@ -136,11 +149,13 @@
 	for _, c := range []struct {
 		name        string
 		storeFails  bool
+		rejects     int
 		wantServers []string
 	}{
-		{"store readable", false, []string{"a"}},
+		{"store readable", false, 0, []string{"a"}},
+		{"store rejects a call", false, 1, []string{"a"}},
 		// Peers tell it then; here it is alone.
-		{"store unreadable", true, []string{"a", "b"}},
+		{"store unreadable", true, 0, []string{"a", "b"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -152,6 +167,9 @@
 				s.setEvacuated("b", true)
 				time.Sleep(maxPause + time.Second)
 				stopped.access.setDown(c.storeFails)
+				stopped.access.rejects = c.rejects
+				// The usual reads would hide one that is missing after the stop.
+				stopped.feed.readNotBefore = time.Now().Add(time.Hour)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				var wg sync.WaitGroup
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -145,6 +145,10 @@
 	// undecodable makes reads fail to decode the table, noDesired makes all reads of the
 	// desired state fail.
 	undecodable, noDesired bool
+	// rejects is the number of reads of changes of the desired state that fail.
+	rejects int
+	// losses is the number of changes of the desired state whose responses are lost.
+	losses int
 	// afterChange, if set, is called when a change of the desired state has been read.
 	afterChange func()
 	// tableDown makes only the reads of the table fail.
@@ -244,6 +248,9 @@
 	if err := a.countTableCall(); err != nil {
 		return Desired{}, 0, err
 	}
+	if a.take(&a.rejects) {
+		return Desired{}, 0, errUnavailable
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -254,6 +261,10 @@
 		if lost {
 			return Desired{}, 0, &HistoryError{Version: after}
 		}
+		if found && a.take(&a.losses) {
+			<-ctx.Done()
+			return Desired{}, 0, ctx.Err()
+		}
 		if found {
 			if a.afterChange != nil {
 				a.afterChange()
@@ -277,6 +288,17 @@
 	}
 }
 
+// take reports whether the number of failures to come is not zero, and counts one.
+func (a *access) take(failures *int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if *failures == 0 {
+		return false
+	}
+	*failures--
+	return true
+}
+
 type instance struct {
 	id        string
 	access    *access
@@ -477,7 +499,7 @@
 	before := newcomer.exchange.SentBytes.Load()
 	_, err := f.readServers(t.Context(), 0)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	_, err = f.readTable(t.Context(), 0)
+	_, err = f.readTable(t.Context(), 0, tablePollTime)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(newcomer.servers()).To(gomega.HaveLen(servers))
 	g.Expect(newcomer.tableVersion()).To(gomega.Equal(uint64(3)))
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -82,7 +82,7 @@
 		{"limited_requests_total", "Requests sent to backend servers that had named a limit.", func() uint64 { n, _ := d.board.LimitedSends(); return n }},
 		{"limited_checks_total", "Status checks of backend servers that had named a limit.", func() uint64 { _, n := d.board.LimitedSends(); return n }},
 		{"cold_requests_total", "Requests sent to backend servers that were cold.", d.board.ColdSends},
-		{"cold_turns_total", "Times that a backend server turned cold or warm.", d.coldTurns.Load},
+		{"cold_changes_total", "Times that a backend server turned cold or warm.", d.coldChanges.Load},
 		{"quota_served_total", "Requests served within the caps of workspaces.", func() uint64 { return d.quotas.share.Stats().Served }},
 		{"quota_refused_total", "Requests refused beyond the caps of workspaces.", func() uint64 { return d.quotas.share.Stats().Refused }},
 		{"quota_floor_total", "Requests of workspaces served without a share of the cap.", func() uint64 { return d.quotas.share.Stats().Floor }},
