--- a/admission/order.go
+++ b/admission/order.go
@@ -15,6 +15,10 @@
 	// Target is the time after which the response loses most of its value to the
 	// caller, Deadline the time at which the caller stops waiting.
 	Target, Deadline time.Time
+	// Workspace is the workspace of the caller, Weight its weight among the workspaces,
+	// relative to their mean; 0 if the table has no workspaces.
+	Workspace string
+	Weight    float64
 }
 
 // Late reports whether the request would miss its target if it were sent now and
