--- a/admission/fair.go
+++ b/admission/fair.go
@@ -8,16 +8,23 @@
 )
 
 const (
-	// MinWeight and MaxWeight bound the weights of workspaces relative to their mean, so that
+	// minWeight and maxWeight bound the weights of workspaces relative to their mean, so that
 	// the step of the virtual time stays well above the precision of maxVirtualTime.
-	MinWeight = 1e-3
-	MaxWeight = 1e4
+	minWeight = 1e-3
+	maxWeight = 1e4
 	// maxVirtualTime is the virtual time at which everything is forgotten; its floating-point
 	// precision is 1e-7, a thousandth of the smallest step.
 	maxVirtualTime = 1e9
 	// fairIdleTTL is how long the virtual times are kept after the last request was sent. At
 	// a few requests a second, a queue is empty for some tenths of a second even in overload.
 	fairIdleTTL = time.Second
+	// burstCredit and timeCredit bound how far before the virtual time of its class a flow that
+	// uses less than its share starts: by this number of its requests, so that small
+	// workspaces may send two requests at a time, and by this virtual time, in which a
+	// workspace sends its weight in requests, so that a large one is told from a hot one
+	// although few requests are queued.
+	burstCredit = 2
+	timeCredit  = 1
 	// minPruneSize is the number of flows below which none is forgotten on its own.
 	minPruneSize = 128
 )
@@ -28,6 +35,10 @@
 	workspace string
 }
 
+// virtual is the virtual time at which the next request of a flow starts, and the time that the
+// last one took.
+type virtual struct{ next, cost float64 }
+
 // class is the requests with one priority that are late, or those that are not.
 type class struct {
 	priority int
@@ -38,18 +49,23 @@
 // priority, capacity is divided among the workspaces by their weights, max-min fair: start-time
 // fair queueing. Each request sent moves the virtual time of its flow by 1/weight, and the flow
 // with the earliest virtual time goes next. A flow that was idle starts at the virtual time of
-// the class, so it gains nothing by having been idle. Late requests and those in time use the
-// same virtual time of the flow, because a queued request turns late.
+// the class, less burstCredit requests and timeCredit, so it gains no more by having been idle.
+// Late requests and those in time use the same virtual time of the flow, because a queued
+// request turns late.
 //
 // The zero value is ready to use. It is not safe for concurrent use.
 type Fair struct {
 	// next holds the virtual times at which the next requests of the flows start, began that
 	// of the request sent last in each class.
-	next  map[flow]float64
+	next  map[flow]virtual
 	began map[class]float64
 	// pruneAt is the number of flows at which those without a lag are forgotten.
 	pruneAt  int
 	lastSent time.Time
+	// backlogs and index are reused by Locate, which is called for each request that arrives.
+	// index holds the positions of the workspaces in backlogs.
+	backlogs []backlogOf
+	index    map[string]int
 }
 
 func (r Request) flow() flow { return flow{priority: r.Priority, workspace: r.Workspace} }
@@ -64,7 +80,7 @@
 	if r.Weight <= 0 {
 		return 1
 	}
-	return 1 / min(max(r.Weight, MinWeight), MaxWeight)
+	return 1 / min(max(r.Weight, minWeight), maxWeight)
 }
 
 // Sent records that the request was sent. It does nothing without workspaces.
@@ -73,16 +89,16 @@
 		return
 	}
 	c, fl := r.class(now, expected), r.flow()
-	start := max(f.began[c], f.next[fl])
+	start := max(f.earliest(c, r.cost()), f.next[fl].next)
 	if start > maxVirtualTime {
 		f.reset()
 		start = 0
 	}
 	if f.next == nil {
-		f.next, f.began = make(map[flow]float64), make(map[class]float64)
+		f.next, f.began = make(map[flow]virtual), make(map[class]float64)
 	}
 	f.began[c] = max(f.began[c], start)
-	f.next[fl] = start + r.cost()
+	f.next[fl] = virtual{next: start + r.cost(), cost: r.cost()}
 	f.lastSent = now
 	if len(f.next) >= max(f.pruneAt, minPruneSize) {
 		f.prune()
@@ -97,29 +113,35 @@
 	}
 }
 
-func (f *Fair) reset() { f.next, f.began, f.pruneAt = nil, nil, 0 }
+func (f *Fair) reset() { *f = Fair{} }
 
 // prune forgets the flows that would start at the virtual time of their class anyway. The
 // next time is when the number of flows has doubled, so that the cost per request is constant.
 func (f *Fair) prune() {
-	for fl, next := range f.next {
-		inTime, late := f.began[class{priority: fl.priority}], f.began[class{priority: fl.priority, late: true}]
+	for fl, v := range f.next {
 		// A class in which nothing was sent yet has no virtual time to compare with.
-		if next <= inTime && (late == 0 || next <= late) {
+		_, sentLate := f.began[class{priority: fl.priority, late: true}]
+		if v.next <= f.earliest(class{priority: fl.priority}, v.cost) &&
+			(!sentLate || v.next <= f.earliest(class{priority: fl.priority, late: true}, v.cost)) {
 			delete(f.next, fl)
 		}
 	}
 	f.pruneAt = 2 * len(f.next)
 }
 
-// start returns the virtual time of the next request of the flow, after those of the same flow
-// that next counts already.
-func (f *Fair) start(c class, fl flow, next map[flow]float64) float64 {
-	at, ok := next[fl]
+// earliest returns the virtual time at which a flow that was idle starts in the class.
+func (f *Fair) earliest(c class, cost float64) float64 {
+	return f.began[c] - burstCredit*cost - timeCredit
+}
+
+// start returns the virtual time at which the request starts. next holds those of the flows of
+// which requests go before it.
+func (f *Fair) start(c class, r Request, next map[flow]float64) float64 {
+	at, ok := next[r.flow()]
 	if !ok {
-		at = f.next[fl]
+		at = f.next[r.flow()].next
 	}
-	return max(f.began[c], at)
+	return max(f.earliest(c, r.cost()), at)
 }
 
 // SortFair sorts queued items into the order in which their requests are sent: as [Sort], but
@@ -141,13 +163,13 @@
 	classes := 0
 	for i, item := range queued {
 		r := request(item)
-		c, fl := r.class(now, expected), r.flow()
+		c := r.class(now, expected)
 		if i > 0 && c != last {
 			classes++
 		}
 		last = c
-		tag := f.start(c, fl, next)
-		next[fl] = tag + r.cost()
+		tag := f.start(c, r, next)
+		next[r.flow()] = tag + r.cost()
 		items[i] = tagged{item: item, class: classes, tag: tag}
 	}
 	slices.SortStableFunc(items, func(a, b tagged) int {
@@ -177,6 +199,7 @@
 
 // backlogOf is what one workspace has queued with the priority of a request.
 type backlogOf struct {
+	workspace string
 	// queued is the number of its requests, sameClass of those as late as the request, inTime
 	// of those in time, if the request is late.
 	queued, sameClass, inTime int
@@ -188,9 +211,11 @@
 func Locate[T any](f *Fair, queued []T, request func(T) Request, r Request, now time.Time, expected time.Duration) Position {
 	late := r.Late(now, expected)
 	fair := r.Weight > 0 || slices.ContainsFunc(queued, func(item T) bool { return request(item).Weight > 0 })
-	var waiting map[flow]backlogOf
+	f.backlogs = f.backlogs[:0]
+	clear(f.index)
+	mine := 0
 	if fair {
-		waiting = make(map[flow]backlogOf)
+		mine = f.backlog(r)
 	}
 	// ahead counts those that go first whatever the shares: more urgent ones and, in the
 	// workspace of r, earlier ones.
@@ -206,8 +231,7 @@
 			continue
 		}
 		total++
-		b := waiting[other.flow()]
-		b.cost = other.cost()
+		b := &f.backlogs[f.backlog(other)]
 		b.queued++
 		switch {
 		case otherLate == late:
@@ -215,7 +239,6 @@
 		case late:
 			b.inTime++
 		}
-		waiting[other.flow()] = b
 		if before && other.Workspace == r.Workspace {
 			own++
 		}
@@ -223,42 +246,49 @@
 	if !fair {
 		return Position{Ahead: ahead}
 	}
-	c, mine := r.class(now, expected), r.flow()
-	tag := f.startAfter(c, mine, waiting[mine].inTime, r.cost()) + float64(own)*r.cost()
+	c := r.class(now, expected)
+	tag := f.startAfter(c, &f.backlogs[mine]) + float64(own)*r.cost()
 	ahead += own
-	weights, ownWaiting := 1/r.cost(), waiting[mine].queued+1
-	for _, item := range queued {
-		other := request(item)
-		fl := other.flow()
-		b, ok := waiting[fl]
-		if !ok {
-			continue
-		}
-		// Each flow is counted once; the loop follows the queue, because the order of a map
-		// would change the rounding of the sum.
-		delete(waiting, fl)
-		if fl == mine {
+	weights := 0.0
+	for i := range f.backlogs {
+		b := &f.backlogs[i]
+		weights += 1 / b.cost
+		if i == mine || b.sameClass == 0 {
 			continue
 		}
-		weights += 1 / b.cost
 		// Requests with the same virtual time count as ahead.
-		if lag := tag - f.startAfter(c, fl, b.inTime, b.cost); lag >= 0 {
+		if lag := tag - f.startAfter(c, b); lag >= 0 {
 			ahead += int(min(float64(b.sameClass), math.Floor(lag/b.cost)+1))
 		}
 	}
 	return Position{
 		Ahead:      ahead,
-		QueueShare: float64(ownWaiting) / float64(total),
+		QueueShare: float64(f.backlogs[mine].queued+1) / float64(total),
 		FairShare:  1 / r.cost() / weights,
 	}
 }
 
-// startAfter returns the virtual time of the next request of the flow in the class, once the
-// given number of its requests in time were sent.
-func (f *Fair) startAfter(c class, fl flow, inTime int, cost float64) float64 {
-	next := f.next[fl]
-	if inTime > 0 {
-		next = max(f.began[class{priority: c.priority}], next) + float64(inTime)*cost
+// backlog returns the position of the request's workspace in f.backlogs, to which it adds it if
+// necessary.
+func (f *Fair) backlog(r Request) int {
+	i, ok := f.index[r.Workspace]
+	if !ok {
+		if f.index == nil {
+			f.index = make(map[string]int)
+		}
+		i = len(f.backlogs)
+		f.index[r.Workspace] = i
+		f.backlogs = append(f.backlogs, backlogOf{workspace: r.Workspace, cost: r.cost()})
+	}
+	return i
+}
+
+// startAfter returns the virtual time of the next request of the workspace in the class, once
+// its requests in time were sent.
+func (f *Fair) startAfter(c class, b *backlogOf) float64 {
+	next := f.next[flow{priority: c.priority, workspace: b.workspace}].next
+	if b.inTime > 0 {
+		next = max(f.earliest(class{priority: c.priority}, b.cost), next) + float64(b.inTime)*b.cost
 	}
-	return max(f.began[c], next)
+	return max(f.earliest(c, b.cost), next)
 }
--- a/admission/order.go
+++ b/admission/order.go
@@ -82,7 +82,10 @@
 // given the spare capacity and the number of requests queued at other instances.
 // Fractions are rounded at random, so that the shares of all instances add up to
 // the capacity on average.
-func Share(capacity, own, others int) int {
+func Share(capacity, own, others int) int { return shareRounded(capacity, own, others, rand.Float64()) }
+
+// shareRounded is [Share] with a random number from [0, 1) for rounding.
+func shareRounded(capacity, own, others int, random float64) int {
 	if capacity <= 0 || own <= 0 {
 		return 0
 	}
@@ -91,7 +94,7 @@
 	}
 	share := float64(capacity) * float64(own) / float64(own+others)
 	rounded := math.Floor(share)
-	if rand.Float64() < share-rounded {
+	if random < share-rounded {
 		rounded++
 	}
 	return min(int(rounded), own)
