table: weight of a workspace by its cap

A workspace without a cap and requests without a workspace have the mean weight; without workspaces the weight is 0, which leaves the order of requests as it is.

--- a/table/snapshot.go
+++ b/table/snapshot.go
@@ -22,6 +22,8 @@
 	splits map[string][]Share
 	// workspaces holds the workspaces by the hashes of their keys.
 	workspaces map[KeyHash]*Workspace
+	// meanRate is the mean cap of the workspaces that have one; 0 if none has.
+	meanRate float64
 }
 
 // Compile builds a snapshot from a valid document.
@@ -41,6 +43,7 @@
 			s.workspaces[hash] = &doc.Workspaces[i]
 		}
 	}
+	s.meanRate = meanRate(doc.Workspaces)
 	for i := range doc.Services {
 		s.services[doc.Services[i].Name] = &doc.Services[i]
 	}
@@ -98,6 +101,34 @@
 // be modified.
 func (s *Snapshot) Workspace(key KeyHash) *Workspace { return s.workspaces[key] }
 
+// Weight returns the weight of the workspace when capacity is short: its cap relative to the
+// mean cap. A workspace without a cap, and the requests without a workspace (nil), have the
+// mean weight of 1. It is 0 if the table has no workspaces.
+func (s *Snapshot) Weight(w *Workspace) float64 {
+	switch {
+	case !s.HasWorkspaces():
+		return 0
+	case w == nil || w.RatePerSecond <= 0 || s.meanRate <= 0:
+		return 1
+	default:
+		return w.RatePerSecond / s.meanRate
+	}
+}
+
+func meanRate(workspaces []Workspace) float64 {
+	sum, capped := 0.0, 0
+	for i := range workspaces {
+		if rate := workspaces[i].RatePerSecond; rate > 0 {
+			sum += rate
+			capped++
+		}
+	}
+	if capped == 0 {
+		return 0
+	}
+	return sum / float64(capped)
+}
+
 // Servers returns the backend servers of a service. The result must not be
 // modified.
 func (s *Snapshot) Servers(service string) []Server { return s.servers[service] }
