forward: queues divide capacity among workspaces

A workspace with many times its usual load filled the queues, and the requests of all others were refused. Counting only requests that the order by targets would have let in was ruled out: it misses most refusals of a workspace that fills the queue alone.

--- a/forward/authorize.go
+++ b/forward/authorize.go
@@ -36,6 +36,9 @@
 	judged bool
 	// workspace is nil if the request has none.
 	workspace *table.Workspace
+	// weight is the weight of the workspace when capacity is short; 0 if the table has no
+	// workspaces.
+	weight float64
 	// table is the version of that table.
 	table uint64
 }
@@ -59,7 +62,7 @@
 func (x *exchange) authorize() *outcome.Error {
 	if !x.f.opts.Current.Load().HasWorkspaces() {
 		// The headers of a request that was judged before stay replaced.
-		x.identity.workspace = nil
+		x.identity.workspace, x.identity.weight = nil, 0
 		return nil
 	}
 	// The age is read before the table, so that it never is that of a newer one.
@@ -87,7 +90,7 @@
 	case workspace == nil && !public:
 		return x.deny(outcome.CodeUnauthorized, "the request has no key of a workspace", age, rules.CertainWithin)
 	}
-	x.identity.workspace = workspace
+	x.identity.workspace, x.identity.weight = workspace, newest.Weight(workspace)
 	return nil
 }
 
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -101,6 +101,9 @@
 	// UnknownKey counts the requests refused without a key of a workspace, UnprovenTable
 	// those refused because the table was too old to judge them.
 	UnknownKey, UnprovenTable uint64
+	// OverShare counts the requests refused because the wait would have been too long, while
+	// their workspace had more of the queue than its fair share.
+	OverShare uint64
 	// InFlight is the number of requests being served now.
 	InFlight int64
 }
@@ -112,6 +115,7 @@
 	requests, retries, hedges atomic.Uint64
 	delegated, forPeers       atomic.Uint64
 	unknownKey, unprovenTable atomic.Uint64
+	overShare                 atomic.Uint64
 	inFlight                  atomic.Int64
 
 	mu       sync.Mutex
@@ -179,7 +183,8 @@
 		Requests: f.requests.Load(), Retries: f.retries.Load(), Hedges: f.hedges.Load(),
 		Delegated: f.delegated.Load(), ForPeers: f.forPeers.Load(),
 		UnknownKey: f.unknownKey.Load(), UnprovenTable: f.unprovenTable.Load(),
-		InFlight: f.inFlight.Load(),
+		OverShare: f.overShare.Load(),
+		InFlight:  f.inFlight.Load(),
 	}
 }
 
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"math"
 	"slices"
 	"sync"
@@ -60,6 +59,8 @@
 
 	mu      sync.Mutex
 	waiters []*waiter
+	// fair divides the capacity among the workspaces.
+	fair admission.Fair
 	// open is set once startup no longer waits for the loads of servers; until
 	// then requests wait.
 	open bool
@@ -172,7 +173,7 @@
 // of its attempts is running.
 func (q *queue) acquire(ctx context.Context, x *exchange, wait bool) (reservation, *outcome.Error) {
 	w := &waiter{
-		Request: admission.Request{Priority: x.priority(), Target: x.firstSentAt.Add(x.target()), Deadline: x.deadline},
+		Request: x.queued(),
 		x:       x,
 		granted: make(chan grant, 1),
 	}
@@ -312,44 +313,6 @@
 	return reservation{q: q, server: server, load: load, reservedAt: now}, true
 }
 
-// enqueueLocked queues a request, or refuses it if it can't be served in time.
-func (q *queue) enqueueLocked(w *waiter, now time.Time) *outcome.Error {
-	if !q.hasUntried(w) {
-		return w.x.refusal(outcome.CodeNoServer, "the service has no usable server")
-	}
-	if until := q.quietUntil(w, now); until.After(now) && w.MissesDeadline(until, q.minServiceTime()) {
-		w.x.log("refused at once", slog.String("service", q.service), slog.String("reason", "all servers want quiet"),
-			slog.Duration("quiet_for", until.Sub(now)))
-		return w.x.refusalFor(outcome.CodeOverload, "all servers of the service want no requests", until.Sub(now))
-	}
-	late := w.Late(now, q.serviceTime)
-	ahead, rate := 0, q.rate
-	if late {
-		rate = max(q.lateRate, minLateShare*q.rate)
-	}
-	for _, other := range q.waiters {
-		if admission.Compare(other.Request, w.Request, now, q.serviceTime) <= 0 && (!late || other.Late(now, q.serviceTime)) {
-			ahead++
-		}
-	}
-	rate = min(rate, q.coldRate(now))
-	wait := admission.EstimateWait(max(ahead-minQueue, 0), rate)
-	if !q.open {
-		wait = 0
-	}
-	if w.MissesDeadline(now, q.minServiceTime()) {
-		q.expireServiceTimeLocked(now)
-	}
-	if w.MissesDeadline(now, q.minServiceTime()) || wait > time.Duration(maxWaitShare*float64(w.Deadline.Sub(now)-q.minServiceTime())) {
-		w.x.log("refused at once", slog.String("service", q.service), slog.Int("ahead", ahead),
-			slog.Float64("rate", rate), slog.Bool("late", late), slog.Duration("work", q.serviceTime))
-		return w.x.refusal(outcome.CodeOverload, "the request can't be served in time")
-	}
-	q.waiters = append(q.waiters, w)
-	q.publishBacklogLocked(now)
-	return nil
-}
-
 // hasUntried reports whether there is a server that the request was not sent to.
 func (q *queue) hasUntried(w *waiter) bool {
 	return slices.ContainsFunc(q.servers(), func(s directory.Server) bool { return !slices.Contains(w.x.tried, s.ID) })
@@ -409,6 +372,9 @@
 	defer q.mu.Unlock()
 	q.refuseExpiredLocked(now)
 	q.refuseEvacuatedLocked(now)
+	if len(q.waiters) == 0 {
+		q.fair.Forget(now)
+	}
 	if len(q.waiters) > 0 && q.f.opts.Board.LinksLost() {
 		q.releaseLocked(now)
 	}
@@ -454,10 +420,6 @@
 	}
 }
 
-func (q *queue) sortLocked(now time.Time) {
-	admission.Sort(q.waiters, func(w *waiter) admission.Request { return w.Request }, now, q.serviceTime)
-}
-
 // dispatchLocked sends waiting requests in their order, up to this instance's share
 // of the spare capacity.
 func (q *queue) dispatchLocked(now time.Time) {
@@ -532,14 +494,6 @@
 	return admission.Counts{InTime: inTime.InTime, Late: late.Late}
 }
 
-// countSentLocked counts a request that is sent.
-func (q *queue) countSentLocked(w *waiter, now time.Time) {
-	q.sent++
-	if w.Late(now, q.serviceTime) {
-		q.sentLate++
-	}
-}
-
 // refuseExpiredLocked refuses waiting requests that would miss their deadline.
 func (q *queue) refuseExpiredLocked(now time.Time) {
 	before := len(q.waiters)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -76,6 +76,7 @@
 		{"for_peers_total", "Requests that other instances delegated to this one.", func() uint64 { return stats().ForPeers }},
 		{"unknown_keys_total", "Requests refused without a key of a workspace.", func() uint64 { return stats().UnknownKey }},
 		{"table_unproven_total", "Requests refused because the table was too old to judge their key.", func() uint64 { return stats().UnprovenTable }},
+		{"share_refused_total", "Requests refused while their workspace had more than its fair share of a queue.", func() uint64 { return stats().OverShare }},
 		{"server_connections_opened_total", "Connections opened to backend servers.", d.pool.Opened.Load},
 		{"server_connections_reused_total", "Uses of kept connections to backend servers.", d.pool.Reused.Load},
 		{"status_checks_total", "Status checks of backend servers.", d.pool.Checks.Load},
