--- a/forward/order_test.go
+++ b/forward/order_test.go
@@ -102,3 +102,38 @@
 	g.Expect(f.q.enqueueLocked(&waiter{Request: x.queued(), x: x}, now)).NotTo(gomega.BeNil())
 	g.Expect(f.q.f.Stats().OverShare).To(gomega.BeZero())
 }
+
+// TestPlaceInQueueFollowsTheTable guards against requests that keep the workspace or the weight
+// of an older table, and against weights where no table has workspaces.
+func TestPlaceInQueueFollowsTheTable(t *testing.T) {
+	g := gomega.NewWithT(t)
+	current := table.NewCurrent()
+	f := New(Options{
+		Board: readings.NewBoard(), Current: current, TableAge: func() time.Duration { return 0 }, Log: slog.New(slog.DiscardHandler),
+		KeyRules: func() KeyRules { return KeyRules{CertainWithin: time.Second} }, Instances: func() int { return 1 },
+	})
+	var first *table.Snapshot
+	for version, c := range []struct {
+		rates  []float64
+		name   string
+		weight float64
+	}{
+		{nil, "", 0}, {[]float64{30, 10}, "w0", 1.5}, {[]float64{10, 30}, "w0", 0.5}, {nil, "", 0},
+	} {
+		doc := table.Document{Version: uint64(version + 1)}
+		for i, rate := range c.rates {
+			doc.Workspaces = append(doc.Workspaces, table.Workspace{
+				Name: fmt.Sprint("w", i), KeyHashes: []table.KeyHash{table.HashKey(fmt.Sprint("k", i))}, RatePerSecond: rate,
+			})
+		}
+		current.Swap(table.Compile(doc))
+		if first == nil {
+			first = current.Load()
+		}
+		x := &exchange{f: f, in: &http.Request{}, service: &table.Service{Name: "main"}, snapshot: first, caller: Caller{Key: "k0"}}
+		g.Expect(x.authorize()).To(gomega.BeNil())
+		r := x.queued()
+		g.Expect(r.Workspace).To(gomega.Equal(c.name))
+		g.Expect(r.Weight).To(gomega.Equal(c.weight))
+	}
+}
