gossip: a data centre of which an instance is alive counts as heard

Cause: of other large data centres, an instance knows most members from rosters at its start and later hears the relays only.

--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -234,8 +234,9 @@
 }
 
 // HeardShare returns the part of the fleet that this instance hears: the mean over the data
-// centres of the part of their instances that are alive. Of other large data centres, it knows
-// the relays only. The sides of a partition hear one together.
+// centres. Of its own, that is the part of the instances that are alive; another one counts whole
+// if any instance there is alive, since in a large fleet only the relays are known lately. Data
+// centres that are cut off from each other hear one together.
 func (e *Exchange) HeardShare() float64 {
 	centres := e.members.knownDataCentres()
 	if !slices.Contains(centres, e.opts.DataCentre) {
@@ -244,7 +245,12 @@
 	sum := 0.0
 	for _, centre := range centres {
 		alive, known := e.Heard(centre)
-		sum += float64(alive) / float64(max(known, 1))
+		switch {
+		case centre == e.opts.DataCentre:
+			sum += float64(alive) / float64(max(known, 1))
+		case alive > 0:
+			sum++
+		}
 	}
 	return sum / float64(len(centres))
 }
