quota: a repeated datagram does not renew a loan

The allocator recorded the time of each answer to a request, and took the latest one as the bound of what was sent after it. If the network delivers a request twice, and the allocator was stopped between the copies, the requests that waited with the second copy counted as new, so that shares were granted that their owners used again. Only the first answer to a request is recorded now, and none to an older request than the last.

Not covered: a member that the allocator has forgotten, after two seconds without a request, and whose first request after that is a second copy.

Ruled out: telling copies apart by the sender (the message has no field for it).

--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -120,6 +120,16 @@
 	at     time.Time
 }
 
+// remember records an answer that the member may acknowledge. A second answer to one request is
+// not recorded: the member may have applied the first one, which proves less.
+func (m *member) remember(a answer) {
+	if n := len(m.answers); n > 0 && a.number <= m.answers[n-1].number {
+		return
+	}
+	m.answers = append(m.answers, a)
+	m.answers = m.answers[max(len(m.answers)-maxAnswers, 0):]
+}
+
 // account sums the claims on one workspace.
 type account struct {
 	demand, smooth float64
@@ -225,8 +235,7 @@
 			}
 		}
 	}
-	m.answers = append(m.answers, answer{req.GetNumber(), now})
-	m.answers = m.answers[max(len(m.answers)-maxAnswers, 0):]
+	m.remember(answer{req.GetNumber(), now})
 	return reply
 }
 
--- a/quota/share_test.go
+++ b/quota/share_test.go
@@ -117,6 +117,28 @@
 	g.Expect(send(600_002, 100_002, 3400*time.Millisecond)).To(gomega.BeZero())
 }
 
+// TestRepeatedDatagramDoesNotRenewALoan guards against a second copy of a request that makes the
+// requests after it, which waited with it at a stopped allocator, look as recent as itself.
+func TestRepeatedDatagramDoesNotRenewALoan(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := NewAllocator(epoch.Add(-grantTTL))
+	a.SetLimits(testLimits)
+	a.SetTable(NewTable(1, map[string]Cap{"w": {PerSecond: 100, Burst: 10}}))
+	send := func(number, acknowledged uint64, at time.Duration) float64 {
+		reply := a.Receive("b", &quotapb.ShareRequest{Number: number, Process: 7, Shards: 1, Instances: 1, Demands: []*quotapb.Demand{
+			acknowledgement(acknowledged), {Workspace: hash("w"), PerSecond: 50},
+		}}, epoch.Add(at))
+		return float64(reply.GetGrants()[0].GetPerSecond())
+	}
+	send(2, 99, 0)
+	send(400_002, 2, 400*time.Millisecond)
+	g.Expect(send(800_002, 400_002, 800*time.Millisecond)).To(gomega.BeNumerically(">", 30))
+	// The allocator was stopped. The last request was sent 1.5 s before it arrives.
+	send(800_002, 400_002, 2600*time.Millisecond)
+	send(1_100_002, 800_002, 2600*time.Millisecond)
+	g.Expect(send(1_200_002, 800_002, 2700*time.Millisecond)).To(gomega.BeZero())
+}
+
 // TestShallowBucketsHoldTheirSum guards against buckets that, shallower than one request, never
 // allow one, or of which many allow one at the same time.
 func TestShallowBucketsHoldTheirSum(t *testing.T) {
