quota: the drift of clocks does not prolong loans

An allocator keeps the highest lower bound of the offset between its clock and a member's, and never lowered it. With clocks that differ by 100 ppm, the bound was 0.7 s too high after two hours, and a request that waited for a second still lent its shares. The bound now decreases by 200 ppm of its age, as in package storeclock; each acknowledgement renews it.

Ruled out: the newest bound alone (a slow round trip would end loans early).

--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -39,6 +39,9 @@
 	maxDemand = 1e9
 	// clockMargin allows for the rounding of request numbers.
 	clockMargin = 2 * time.Millisecond
+	// maxDrift bounds how much faster one of two clocks runs than the other. Clocks that
+	// are disciplined differ by less than 100 ppm.
+	maxDrift = 200e-6
 )
 
 // AllocatorStats are counters since the start of the process.
@@ -100,10 +103,10 @@
 	key     memberKey
 	process uint32
 	// base is a lower bound of the time at which the request of number 0 would have been
-	// sent, by the allocator's clock. It is known once the member has acknowledged an
-	// answer.
-	base    time.Time
-	answers []answer
+	// sent, by the allocator's clock, as of baseAt. It is known once the member has
+	// acknowledged an answer.
+	base, baseAt time.Time
+	answers      []answer
 	// fraction is the part of every cap that the member lends, until the time from which
 	// no grants may be made of it any longer.
 	fraction float64
@@ -130,6 +133,12 @@
 	m.answers = m.answers[max(len(m.answers)-maxAnswers, 0):]
 }
 
+// lowerBase returns the lower bound at a time: without the drift of the clocks, a bound that was
+// close hours ago would make loans look newer than they are.
+func (m *member) lowerBase(now time.Time) time.Time {
+	return m.base.Add(-time.Duration(maxDrift * float64(now.Sub(m.baseAt))))
+}
+
 // account sums the claims on one workspace.
 type account struct {
 	demand, smooth float64
@@ -276,8 +285,8 @@
 			if answer.number != d.GetWorkspace() {
 				continue
 			}
-			if base := answer.at.Add(-elapsed(req.GetNumber())); m.base.IsZero() || base.After(m.base) {
-				m.base = base
+			if base := answer.at.Add(-elapsed(req.GetNumber())); m.base.IsZero() || base.After(m.lowerBase(a.now)) {
+				m.base, m.baseAt = base, a.now
 			}
 			for _, c := range m.claims {
 				c.outstanding = keep(c.outstanding, func(o outstanding) bool { return o.number >= answer.number })
@@ -312,7 +321,7 @@
 		// An earlier loan of the same member stays until it lapses.
 		return
 	}
-	until := m.base.Add(elapsed(req.GetNumber())).Add(loanTTL - grantTTL - clockMargin)
+	until := m.lowerBase(now).Add(elapsed(req.GetNumber())).Add(loanTTL - grantTTL - clockMargin)
 	if !until.After(now) || until.Before(m.until) {
 		return
 	}
--- a/quota/share_test.go
+++ b/quota/share_test.go
@@ -139,6 +139,31 @@
 	g.Expect(send(1_200_002, 800_002, 2700*time.Millisecond)).To(gomega.BeZero())
 }
 
+// TestDriftOfClocksDoesNotProlongLoans guards against a bound of the offset between two clocks
+// that is no longer one after hours, because one runs faster.
+func TestDriftOfClocksDoesNotProlongLoans(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const drift, interval = 1e-4, 400 * time.Millisecond
+	a := NewAllocator(epoch.Add(-grantTTL))
+	a.SetLimits(testLimits)
+	a.SetTable(NewTable(1, map[string]Cap{"w": {PerSecond: 100, Burst: 10}}))
+	before := uint64(0)
+	send := func(sent, arrived time.Duration) float64 {
+		number := uint64(float64(sent.Microseconds())*(1+drift)) + 1
+		reply := a.Receive("b", &quotapb.ShareRequest{Number: number, Process: 7, Shards: 1, Instances: 1, Demands: []*quotapb.Demand{
+			acknowledgement(before), {Workspace: hash("w"), PerSecond: 50},
+		}}, epoch.Add(arrived))
+		before = number
+		return float64(reply.GetGrants()[0].GetPerSecond())
+	}
+	at, granted := time.Duration(0), 0.0
+	for ; at < 2*time.Hour; at += interval {
+		granted = send(at, at+time.Millisecond)
+	}
+	g.Expect(granted).To(gomega.BeNumerically(">", 30))
+	g.Expect(send(at, at+time.Second)).To(gomega.BeZero())
+}
+
 // TestShallowBucketsHoldTheirSum guards against buckets that, shallower than one request, never
 // allow one, or of which many allow one at the same time.
 func TestShallowBucketsHoldTheirSum(t *testing.T) {
