entry: usage caps count the time of a suspension

Shares were lent and granted by Go's monotonic clock, which stops while the machine is suspended. Times are now by CLOCK_BOOTTIME, as for the proof of the table.

Ruled out: emptying buckets after a pause noticed by the wall clock (it jumps).

--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -12,6 +12,7 @@
 	"github.com/pomelolock/pomelolock/peer/peerpb"
 	"github.com/pomelolock/pomelolock/quota"
 	"github.com/pomelolock/pomelolock/quota/quotapb"
+	"github.com/pomelolock/pomelolock/storeclock"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -24,6 +25,10 @@
 	allocator *quota.Allocator
 	current   *table.Current
 	logger    *slog.Logger
+	// local returns the local time, which was beganLocal at began.
+	local      func() time.Duration
+	beganLocal time.Duration
+	began      time.Time
 
 	mu sync.Mutex
 	// last is the table whose caps are in force, capped whether it has any.
@@ -34,6 +39,7 @@
 func (d *Daemon) wireQuota() {
 	now, logger := time.Now(), d.logger.With("part", "quota")
 	d.quotas = &quotas{
+		local: storeclock.BootTime, beganLocal: storeclock.BootTime(), began: now,
 		share: quota.NewShare(quota.ShareOptions{
 			Process: rand.Uint32(), Started: now, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Logger: logger,
 		}),
@@ -44,6 +50,11 @@
 	d.messages.handle(kindShareGrant, d.receiveShareGrant)
 }
 
+// now returns the time by which shares are lent and granted. It includes the time for which the
+// machine is suspended: by Go's monotonic clock, a grant would be in use again afterwards,
+// although others have had it since.
+func (q *quotas) now() time.Time { return q.began.Add(q.local() - q.beganLocal) }
+
 func (q *quotas) setLimits(limits quota.Limits) {
 	q.share.SetLimits(limits)
 	q.allocator.SetLimits(limits)
@@ -73,20 +84,20 @@
 
 // Take implements [forward.Quota].
 func (q *quotas) Take(workspace string) quota.Decision {
-	now := time.Now()
+	now := q.now()
 	q.refresh(now)
 	return q.share.Take(workspace, now)
 }
 
 // Return implements [forward.Quota].
-func (q *quotas) Return(workspace string) { q.share.Return(workspace, time.Now()) }
+func (q *quotas) Return(workspace string) { q.share.Return(workspace, q.now()) }
 
 // shareQuotas sends requests for shares of caps. Without caps, it sends nothing.
 func (d *Daemon) shareQuotas(ctx context.Context) error {
 	for sleep(ctx, quotaInterval) {
 		limits := d.settings.Load().Caps
 		d.quotas.setLimits(limits)
-		if now := time.Now(); d.quotas.refresh(now) && limits.Window > 0 {
+		if now := d.quotas.now(); d.quotas.refresh(now) && limits.Window > 0 {
 			for _, m := range d.quotas.share.Poll(d.quotaFleet(), now) {
 				d.sendShareRequest(m)
 			}
@@ -105,7 +116,7 @@
 // sendShareRequest sends a request to an allocator, which may be this instance.
 func (d *Daemon) sendShareRequest(m quota.Message) {
 	if m.To == d.self.ID {
-		d.quotas.share.Receive(m.To, d.quotas.allocator.Receive(m.To, m.Request, time.Now()), time.Now())
+		d.quotas.share.Receive(m.To, d.quotas.allocator.Receive(m.To, m.Request, d.quotas.now()), d.quotas.now())
 		return
 	}
 	d.sendQuota(m.To, kindShareRequest, m.Request)
@@ -117,7 +128,7 @@
 		d.quotas.logger.Warn("message is invalid", "from", from, "error", err)
 		return
 	}
-	now := time.Now()
+	now := d.quotas.now()
 	d.quotas.refresh(now)
 	d.sendQuota(from, kindShareGrant, d.quotas.allocator.Receive(from, req, now))
 }
@@ -128,7 +139,7 @@
 		d.quotas.logger.Warn("message is invalid", "from", from, "error", err)
 		return
 	}
-	d.quotas.share.Receive(from, grant, time.Now())
+	d.quotas.share.Receive(from, grant, d.quotas.now())
 }
 
 // sendQuota sends a message. A failure to send is equivalent to the loss of the message.
