feed: tables refused in a row do not end the proof

A proof was taken only if the refused table was the one right after the one in force. An operator who corrected a faulty table wrongly thereby stopped all workspaces within revoke, although the reader had seen each version. The reader now counts refused versions that follow without a gap. A read of a refused table also kept instances from taking the proof of a peer that knows all versions, such as an instance that starts meanwhile; only own reads are judged by it now, since a peer proves nothing past a version that it missed.

Ruled out: a proof after an unreadable table (its version is unknown, so that another may have been missed).

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -165,6 +165,9 @@
 	heardTable uint64
 	// refused is the newest table of the store if it can't be used.
 	refused *Refusal
+	// refusedUpTo is the highest version of a row of refused tables that follow the one in
+	// force without a gap, in refusedEra of the store.
+	refusedUpTo, refusedEra uint64
 	// heardState is set once a peer has sent its state.
 	heardState bool
 	// table is the active table, encoded as JSON.
--- a/feed/proof_test.go
+++ b/feed/proof_test.go
@@ -407,6 +407,39 @@
 	}
 }
 
+// TestSeveralRefusedTablesProveTheOneBefore guards against a fleet that stops serving because an
+// operator corrects a faulty table wrongly, and against a proof across a version that was missed.
+func TestSeveralRefusedTablesProveTheOneBefore(t *testing.T) {
+	for name, c := range map[string]struct {
+		refused []uint64
+		proven  bool
+	}{
+		"without a gap":     {[]uint64{6, 7, 8}, true},
+		"with a gap":        {[]uint64{6, 8}, false},
+		"after a gap":       {[]uint64{7, 8}, false},
+		"read again":        {[]uint64{6, 7, 7}, true},
+		"one is unreadable": {[]uint64{6, 0, 8}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, clock := newProver(5)
+				started := newStore()
+				for i, version := range c.refused {
+					time.Sleep(time.Second)
+					refused := &Refusal{Version: version, Err: errors.New("fault")}
+					f.recordTableRead(clock.now(), uint64(9+i), Desired{StoreNow: started.now(), Refused: refused})
+				}
+				g := gomega.NewWithT(t)
+				age, ok := f.opts.Proof.Age()
+				g.Expect(ok && age < time.Millisecond).To(gomega.Equal(c.proven))
+				f.receiveProof(gossip.Freshness{TableVersion: 5, TableAsOf: started.now()})
+				age, ok = f.opts.Proof.Age()
+				g.Expect(ok && age < time.Millisecond).To(gomega.BeTrue(), "a peer has read all versions")
+			})
+		})
+	}
+}
+
 // TestNoProofWithoutNeed guards against bytes in datagrams, calls and shorter long polls for
 // customers whose table has no workspaces or whose settings ask for no proof.
 func TestNoProofWithoutNeed(t *testing.T) {
