storeclock: long polls do not replace calibrations

A call counted as a calibration even if the store had held it for its whole time, so a reader never calibrated again. Its bound decreased by the allowed drift until the long polls were the better ones: after about 1.4 hours the table looked up to a second older than it was, and unknown keys were answered with 503 in place of 401. Long polls now only bound the offset.

Ruled out: recalibrating by the age of the bound kept (a slow store would be called without end).

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -448,7 +448,7 @@
 	if state.Table != nil {
 		f.activate(*state.Table, "store")
 	}
-	f.recordTableRead(sent, version, state)
+	f.recordTableRead(sent, after > 0, version, state)
 	return version, nil
 }
 
--- a/feed/proof.go
+++ b/feed/proof.go
@@ -70,8 +70,8 @@
 }
 
 // recordTableRead records a read of the table, whose content is in force by now. sent is the
-// local time before the call.
-func (f *Feed) recordTableRead(sent time.Duration, version uint64, state Desired) {
+// local time before the call, held whether the store may have held it.
+func (f *Feed) recordTableRead(sent time.Duration, held bool, version uint64, state Desired) {
 	era := directory.EraOf(version)
 	f.mu.Lock()
 	if era != f.refusedEra {
@@ -91,7 +91,11 @@
 	if f.opts.Proof == nil {
 		return
 	}
-	f.opts.Proof.Calibrate(sent, era, state.StoreNow)
+	if held {
+		f.opts.Proof.Observe(sent, era, state.StoreNow)
+	} else {
+		f.opts.Proof.Calibrate(sent, era, state.StoreNow)
+	}
 	if !missed {
 		f.prove(era, state.StoreNow)
 	}
--- a/feed/proof_test.go
+++ b/feed/proof_test.go
@@ -391,15 +391,15 @@
 				g := gomega.NewWithT(t)
 				f, clock := newProver(5)
 				now := newStore().now()
-				f.recordTableRead(clock.now(), 9, Desired{StoreNow: now, Refused: &Refusal{Version: c.refused, Err: errors.New("fault")}})
+				f.recordTableRead(clock.now(), false, 9, Desired{StoreNow: now, Refused: &Refusal{Version: c.refused, Err: errors.New("fault")}})
 				_, ok := f.opts.Proof.Age()
 				g.Expect(ok).To(gomega.Equal(c.proven))
 				time.Sleep(time.Second)
-				f.recordTableRead(clock.now(), 9, Desired{StoreNow: now + time.Second})
+				f.recordTableRead(clock.now(), false, 9, Desired{StoreNow: now + time.Second})
 				_, ok = f.opts.Proof.Age()
 				g.Expect(ok).To(gomega.Equal(c.proven), "nothing has changed since")
 				f.opts.Current.Swap(table.Compile(table.Document{Version: 8}))
-				f.recordTableRead(clock.now(), 10, Desired{StoreNow: now + time.Second, Table: &table.Document{Version: 8}})
+				f.recordTableRead(clock.now(), false, 10, Desired{StoreNow: now + time.Second, Table: &table.Document{Version: 8}})
 				_, ok = f.opts.Proof.Age()
 				g.Expect(ok).To(gomega.BeTrue())
 			})
@@ -427,7 +427,7 @@
 				for i, version := range c.refused {
 					time.Sleep(time.Second)
 					refused := &Refusal{Version: version, Err: errors.New("fault")}
-					f.recordTableRead(clock.now(), uint64(9+i), Desired{StoreNow: started.now(), Refused: refused})
+					f.recordTableRead(clock.now(), false, uint64(9+i), Desired{StoreNow: started.now(), Refused: refused})
 				}
 				g := gomega.NewWithT(t)
 				age, ok := f.opts.Proof.Age()
--- a/storeclock/clock.go
+++ b/storeclock/clock.go
@@ -26,7 +26,7 @@
 	era        uint64
 	offset     time.Duration
 	measuredAt time.Duration
-	// calledAt is the local time of the last call in that era.
+	// calledAt is the local time of the last call in that era that the store did not hold.
 	calledAt time.Duration
 	// proofEra and proof are the newest proof in the store's time.
 	proofEra uint64
@@ -52,13 +52,25 @@
 // the time of the store's clock in its response, which has just arrived. Responses of an
 // earlier era, or without a time, are ignored.
 func (c *Clock) Calibrate(sent time.Duration, era uint64, storeNow time.Duration) {
+	c.record(sent, era, storeNow, true)
+}
+
+// Observe is like Calibrate for a call that the store may have held until there was a change.
+// It bounds the offset less closely, so that it doesn't replace a calibration.
+func (c *Clock) Observe(sent time.Duration, era uint64, storeNow time.Duration) {
+	c.record(sent, era, storeNow, false)
+}
+
+func (c *Clock) record(sent time.Duration, era uint64, storeNow time.Duration, atOnce bool) {
 	received := c.local()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if storeNow <= 0 || c.calibrated && era < c.era {
 		return
 	}
-	c.calledAt = received
+	if atOnce || !c.calibrated || era > c.era {
+		c.calledAt = received
+	}
 	measured := sent - storeNow
 	switch bound := c.offsetLocked(received); {
 	case !c.calibrated, era > c.era:
--- a/storeclock/clock_test.go
+++ b/storeclock/clock_test.go
@@ -152,6 +152,27 @@
 	gomega.NewWithT(t).Expect(age(t, c)).To(gomega.BeNumerically(">=", time.Second))
 }
 
+// TestLongPollsDoNotReplaceCalibrations guards against a reader whose calibration ages for hours
+// because its long polls count as calls, until the table looks as old as a long poll lasts.
+func TestLongPollsDoNotReplaceCalibrations(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const poll = time.Second
+	world := &clocks{local: time.Hour, store: time.Minute}
+	c := New(world.now)
+	oldest := time.Duration(0)
+	for range 10_000 {
+		if c.NeedsCalibration(0) {
+			c.Calibrate(world.local, 0, world.store)
+		}
+		sent := world.local
+		world.advance(poll)
+		c.Observe(sent, 0, world.store)
+		c.Prove(0, world.store)
+		oldest = max(oldest, age(t, c))
+	}
+	g.Expect(oldest).To(gomega.BeNumerically("<", 130*time.Millisecond))
+}
+
 func TestBootTimeAdvances(t *testing.T) {
 	before := BootTime()
 	time.Sleep(2 * time.Millisecond)
