feed: a store that responds slowly proves the table

Calls that read the table ended after 0.7 s beyond the long poll. A store that took 0.75 s to respond therefore proved nothing: after 4.9 s every instance refused all requests with keys, and processes that started were not calibrated, although each response would have been recent enough. While the table needs a proof, these calls may take 0.3 of revoke; the other calls, and all calls of deployments without workspaces, keep their limit.

Ruled out: no limit (a response that is lost has to be repeated in time, also for evacuations).

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -39,7 +39,8 @@
 	maxBackupReaders    = 20
 	// tablePollTime is how long the store may hold a long poll for the next table.
 	tablePollTime = 2 * time.Second
-	// callTimeout bounds a call to the store, excluding the long poll time.
+	// callTimeout bounds a call to the store, excluding the long poll time. Calls that prove
+	// the table have tableCallTimeout.
 	callTimeout = 700 * time.Millisecond
 	// outageThreshold is how long reads have to fail to count as an outage. During
 	// an outage live servers may lose their entries.
@@ -429,7 +430,7 @@
 		state, version, err = f.readDesired(ctx)
 	} else {
 		wait := f.pollTime()
-		limited, cancel := context.WithTimeout(ctx, wait+callTimeout)
+		limited, cancel := context.WithTimeout(ctx, wait+f.tableCallTimeout())
 		state, version, err = f.opts.Store.DesiredChange(limited, after, wait)
 		cancel()
 	}
@@ -454,7 +455,7 @@
 
 // readDesired reads the whole desired state without waiting for a change.
 func (f *Feed) readDesired(ctx context.Context) (Desired, uint64, error) {
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	limited, cancel := context.WithTimeout(ctx, f.tableCallTimeout())
 	defer cancel()
 	return f.opts.Store.Desired(limited)
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -149,6 +149,30 @@
 	afterChange func()
 	// tableDown makes only the reads of the table fail.
 	tableDown bool
+	// slow is the time after which responses arrive.
+	slow time.Duration
+}
+
+// respond waits until the response of a call arrives.
+func (a *access) respond(ctx context.Context) error {
+	a.mu.Lock()
+	slow := a.slow
+	a.mu.Unlock()
+	if slow == 0 {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(slow):
+		return nil
+	}
+}
+
+func (a *access) setSlow(d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.slow = d
 }
 
 // countTableCall is like countCall for a read of the table.
@@ -184,8 +208,8 @@
 	return a.calls
 }
 
-func (a *access) Servers(context.Context) ([]directory.Change, uint64, error) {
-	if err := a.countCall(); err != nil {
+func (a *access) Servers(ctx context.Context) ([]directory.Change, uint64, error) {
+	if err := errors.Join(a.countCall(), a.respond(ctx)); err != nil {
 		return nil, 0, err
 	}
 	a.store.mu.Lock()
@@ -199,8 +223,8 @@
 	return all, a.version, nil
 }
 
-func (a *access) ServerChanges(_ context.Context, after uint64) ([]directory.Change, uint64, error) {
-	if err := a.countCall(); err != nil {
+func (a *access) ServerChanges(ctx context.Context, after uint64) ([]directory.Change, uint64, error) {
+	if err := errors.Join(a.countCall(), a.respond(ctx)); err != nil {
 		return nil, 0, err
 	}
 	a.store.mu.Lock()
@@ -217,7 +241,12 @@
 	return changes, a.version, nil
 }
 
-func (a *access) Desired(context.Context) (Desired, uint64, error) {
+func (a *access) Desired(ctx context.Context) (Desired, uint64, error) {
+	state, version, err := a.readDesired()
+	return state, version, errors.Join(err, a.respond(ctx))
+}
+
+func (a *access) readDesired() (Desired, uint64, error) {
 	if err := a.countTableCall(); err != nil {
 		return Desired{}, 0, err
 	}
@@ -241,6 +270,11 @@
 }
 
 func (a *access) DesiredChange(ctx context.Context, after uint64, wait time.Duration) (Desired, uint64, error) {
+	state, version, err := a.awaitChange(ctx, after, wait)
+	return state, version, errors.Join(err, a.respond(ctx))
+}
+
+func (a *access) awaitChange(ctx context.Context, after uint64, wait time.Duration) (Desired, uint64, error) {
 	if err := a.countTableCall(); err != nil {
 		return Desired{}, 0, err
 	}
--- a/feed/proof.go
+++ b/feed/proof.go
@@ -21,6 +21,11 @@
 	// proveShare is the part of RevokeWithin from which instances read the table themselves,
 	// in the order of readers. It exceeds the usual age of the proof.
 	proveShare = 2
+	// callShare is the part of RevokeWithin for which a call that proves the table may last,
+	// beyond the long poll. With callTimeout, a store that took 0.75 s to respond proved
+	// nothing, and all requests with keys were refused. A second response that takes as
+	// long still arrives in time.
+	callShare = 0.3
 	// calibrateSpread spreads the calibrations of instances that start together.
 	calibrateSpread = 200 * time.Millisecond
 	// minCalibrateDelay and maxCalibrateDelay bound the delay after a calibration that failed.
@@ -59,6 +64,14 @@
 	return min(tablePollTime, f.revokeWithin()/pollShare)
 }
 
+// tableCallTimeout bounds a call that reads the table, excluding the long poll time.
+func (f *Feed) tableCallTimeout() time.Duration {
+	if !f.proving() {
+		return callTimeout
+	}
+	return max(callTimeout, time.Duration(callShare*float64(f.revokeWithin())))
+}
+
 // shouldProve reports whether this instance has to read the table because the proof gets
 // old, although another instance reads the store: that one may read only the servers.
 func (f *Feed) shouldProve() bool {
@@ -166,7 +179,7 @@
 // calibrate reads the clock of the store: the changes of the table since the version of the
 // backend servers, which is recent, so that there are hardly any. The content is not used.
 func (f *Feed) calibrate(ctx context.Context) error {
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	limited, cancel := context.WithTimeout(ctx, f.tableCallTimeout())
 	defer cancel()
 	var history *HistoryError
 	if after := f.opts.Directory.Version(); after > 0 {
--- a/feed/proof_test.go
+++ b/feed/proof_test.go
@@ -242,6 +242,45 @@
 	})
 }
 
+// TestSlowStoreProvesTheTable guards against calls that are given up shortly before their
+// responses arrive, again and again, while each response would be recent enough: at instances
+// that run and at one that starts meanwhile.
+func TestSlowStoreProvesTheTable(t *testing.T) {
+	for _, slow := range []time.Duration{650 * time.Millisecond, 750 * time.Millisecond, time.Second} {
+		t.Run(slow.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				s := newStore()
+				s.keys = true
+				s.put(server("a"))
+				s.setTable(3)
+				network := gossiptest.NewNetwork()
+				instances := provingFleet(t, network, s, 6)
+				time.Sleep(3 * time.Second)
+				for _, i := range instances {
+					i.access.setSlow(slow)
+				}
+				late, member := newInstanceIn(t, network, s, 6, "dc-0")
+				late.prove(6)
+				late.access.setSlow(slow)
+				for _, i := range instances {
+					i.exchange.Add(member)
+					late.exchange.Add(gossip.Member{ID: i.id, DataCentre: "dc-0", Address: i.conn.Address()})
+				}
+				late.start(t)
+				for n := range 400 {
+					time.Sleep(50 * time.Millisecond)
+					for _, i := range instances {
+						age, _ := i.proof.Age()
+						g.Expect(i.serves()).To(gomega.BeTrue(), "%s at %d: %v", i.id, n, age)
+					}
+				}
+				g.Expect(late.serves()).To(gomega.BeTrue(), "an instance that started meanwhile")
+			})
+		})
+	}
+}
+
 // TestSuspendedMachineHasAnOldProof guards against a local clock that leaves out suspension.
 func TestSuspendedMachineHasAnOldProof(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
