feed: the proof and its era are read together

Between the two reads another era could begin. The datagram then carried a time of the former era as one of the new era, whose clock may be behind, so that the table looked proven for longer. Found by reading; the window is too short for a test.

--- a/feed/follow.go
+++ b/feed/follow.go
@@ -14,9 +14,14 @@
 func (f *Feed) Freshness() gossip.Freshness {
 	_, evacuations, _ := f.opts.Directory.Evacuations()
 	// The proof is read before the version: of a later version, it proves less.
-	asOf := f.tableAsOf()
+	era := f.Era()
+	asOf := f.tableAsOf(era)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.era != era {
+		// A time of one era says nothing in another.
+		asOf = 0
+	}
 	return gossip.Freshness{
 		TableAsOf:          asOf,
 		EvacuationsVersion: evacuations,
--- a/feed/proof.go
+++ b/feed/proof.go
@@ -144,12 +144,13 @@
 // store are known to be refused.
 func (f *Feed) accountedLocked() uint64 { return max(f.tableVersion(), f.refusedUpTo) }
 
-// tableAsOf returns the proof that peers get; 0 if there is none.
-func (f *Feed) tableAsOf() time.Duration {
+// tableAsOf returns the proof that peers get, a time of the store's clock in the given era; 0 if
+// there is none.
+func (f *Feed) tableAsOf(era uint64) time.Duration {
 	if !f.proving() {
 		return 0
 	}
-	return f.opts.Proof.Proof(f.Era())
+	return f.opts.Proof.Proof(era)
 }
 
 // keepCalibrated makes one call to the store when a proof is first needed, and again in each
