--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/pomelolock/pomelolock/internal/permit"
 )
 
 // Source names what a share of a cap comes from.
@@ -26,6 +28,9 @@
 // demands, which are known well enough.
 const maxMissing = 3
 
+// permitTTL is the time after which a permit lapses that was not used.
+const permitTTL = 400 * time.Millisecond
+
 // share is a part of a cap.
 type share struct{ perSecond, depth float64 }
 
@@ -61,7 +66,7 @@
 	demand   demand
 	refused  demand
 	reported float64
-	floor    permits
+	floor    permit.Permits
 }
 
 // current returns the share in force, the sum over the planes, and what it is from.
--- a/quota/share.go
+++ b/quota/share.go
@@ -279,8 +279,9 @@
 	d.Age = b.age(source, now)
 	if !d.OK && (current.perSecond <= 0 || current.depth <= 0) {
 		d.Source = SourceFloor
-		d.OK = b.floor.take(s.limits.floor(b.cap)/float64(max(s.fleet.Instances, 1)), now, s.random)
+		d.OK = b.floor.Available(s.limits.floor(b.cap)/float64(max(s.fleet.Instances, 1)), permitTTL, now, s.random.ExpFloat64)
 		if d.OK {
+			b.floor.Use(s.random.ExpFloat64)
 			s.stats.Floor++
 		}
 	}
