feed: processes calibrate as soon as the store is back

The delay between calibrations that fail grows to 4.5 s. A process that started in an outage of the store refused requests with keys for that long after its end, although its peers had proofs again. The wait now ends with the first newer proof after an outage for all. If the store refuses this instance alone, proofs come all the time and the delays stay.

Ruled out: a shorter highest delay (calls of a whole fleet to a store that is away).

--- a/feed/proof.go
+++ b/feed/proof.go
@@ -157,7 +157,7 @@
 // era of the store and when the last call was long ago. Instances that read the store have
 // calls enough; the others take the proof from peers and need only this one.
 func (f *Feed) keepCalibrated(ctx context.Context) {
-	delay := minCalibrateDelay
+	delay, heard := minCalibrateDelay, time.Duration(0)
 	for ctx.Err() == nil {
 		if !f.proving() || !f.opts.Proof.NeedsCalibration(f.Era()) {
 			sleep(ctx, pollInterval)
@@ -169,7 +169,9 @@
 		}
 		if err := f.calibrate(ctx); err != nil {
 			f.opts.Logger.Info("store clock not read", "error", err, "again_in", delay)
-			sleep(ctx, time.Duration((0.5+rand.Float64())*float64(delay)))
+			before := heard
+			heard = f.opts.Proof.Proof(f.Era())
+			f.awaitStore(ctx, time.Duration((0.5+rand.Float64())*float64(delay)), heard, heard == before)
 			delay = min(2*delay, maxCalibrateDelay)
 			continue
 		}
@@ -177,6 +179,18 @@
 	}
 }
 
+// awaitStore waits until the next calibration after one that failed. If the store was away for
+// all, a newer proof than the one heard shows that it is back; if it refuses this instance
+// alone, newer proofs show nothing.
+func (f *Feed) awaitStore(ctx context.Context, delay time.Duration, heard time.Duration, awayForAll bool) {
+	for until := time.Now().Add(delay); ctx.Err() == nil && time.Now().Before(until); {
+		if awayForAll && f.opts.Proof.Proof(f.Era()) != heard {
+			return
+		}
+		sleep(ctx, min(pollInterval, time.Until(until)))
+	}
+}
+
 // calibrate reads the clock of the store: the changes of the table since the version of the
 // backend servers, which is recent, so that there are hardly any. The content is not used.
 func (f *Feed) calibrate(ctx context.Context) error {
--- a/feed/proof_test.go
+++ b/feed/proof_test.go
@@ -331,6 +331,44 @@
 	})
 }
 
+// TestProcessesThatStartedInAnOutageServeSoonAfterIt guards against processes that refuse requests
+// for seconds after the store is back, because their next calibration is that far away.
+func TestProcessesThatStartedInAnOutageServeSoonAfterIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		s := newStore()
+		s.keys = true
+		s.put(server("a"))
+		s.setTable(3)
+		network := gossiptest.NewNetwork()
+		instances := provingFleet(t, network, s, 3)
+		time.Sleep(2 * time.Second)
+		for _, i := range instances {
+			i.access.setDown(true)
+		}
+		for n := range 8 {
+			late, member := newInstance(t, network, s, 3+n)
+			late.prove(3 + n)
+			late.access.setDown(true)
+			for _, i := range instances {
+				i.exchange.Add(member)
+				late.exchange.Add(gossip.Member{ID: i.id, DataCentre: "a", Address: i.conn.Address()})
+			}
+			late.start(t)
+			instances = append(instances, late)
+		}
+		time.Sleep(20 * time.Second)
+		for _, i := range instances {
+			g.Expect(i.serves()).To(gomega.BeFalse())
+			i.access.setDown(false)
+		}
+		time.Sleep(2 * time.Second)
+		for _, i := range instances {
+			g.Expect(i.serves()).To(gomega.BeTrue(), i.id)
+		}
+	})
+}
+
 // TestRestoredStoreIsCalibratedAnew restores the store from a copy, with a clock that is
 // ahead of the one before by an hour. It guards against a time of the new clock that is
 // converted with the offset of the old one: the table would never look old again.
