--- a/feed/feed.go
+++ b/feed/feed.go
@@ -166,8 +166,8 @@
 	heardTable uint64
 	// refused is the newest table of the store if it can't be used.
 	refused *Refusal
-	// refusedUpTo is the highest version of a row of refused tables that follow the one in
-	// force without a gap, in refusedEra of the store.
+	// refusedUpTo is the highest version of a series of refused tables that follow the one
+	// in force without a gap, in refusedEra of the store.
 	refusedUpTo, refusedEra uint64
 	// heardState is set once a peer has sent its state.
 	heardState bool
--- a/forward/authorize_test.go
+++ b/forward/authorize_test.go
@@ -327,7 +327,7 @@
 }
 
 // TestKeyIsJudgedBeforeADelegation withdraws the key while a first peer refuses the request. It
-// guards against a second peer that has not heard of it.
+// guards against a second peer without the newer table.
 func TestKeyIsJudgedBeforeADelegation(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var f *fixture
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -16,7 +16,7 @@
 	equalPart = 0.25
 	// lowWaterTime smooths the rise of the lent sum, seconds, while a decrease affects the
 	// division at once. Loans age between two requests; without it, the last to ask would
-	// bear all of that.
+	// get less by the whole difference.
 	lowWaterTime = 0.3
 	// depthSmoothing is the weight of the last request in the demand by which the depth is
 	// divided. What a bucket holds is lost if its depth decreases.
@@ -35,7 +35,7 @@
 	// maxClaims bounds the workspaces of all instances, which take about 470 bytes each. What
 	// is beyond it gets no grant.
 	maxClaims = 65536
-	// maxDemand bounds a demand, so that values that are not numbers don't spoil the sums.
+	// maxDemand bounds a demand, so that values that are not numbers don't make the sums invalid.
 	maxDemand = 1e9
 	// clockMargin allows for the rounding of request numbers.
 	clockMargin = 2 * time.Millisecond
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -15,7 +15,7 @@
 	"github.com/pomelolock/pomelolock/quota/quotapb"
 )
 
-// The tests in this file play a fleet on a virtual clock: real shares and allocators, messages
+// The tests in this file simulate a fleet on a virtual clock: real shares and allocators, messages
 // that are delayed, lost or cut, and callers that arrive at random.
 
 var (
@@ -114,7 +114,7 @@
 	highestRate, highestDepth float64
 }
 
-// newFleet starts instances and workspaces whose callers sit on so many of them.
+// newFleet starts instances and workspaces whose callers use so many of them.
 func newFleet(seed uint64, instances, spread int) *fleet {
 	f := &fleet{now: epoch, random: rand.New(rand.NewPCG(seed, 1)), minDelay: time.Millisecond, maxDelay: 12 * time.Millisecond}
 	f.cut = func(int, int) bool { return false }
@@ -317,7 +317,7 @@
 	}
 }
 
-// run plays until a time after the start.
+// run simulates until a time after the start.
 func (f *fleet) run(until time.Duration) {
 	end := epoch.Add(until)
 	for len(f.events) > 0 && !f.events[0].at.After(end) {
@@ -434,7 +434,7 @@
 }
 
 // TestRequestsBelowTheCapAreServed guards against shares that are not where the callers are:
-// those of each workspace sit on 3 instances, at 0.6, 0.3 and 0.1 of its demand.
+// those of each workspace use 3 instances, at 0.6, 0.3 and 0.1 of its demand.
 func TestRequestsBelowTheCapAreServed(t *testing.T) {
 	for _, instances := range []int{1, 18, 103, 472} {
 		for _, c := range []struct {
@@ -482,7 +482,7 @@
 	const when = 4500 * time.Millisecond
 	for _, c := range []struct {
 		name string
-		// large is set if the largest fleet is played too.
+		// large is set if the largest fleet is simulated too.
 		large bool
 		fail  func(f *fleet)
 	}{
--- a/quota/share.go
+++ b/quota/share.go
@@ -613,7 +613,7 @@
 		if r, ok := s.lowered[b.hash]; ok && answer.GetTableVersion() < r.version {
 			g = g.scaled(r.rate, r.depth)
 		}
-		// Also turns away values that are not numbers.
+		// Also rejects values that are not numbers.
 		if !(g.perSecond >= 0 && g.depth >= 0) {
 			g = share{}
 		}
--- a/quota/share_test.go
+++ b/quota/share_test.go
@@ -77,7 +77,7 @@
 		a.SetTable(NewTable(1, map[string]Cap{"w": {PerSecond: 100, Burst: 10}}))
 		req := &quotapb.ShareRequest{Number: 1, Process: 7, Shards: 1}
 		a.Receive("b", req, epoch.Add(after))
-		// A demand that is not a number must not spoil the sums.
+		// A demand that is not a number must not make the sums invalid.
 		a.Receive("c", &quotapb.ShareRequest{Number: 1, Shards: 1, Demands: []*quotapb.Demand{{Workspace: hash("w"), PerSecond: float32(math.NaN())}}}, epoch.Add(after))
 		req = &quotapb.ShareRequest{Number: 2, Process: 7, Shards: 1, Instances: 1, Demands: []*quotapb.Demand{
 			acknowledgement(1), {Workspace: hash("w"), PerSecond: 50},
@@ -308,7 +308,7 @@
 	g := gomega.NewWithT(t)
 	s := newTestShare(Cap{PerSecond: 100, Burst: 10}, 2)
 	fleet := Fleet{Instances: 2, Lend: true, Readers: []string{"a", "b"}}
-	// One plane is played; all its requests are answered at once until the allocator is gone.
+	// One plane is simulated; all its requests are answered at once until the allocator is gone.
 	var first string
 	var sent []time.Duration
 	var lent, asked []time.Duration
