--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -27,6 +27,11 @@
 	allocator *quota.Allocator
 	current   *table.Current
 	logger    *slog.Logger
+	// local returns the time since the machine started, including suspension. It was
+	// beganLocal at began.
+	local      func() time.Duration
+	beganLocal time.Duration
+	began      time.Time
 
 	mu sync.Mutex
 	// last is the table whose caps are in force, capped whether it has any.
@@ -50,13 +55,19 @@
 		client: quota.NewClient(quota.ClientOptions{
 			Process: rand.Uint32(), Random: random(), Fleet: d.quotaFleet, Send: d.sendUnitRequest, BootTime: bootTime, Logger: logger,
 		}),
-		allocator: quota.NewAllocator(random()), current: d.current, logger: logger, allocatorsSince: d.startedAt, heard: 1.0 / assumedInstances,
+		allocator: quota.NewAllocator(random()), current: d.current, logger: logger, heard: 1.0 / assumedInstances,
+		local: bootTime, beganLocal: bootTime(), began: time.Now(),
 	}
+	d.quotas.allocatorsSince = d.quotas.began
 	d.quotas.setLimits(d.settings.Load().Caps)
 	d.messages.handle(kindUnitRequest, d.receiveUnitRequest)
 	d.messages.handle(kindUnitGrant, d.receiveUnitGrant)
 }
 
+// now returns the time. Unlike [time.Now], the difference of two times includes suspension, in
+// which another allocator takes over.
+func (q *quotas) now() time.Time { return q.began.Add(q.local() - q.beganLocal) }
+
 func (q *quotas) setLimits(limits quota.Limits) {
 	q.client.SetLimits(limits)
 	q.allocator.SetLimits(limits)
@@ -98,7 +109,7 @@
 	for sleep(ctx, quotaInterval) {
 		d.quotas.setLimits(d.settings.Load().Caps)
 		if d.quotas.refresh() {
-			now := time.Now()
+			now := d.quotas.now()
 			d.quotas.since(d.exchange.Readers(), now)
 			d.quotas.setHeard(d.heardShare())
 			d.quotas.allocator.Tick(now)
@@ -151,7 +162,7 @@
 // sendUnitRequest sends a request to an allocator, which may be this instance.
 func (d *Daemon) sendUnitRequest(to string, req *quotapb.UnitRequest) {
 	if to == d.self.ID {
-		now := time.Now()
+		now := d.quotas.now()
 		d.quotas.client.Receive(to, d.quotas.allocator.Receive(to, req, d.quotas.role(d.exchange.Readers(), now), now))
 		return
 	}
@@ -165,7 +176,7 @@
 		return
 	}
 	d.quotas.refresh()
-	now := time.Now()
+	now := d.quotas.now()
 	d.sendQuota(from, kindUnitGrant, d.quotas.allocator.Receive(from, req, d.quotas.role(d.exchange.Readers(), now), now))
 }
 
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -122,7 +122,7 @@
 	return a.stats
 }
 
-// Receive answers a request for units.
+// Receive answers a request for units. The times have to count the suspension of the machine.
 func (a *Allocator) Receive(from string, req *quotapb.UnitRequest, role Role, now time.Time) *quotapb.UnitGrant {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -167,7 +167,8 @@
 	}
 	key := bucketKey{req.GetWorkspace(), req.GetSubstitute()}
 	b := a.buckets[key]
-	if b == nil {
+	if b == nil || role.Since.After(b.at) && now.Sub(b.at) > maxPause {
+		// In the second case, another allocator may have been asked meanwhile.
 		b = a.newBucket(c, role, key.substitute, now)
 		a.buckets[key] = b
 	}
--- a/quota/client.go
+++ b/quota/client.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/pomelolock/pomelolock/internal/permit"
 	"github.com/pomelolock/pomelolock/membership"
 	"github.com/pomelolock/pomelolock/quota/quotapb"
 )
@@ -48,6 +49,9 @@
 	idleTime = 30 * time.Second
 	// minRetryAfter is the minimum time after which refused callers are told to return.
 	minRetryAfter = 50 * time.Millisecond
+	// permitTTL is the time after which a permit lapses that was not used, so that instances
+	// without requests don't store up a burst.
+	permitTTL = 400 * time.Millisecond
 	// unreachedRetryAfter applies while no allocator answers.
 	unreachedRetryAfter = 500 * time.Millisecond
 )
@@ -129,7 +133,7 @@
 	decided      time.Time
 	demand       float64
 	usedAt       time.Time
-	floor        permits
+	floor        permit.Permits
 	// ranked are the allocators in the order in which they are asked.
 	allocators, ranked []string
 }
@@ -384,8 +388,9 @@
 	now := time.Now()
 	rate := c.limits.floor(c.table.caps[a.workspace]) / float64(max(c.opts.Fleet().Instances, 1))
 	for _, waiter := range a.waiters {
-		ok := a.floor.take(rate, now, c.opts.Random)
+		ok := a.floor.Available(rate, permitTTL, now, c.opts.Random.ExpFloat64)
 		if ok {
+			a.floor.Use(c.opts.Random.ExpFloat64)
 			c.stats.Floor++
 		}
 		c.count(a, ok)
