entry: tests don't get the same address twice

A test takes 20 addresses before it uses them; the kernel may choose a port again that was closed but is not in use yet: about one in 150 runs.

--- a/internal/entry/daemon_test.go
+++ b/internal/entry/daemon_test.go
@@ -105,6 +105,10 @@
 	}
 }
 
+// givenAddresses holds the addresses that freeAddress has returned: the kernel may choose the
+// port of one again that is not in use yet.
+var givenAddresses sync.Map
+
 // freeAddress returns an address that is free for TCP and UDP. Its IP address depends on
 // the process ID, so that no other process takes the port before it is used.
 func freeAddress(t *testing.T) string {
@@ -119,8 +123,11 @@
 		address := tcp.Addr().String()
 		udp, err := net.ListenPacket("udp", address)
 		tcp.Close()
-		if err == nil {
-			_ = udp.Close()
+		if err != nil {
+			continue
+		}
+		_ = udp.Close()
+		if _, given := givenAddresses.LoadOrStore(address, true); !given {
 			return address
 		}
 	}
