placement: the penalty of another data centre is part of the candidate

Package locality will decide this factor for each data centre; the constant 1.4 stays as DefaultRemotePenalty where nothing is decided. Promising counts at most that much of the factor: a high one says that traffic is to stay local, not that the server is slow. ChooseBy takes the source of random numbers, so that simulations are reproducible.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -25,10 +25,10 @@
 	nearlyFullFactor = 1.7
 	// coldFactor is the slowdown factor of a server that has just started.
 	coldFactor = 2.0
-	// remotePenalty covers the latency and the price of crossing data centres. It
-	// is far below the slowdown under interference, so that a request prefers a
-	// remote server to an affected local one.
-	remotePenalty = 1.4
+	// DefaultRemotePenalty covers the latency and the price of crossing data centres
+	// where package locality has not decided. It is far below the slowdown under
+	// interference, so that a request prefers a remote server to an affected local one.
+	DefaultRemotePenalty = 1.4
 	// connectPenalty covers the opening of a connection. In a large fleet, where
 	// an instance has few requests for many servers, it also makes each instance
 	// reuse a subset of them.
@@ -38,9 +38,9 @@
 	failedCheckPenalty = 3.0
 	// unansweredCheckPenalty applies after a status check without a response.
 	unansweredCheckPenalty = 6.0
-	// costExponent sets how fast the selection probability falls with the cost:
+	// CostExponent sets how fast the selection probability falls with the cost:
 	// a server that costs 2.5 times as much is chosen about once in 250 times.
-	costExponent = 6
+	CostExponent = 6
 	// unhealthyFailureRate is the share of failed attempts from which a server
 	// counts as unhealthy.
 	unhealthyFailureRate = 0.5
@@ -54,8 +54,9 @@
 	Load readings.Load
 	// Slots is the number from discovery, used if there is no load report.
 	Slots int
-	// Remote is set if the server is in another data centre.
-	Remote bool
+	// RemotePenalty is the factor of the cost of a server in another data centre. 0 and 1
+	// mean that there is none.
+	RemotePenalty float64
 	// Unconnected is set if a connection would have to be opened.
 	Unconnected bool
 	// Cold is set if the server has just started.
@@ -72,9 +73,14 @@
 	Time float64
 	// Cost is Time multiplied by all penalties; the lowest is best.
 	Cost float64
-	// SpareCapacity is the number of requests that it accepts without slowing
-	// down.
-	SpareCapacity int
+	// RemotePenalty is the part of Cost that stands for another data centre, at least 1.
+	RemotePenalty float64
+	// Slowdown is the part of Time that does not depend on the requests there.
+	Slowdown float64
+	// Capacity is the number of requests that the server runs without slowing down,
+	// InFlight the estimated number that it has. SpareCapacity is how many more it accepts.
+	Capacity, InFlight int
+	SpareCapacity      int
 	// Limited is set if the server names a limit of requests. Its spare capacity is this
 	// instance's own part and not shared with others.
 	Limited bool
@@ -87,12 +93,14 @@
 func Assess(candidates []Candidate) []Assessment {
 	assessed := make([]Assessment, len(candidates))
 	for i, c := range candidates {
-		time := c.slowdown() * c.occupancyFactor()
+		slowdown := c.slowdown()
 		if c.Cold {
-			time *= coldFactor
+			slowdown *= coldFactor
 		}
+		time := slowdown * c.occupancyFactor()
 		assessed[i] = Assessment{
-			Time: time, Cost: time * c.penalty(), SpareCapacity: c.spareCapacity(), Limited: c.Load.Limit.Named, Healthy: c.Load.FailureRate < unhealthyFailureRate,
+			Time: time, Cost: time * c.penalty(), RemotePenalty: max(c.RemotePenalty, 1), Slowdown: slowdown,
+			Capacity: c.capacity(), InFlight: c.inFlight(), SpareCapacity: c.spareCapacity(), Limited: c.Load.Limit.Named, Healthy: c.Load.FailureRate < unhealthyFailureRate,
 		}
 	}
 	return assessed
@@ -117,6 +125,11 @@
 // The choice is random, in proportion to the spare capacity and falling steeply
 // with the cost, so that instances with the same view fill the servers evenly.
 func Choose(assessed []Assessment, maxTime float64) int {
+	return ChooseBy(assessed, maxTime, rand.Float64)
+}
+
+// ChooseBy is [Choose] with the given source of random numbers from 0 to 1.
+func ChooseBy(assessed []Assessment, maxTime float64, draw func() float64) int {
 	healthy := anyHealthy(assessed)
 	minCost := math.Inf(1)
 	for _, a := range assessed {
@@ -129,9 +142,9 @@
 		if a.SpareCapacity <= 0 || !a.eligible(maxTime, healthy) {
 			continue
 		}
-		weight := float64(a.SpareCapacity) * math.Pow(minCost/a.Cost, costExponent)
+		weight := float64(a.SpareCapacity) * math.Pow(minCost/a.Cost, CostExponent)
 		total += weight
-		if rand.Float64()*total < weight {
+		if draw()*total < weight {
 			chosen = i
 		}
 	}
@@ -155,9 +168,11 @@
 }
 
 // Promising reports whether the server is expected to be no slower than one of which
-// nothing is known, and not to fail: it costs no more than such a one in another data centre.
+// nothing is known, and not to fail: it costs no more than such a one in another data centre
+// at the default penalty. A higher penalty says nothing about the server and is left out.
 func (a Assessment) Promising() bool {
-	return a.Time <= defaultSlowdown && a.Cost <= defaultSlowdown*remotePenalty
+	cost := a.Cost * min(DefaultRemotePenalty/a.RemotePenalty, 1)
+	return a.Time <= defaultSlowdown && cost <= defaultSlowdown*DefaultRemotePenalty
 }
 
 func (a Assessment) eligible(maxTime float64, anyHealthy bool) bool {
@@ -179,8 +194,7 @@
 	if c.Quiet {
 		return 0
 	}
-	limit := max(int(nearlyFullShare*float64(c.slots())), 1)
-	spare := max(limit-c.inFlight(), 0)
+	spare := max(c.capacity()-c.inFlight(), 0)
 	if c.Load.Limit.Named {
 		// One permit at a time.
 		return min(spare, 1)
@@ -188,6 +202,9 @@
 	return spare
 }
 
+// capacity returns how many requests the server runs without slowing down.
+func (c Candidate) capacity() int { return max(int(nearlyFullShare*float64(c.slots())), 1) }
+
 func (c Candidate) slots() int {
 	switch {
 	case c.Load.HasReport && c.Load.Slots > 0:
@@ -209,10 +226,7 @@
 // penalty returns the factor by which the cost of the server exceeds its expected
 // time.
 func (c Candidate) penalty() float64 {
-	factor := 1.0
-	if c.Remote {
-		factor *= remotePenalty
-	}
+	factor := max(c.RemotePenalty, 1)
 	if c.Unconnected {
 		factor *= connectPenalty
 	}
