locality, forward, entry: requests go to other data centres by load, delay and price

With the constant penalty of 1.4, a fifth to a third of the requests left their data centre at moderate load. Each instance now decides for each service, every 100 ms, which share of the requests goes where: demand above 0.75 of the local capacity fills data centres with room, damped by the age of the knowledge, without counting twice what has already left. The share becomes the penalty of the servers there. Checks measure the delay; the bound remote_byte_price sets the price of a megabyte.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -246,7 +246,7 @@
 	r.resp = out
 	serverError := out.status >= http.StatusInternalServerError
 	if !serverError {
-		a.reservation.recordResponse(time.Now())
+		a.reservation.recordResponse(time.Now(), max(out.length, int64(len(out.buffered))))
 	}
 	a.x.f.opts.Board.Result(a.reservation.server.ID, serverError, time.Now())
 	if serverError {
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -28,11 +28,11 @@
 	opts := q.f.opts
 	load := opts.Board.Load(server.ID, now)
 	return placement.Candidate{
-		Load:   load,
-		Slots:  server.Slots,
-		Remote: server.DataCentre != opts.DataCentre,
-		Cold:   now.Before(server.WarmUntil),
-		Quiet:  load.Quiet(now) || !load.Permitted,
+		Load:          load,
+		Slots:         server.Slots,
+		RemotePenalty: q.remotePenalty(server.DataCentre),
+		Cold:          now.Before(server.WarmUntil),
+		Quiet:         load.Quiet(now) || !load.Permitted,
 
 		Unconnected: !opts.Pool.Idle(server.Address),
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -16,7 +16,7 @@
 	"github.com/pomelolock/pomelolock/table"
 )
 
-// Options configures a [Forwarder]. All fields are required.
+// Options configures a [Forwarder]. All fields but Locality are required.
 type Options struct {
 	Protocol  Protocol
 	Current   *table.Current
@@ -57,6 +57,9 @@
 	// stops waiting for them. LoadsReady is closed likewise for the loads of servers.
 	// Requests wait until both are closed.
 	ViewReady, LoadsReady <-chan struct{}
+	// Locality decides which requests go to other data centres; nil selects
+	// [placement.DefaultRemotePenalty] for all servers there.
+	Locality *Locality
 }
 
 // Quarantine refuses requests that crash servers. Requests are identified by their
@@ -87,6 +90,8 @@
 	// Delegated counts the requests delegated to peers, ForPeers those that peers delegated
 	// to this instance.
 	Delegated, ForPeers uint64
+	// Remote counts the requests sent to servers in other data centres.
+	Remote uint64
 	// InFlight is the number of requests being served now.
 	InFlight int64
 }
@@ -97,6 +102,7 @@
 	opts                      Options
 	requests, retries, hedges atomic.Uint64
 	delegated, forPeers       atomic.Uint64
+	remote                    atomic.Uint64
 	inFlight                  atomic.Int64
 
 	mu       sync.Mutex
@@ -162,7 +168,7 @@
 func (f *Forwarder) Stats() Stats {
 	return Stats{
 		Requests: f.requests.Load(), Retries: f.retries.Load(), Hedges: f.hedges.Load(),
-		Delegated: f.delegated.Load(), ForPeers: f.forPeers.Load(),
+		Delegated: f.delegated.Load(), ForPeers: f.forPeers.Load(), Remote: f.remote.Load(),
 		InFlight: f.inFlight.Load(),
 	}
 }
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -81,6 +81,7 @@
 	// checksAt.
 	checks   float64
 	checksAt time.Time
+	local    localState
 }
 
 // waiter is an attempt that waits for spare capacity.
@@ -132,12 +133,14 @@
 }
 
 // recordResponse updates the estimated service time after a response.
-func (r reservation) recordResponse(now time.Time) {
+// bytes is its size.
+func (r reservation) recordResponse(now time.Time, bytes int64) {
 	r.q.mu.Lock()
 	defer r.q.mu.Unlock()
 	took := now.Sub(r.reservedAt)
 	q := r.q
 	q.lastResponse = now
+	smooth(&q.local.responseBytes, float64(bytes))
 	q.samples++
 	if q.samples == 1 {
 		q.serviceTime = took
@@ -176,6 +179,7 @@
 	now := time.Now()
 	q.mu.Lock()
 	q.arrived++
+	smooth(&q.local.target, x.target().Seconds())
 	if !q.open && q.f.started() {
 		q.openLocked(now)
 	}
@@ -295,6 +299,9 @@
 	load := q.f.opts.Board.Load(server.ID, now)
 	q.f.opts.Board.Began(server.ID, now)
 	q.countSentLocked(w, now)
+	if server.DataCentre != q.f.opts.DataCentre {
+		q.f.remote.Add(1)
+	}
 	return reservation{q: q, server: server, load: load, reservedAt: now}, true
 }
 
@@ -370,6 +377,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.refuseExpiredLocked(now)
+	q.decideSharesLocked(now)
 	if len(q.waiters) > 0 && q.f.opts.Board.LinksLost() {
 		q.releaseLocked(now)
 	}
--- a/forward/refresh.go
+++ b/forward/refresh.go
@@ -57,6 +57,7 @@
 			if load.Age > freshAge && !load.Limit.Named {
 				stale = append(stale, readings.Target{
 					Server: server.ID, Address: server.Address, Born: server.Born, Path: x.service.HealthPath,
+					DataCentre:  server.DataCentre,
 					Connections: q.f.opts.ConnLimit(x.service),
 				})
 			}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -121,6 +121,7 @@
 	forwarder *forward.Forwarder
 	observer  *observer
 	metrics   *metrics.Registry
+	delays    delays
 
 	callers *callerconn.Server
 	// delegates serves the connections of peers that delegate requests to this instance.
@@ -237,6 +238,9 @@
 		OnNotice: func(target readings.Target, notice readings.Notice) {
 			d.recordNotice(target.Server, target.Born, notice, true)
 		},
+		OnAnswer: func(target readings.Target, took time.Duration) {
+			d.delays.observe(target.DataCentre, took, time.Now())
+		},
 		Logger: d.logger.With("part", "checks"),
 	})
 	d.forwarder = forward.New(forward.Options{
@@ -250,6 +254,10 @@
 		OnNotice: func(server directory.Server, notice readings.Notice, fromCheck bool) {
 			d.recordNotice(server.ID, server.Born, notice, fromCheck)
 		},
+		Locality: &forward.Locality{
+			Delay:     func(dataCentre string) time.Duration { return d.delays.beyond(d.self.DataCentre, dataCentre) },
+			BytePrice: func() float64 { return d.settings.Load().RemoteBytePrice },
+		},
 	})
 }
 
@@ -357,7 +365,7 @@
 				intervals[server.Service] = d.checkInterval(server.Service, dataCentre)
 			}
 			targets = append(targets, readings.Target{
-				Server: server.ID, Address: server.Address, Born: server.Born,
+				Server: server.ID, Address: server.Address, DataCentre: dataCentre, Born: server.Born,
 				Path: service.HealthPath, Connections: d.connLimit(service), Interval: intervals[server.Service],
 			})
 		}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -73,6 +73,7 @@
 		{"hedges_total", "Second attempts beside a slow one.", func() uint64 { return stats().Hedges }},
 		{"delegated_total", "Requests delegated to other instances.", func() uint64 { return stats().Delegated }},
 		{"for_peers_total", "Requests that other instances delegated to this one.", func() uint64 { return stats().ForPeers }},
+		{"remote_requests_total", "Requests sent to backend servers in other data centres.", func() uint64 { return stats().Remote }},
 		{"server_connections_opened_total", "Connections opened to backend servers.", d.pool.Opened.Load},
 		{"server_connections_reused_total", "Uses of kept connections to backend servers.", d.pool.Reused.Load},
 		{"status_checks_total", "Status checks of backend servers.", d.pool.Checks.Load},
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"time"
 
@@ -41,6 +42,9 @@
 	// ApplyWithin is the time within which a table is in force on all instances that
 	// reach the store; 0 if unknown.
 	ApplyWithin time.Duration
+	// RemoteBytePrice is the price of a megabyte sent between data centres, in seconds of a
+	// caller's time. With 0, only the delay between them counts.
+	RemoteBytePrice float64
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
 	// FirstStart is set if the whole fleet starts for the first time.
@@ -119,5 +123,8 @@
 	if s.Retries.Ratio < 0 || s.Retries.Burst < 0 {
 		return &SettingError{Name: "retry limits", Value: fmt.Sprint(s.Retries)}
 	}
+	if !(s.RemoteBytePrice >= 0) || math.IsInf(s.RemoteBytePrice, 1) {
+		return &SettingError{Name: "remote byte price", Value: fmt.Sprint(s.RemoteBytePrice)}
+	}
 	return nil
 }
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -42,6 +42,8 @@
 type Target struct {
 	Server  string
 	Address string
+	// DataCentre is the data centre of the server.
+	DataCentre string
 	// Born is the start time of the server in Unix milliseconds; 0 if unknown.
 	Born int64
 	// Path is the path of the status check.
@@ -68,6 +70,8 @@
 	OnReplaced func(server string)
 	// OnNotice is called with what each answer says about requests to come.
 	OnNotice func(target Target, notice Notice)
+	// OnAnswer, if set, is called with the duration of each check on an open connection.
+	OnAnswer func(target Target, took time.Duration)
 	Logger   *slog.Logger
 }
 
@@ -205,7 +209,8 @@
 // checkOn makes one status check on a connection.
 func (c *Checks) checkOn(ctx context.Context, conn *serverconn.Conn, target Target) Reading {
 	reading := Reading{Server: KeyOf(target.Server), Health: HealthUnreachable}
-	c.opts.Board.BeganCheck(target.Server, time.Now())
+	began := time.Now()
+	c.opts.Board.BeganCheck(target.Server, began)
 	resp, err := conn.Check(ctx, target.Path, func(resp *http.Response) bool { return IsCheck(c.opts.Checker, resp) })
 	if err != nil {
 		c.opts.Logger.Debug("status check failed", "server", target.Server, "error", err)
@@ -218,6 +223,9 @@
 		c.opts.OnReplaced(target.Server)
 		return timestamped(reading)
 	}
+	if c.opts.OnAnswer != nil {
+		c.opts.OnAnswer(target, time.Since(began))
+	}
 	c.opts.OnNotice(target, c.opts.Checker.Notice(resp))
 	reading.Health = HealthBad
 	if resp.StatusCode == http.StatusOK {
