--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -79,11 +79,11 @@
 		cold = now.Before(server.WarmUntil)
 	}
 	return placement.Candidate{
-		Load:   load,
-		Slots:  server.Slots,
-		Remote: server.DataCentre != opts.DataCentre,
-		Cold:   cold,
-		Quiet:  load.Quiet(now) || !load.Permitted,
+		Load:          load,
+		Slots:         server.Slots,
+		RemotePenalty: q.remotePenalty(server.DataCentre),
+		Cold:          cold,
+		Quiet:         load.Quiet(now) || !load.Permitted,
 
 		Unconnected: !opts.Pool.Idle(server.Address),
 	}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -128,6 +128,7 @@
 	forwarder *forward.Forwarder
 	observer  *observer
 	metrics   *metrics.Registry
+	delays    delays
 
 	callers *callerconn.Server
 	// delegates serves the connections of peers that delegate requests to this instance.
@@ -256,6 +257,9 @@
 		Excluded: func(target readings.Target) bool {
 			return !d.feed.Current() || d.directory.Evacuated(target.DataCentre)
 		},
+		OnAnswer: func(target readings.Target, took time.Duration) {
+			d.delays.observe(target.DataCentre, took, time.Now())
+		},
 		Logger: d.logger.With("part", "checks"),
 	})
 	d.forwarder = forward.New(forward.Options{
@@ -271,6 +275,10 @@
 		OnNotice: func(server directory.Server, notice readings.Notice, fromCheck bool) {
 			d.recordNotice(server.ID, server.Born, notice, fromCheck)
 		},
+		Locality: &forward.Locality{
+			Delay:     func(dataCentre string) time.Duration { return d.delays.beyond(d.self.DataCentre, dataCentre) },
+			BytePrice: func() float64 { return d.settings.Load().RemoteBytePrice },
+		},
 	})
 }
 
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -41,7 +41,8 @@
 
 // Target is a server to check.
 type Target struct {
-	Server     string
+	Server string
+	// DataCentre is the data centre of the server.
 	DataCentre string
 	Address    string
 	// Born is the start time of the server in Unix milliseconds; 0 if unknown.
@@ -55,7 +56,7 @@
 	Interval time.Duration
 }
 
-// CheckOptions configure [Checks]. All but Excluded are required.
+// CheckOptions configure [Checks]. All but Excluded and OnAnswer are required.
 type CheckOptions struct {
 	Board   *Board
 	Pool    *serverconn.Pool
@@ -73,6 +74,8 @@
 	// Excluded reports whether nothing may be sent to a server now. It is asked immediately
 	// before each check.
 	Excluded func(target Target) bool
+	// OnAnswer is called with the duration of each check on an open connection.
+	OnAnswer func(target Target, took time.Duration)
 	Logger   *slog.Logger
 }
 
@@ -256,7 +259,11 @@
 		c.opts.OnReplaced(target.Server)
 		return timestamped(reading)
 	}
-	c.opts.Board.AnsweredTo(target.Server, began, time.Now())
+	answered := time.Now()
+	c.opts.Board.AnsweredTo(target.Server, began, answered)
+	if c.opts.OnAnswer != nil {
+		c.opts.OnAnswer(target, answered.Sub(began))
+	}
 	notice := c.opts.Checker.Notice(resp)
 	notice.Began = began
 	c.opts.OnNotice(target, notice)
