placement: the draw of servers can be reproduced and costs less

Sample sorted all servers by a random key to take two of them. It now draws them one after the other by their weights, which has the same distribution, and SampleBy takes the source of random numbers for simulations, as ChooseBy does.

TestSampleFollowsThePenalties checks which part of the draws crosses data centres: 0.0005 at most with the highest penalty beside three times as many remote servers, 0.005 to 0.02 with 2.5, and three quarters with none. TestFullLocalServersDontHoldRequests checks that a penalty of 50 keeps no request from an idle remote server when the local ones are full.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,10 +1,8 @@
 package placement
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/pomelolock/pomelolock/readings"
@@ -171,7 +169,7 @@
 		if a.SpareCapacity <= 0 || !a.eligible(maxTime, healthy) {
 			continue
 		}
-		weight := float64(a.SpareCapacity) * math.Pow(minCost/a.Cost, CostExponent)
+		weight := float64(a.SpareCapacity) * CostWeight(a.Cost/minCost)
 		total += weight
 		if draw()*total < weight {
 			chosen = i
@@ -183,28 +181,53 @@
 // Sample returns the indices of up to n servers, drawn at random with weights that fall with
 // their penalties. Their loads don't count: instances that draw by the same old readings would
 // all draw the few servers that looked idle.
-func Sample(assessed []Assessment, n int) []int {
+func Sample(assessed []Assessment, n int) []int { return SampleBy(assessed, n, rand.Float64) }
+
+// SampleBy is [Sample] with the given source of random numbers from 0 to 1.
+func SampleBy(assessed []Assessment, n int, draw func() float64) []int {
 	healthy := anyHealthy(assessed)
-	type draw struct {
-		index int
-		key   float64
-	}
-	draws := make([]draw, 0, len(assessed))
-	for i, a := range assessed {
+	weights, open := make([]float64, len(assessed)), 0
+	for i := range assessed {
+		a := &assessed[i]
 		if a.Closed || !a.Healthy && healthy {
 			continue
 		}
-		weight := math.Pow(a.Time/a.Cost, CostExponent)
-		draws = append(draws, draw{index: i, key: rand.ExpFloat64() / weight})
+		weights[i] = CostWeight(a.Cost / a.Time)
+		open++
 	}
-	slices.SortFunc(draws, func(a, b draw) int { return cmp.Compare(a.key, b.key) })
-	var chosen []int
-	for _, d := range draws[:min(n, len(draws))] {
-		chosen = append(chosen, d.index)
+	chosen := make([]int, 0, min(n, open))
+	for len(chosen) < cap(chosen) {
+		// The sum is formed anew, since small weights would drown in the rounding errors
+		// of a difference.
+		total := 0.0
+		for _, w := range weights {
+			total += w
+		}
+		left, last := draw()*total, 0
+		for i, w := range weights {
+			if w == 0 {
+				continue
+			}
+			last = i
+			if left -= w; left < 0 {
+				break
+			}
+		}
+		chosen, weights[last] = append(chosen, last), 0
 	}
 	return chosen
 }
 
+// CostWeight returns the factor of the probability with which a server is selected that costs
+// the given multiple.
+func CostWeight(cost float64) float64 {
+	power := 1.0
+	for range CostExponent {
+		power *= cost
+	}
+	return 1 / power
+}
+
 // Promising reports whether the server is expected to be no slower than one of which
 // nothing is known, and not to fail: it costs no more than such a one in another data centre
 // at the default penalty. A higher penalty says nothing about the server and is left out.
@@ -218,8 +241,8 @@
 }
 
 func anyHealthy(assessed []Assessment) bool {
-	for _, a := range assessed {
-		if a.Healthy {
+	for i := range assessed {
+		if assessed[i].Healthy {
 			return true
 		}
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -197,3 +198,46 @@
 	g.Expect(assessed[0].Healthy).To(gomega.BeFalse())
 	g.Expect(assessed[0].Cost / assessed[0].Time).To(gomega.BeNumerically(">", 8))
 }
+
+// TestSampleFollowsThePenalties guards against checks and requests that cross data centres while
+// the local servers have room, and against a decision to send requests away that draws no server
+// there because the local ones are many.
+func TestSampleFollowsThePenalties(t *testing.T) {
+	const local, remote, draws = 38, 114, 20_000
+	for penalty, want := range map[float64]struct{ least, most float64 }{
+		1: {0.74, 0.76}, 2.5: {0.005, 0.02}, 8: {0, 0.0005},
+	} {
+		g := gomega.NewWithT(t)
+		var servers []Candidate
+		for i := range local + remote {
+			c := candidate(4, 100)
+			if i >= local {
+				c = candidate(0, 100)
+				c.RemotePenalty = penalty
+			}
+			servers = append(servers, c)
+		}
+		assessed, away := Assess(servers, Usual{}), 0
+		rng := rand.New(rand.NewPCG(20261203, 7))
+		for range draws {
+			for _, i := range SampleBy(assessed, 2, rng.Float64) {
+				if i >= local {
+					away++
+				}
+			}
+		}
+		share := float64(away) / (2 * draws)
+		g.Expect(share).To(gomega.And(gomega.BeNumerically(">=", want.least), gomega.BeNumerically("<=", want.most)), "penalty %v", penalty)
+	}
+}
+
+// TestFullLocalServersDontHoldRequests guards against a penalty that keeps a request from idle
+// servers elsewhere when no local one has room.
+func TestFullLocalServersDontHoldRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	remote := candidate(0, 100)
+	remote.RemotePenalty = 50
+	assessed := Assess([]Candidate{candidate(4, 100), candidate(6, 100), remote}, Usual{})
+	g.Expect(Choose(assessed, 2)).To(gomega.Equal(2))
+	g.Expect(SpareCapacity(assessed, 2)).To(gomega.Equal(4))
+}
