locality: penalties follow the draw of servers, which ignores loads

The penalty was computed for a choice by spare capacity: the fuller the local servers were, the higher it became, as their weight in that choice fell. Requests now look at servers that are drawn by penalties only, so that a full data centre drew fewer servers elsewhere, not more. The weights are now those of the draw. Data centres without room, or too far to answer in time, get the highest penalty also while the local servers have room.

The least time constant of a share is 1 s in place of 200 ms: slowdowns of servers last some hundred milliseconds, and the share followed their number.

--- a/locality/controller.go
+++ b/locality/controller.go
@@ -14,16 +14,17 @@
 	// knowledge. Waves of demand that are over by the time that they are known move the shares
 	// little.
 	dampingAges = 2
-	// minDamping is the least time constant. Below it, chance differences between a few servers
-	// move the shares.
-	minDamping = 200 * time.Millisecond
+	// minDamping is the least time constant. Other work slows servers down for some hundred
+	// milliseconds: with 200 ms, the share followed the number of slow ones and changed by up to
+	// 0.3 in half a second of constant load.
+	minDamping = time.Second
 	// usualFill is the part of the capacity of a data centre that is used before requests
 	// leave it, and up to which others send there while that is enough. Close to the whole
 	// capacity, the idle servers are too few to be found by old knowledge.
 	usualFill = 0.75
-	// idleShare is the share of requests that may leave while the local servers have room:
-	// the penalty can't be infinite, since it must not keep a request from the only server
-	// that takes it.
+	// idleShare is the share of the drawn servers that may be in data centres with room while
+	// the local ones have room too: a request that draws slow local servers only finds a fast
+	// one there, and the delay to them stays measured.
 	idleShare = 0.005
 	// maxPenalty bounds the penalty. Even beside a single local server with spare capacity,
 	// 300 idle remote ones together get less than a request in 800 then.
@@ -41,6 +42,8 @@
 	// known now, Share the damped one, Penalty the factor of the cost of the servers there
 	// that results in it.
 	Wanted, Share, Penalty float64
+	// room is set if the servers there have room for requests and can answer in time.
+	room bool
 }
 
 // Controller makes the decisions for one service at one instance. It is not safe for
@@ -155,7 +158,7 @@
 	}
 	shares := make([]Share, len(others))
 	for i, s := range others {
-		shares[i].DataCentre = s.DataCentre
+		shares[i].DataCentre, shares[i].room = s.DataCentre, rooms[i] > 0
 		// Sending there pays off once the wait for a local server exceeds the additional
 		// cost, that is, once there are so many times more requests than capacity.
 		excess := demand - level*local.Capacity*work.factor(s.Delay)
@@ -166,15 +169,26 @@
 	return shares
 }
 
-// setPenalties sets the penalties with which placement sends the shares: the probability of a
-// server falls with the power [placement.CostExponent] of its cost.
+// setPenalties sets the penalties with which placement draws servers by the shares: the
+// probability of a server falls with the power [placement.CostExponent] of its cost. Loads don't
+// count in the draw, so that a higher share means a lower penalty however full this data centre is.
 func setPenalties(shares []Share, local Site, others []Site, work Work) {
+	idle := func(i int) float64 {
+		if !shares[i].room {
+			return 0
+		}
+		return idleShare * others[i].Weight
+	}
 	leaving, weight := 0.0, 0.0
 	for i, s := range shares {
 		leaving += s.Share
 		weight += others[i].Weight
 	}
-	leaving = min(leaving+idleShare, 1)
+	for i := range shares {
+		if weight > 0 {
+			leaving += idle(i) / weight
+		}
+	}
 	for i := range shares {
 		least := work.factor(others[i].Delay)
 		most := max(maxPenalty, least)
@@ -182,12 +196,13 @@
 			shares[i].Penalty = least
 			continue
 		}
+		shares[i].Penalty = most
 		if others[i].Weight <= 0 || local.Weight <= 0 {
-			shares[i].Penalty = most
 			continue
 		}
-		share := shares[i].Share + idleShare*others[i].Weight/weight
-		ratio := (1 - leaving) / share * others[i].Weight / local.Weight
-		shares[i].Penalty = min(max(math.Pow(max(ratio, 0), 1.0/placement.CostExponent), least), most)
+		if share := shares[i].Share + idle(i)/weight; share > 0 {
+			ratio := max(1-leaving, 0) / share * others[i].Weight / local.Weight
+			shares[i].Penalty = min(max(math.Pow(ratio, 1.0/placement.CostExponent), least), most)
+		}
 	}
 }
--- a/locality/site.go
+++ b/locality/site.go
@@ -1,7 +1,6 @@
 package locality
 
 import (
-	"math"
 	"time"
 
 	"github.com/pomelolock/pomelolock/placement"
@@ -29,8 +28,8 @@
 	Capacity float64
 	// InFlight is the number of requests running or waiting there.
 	InFlight float64
-	// Weight is the weight with which placement chooses the servers there, without the
-	// penalty for another data centre.
+	// Weight is the weight with which [placement.Sample] draws the servers there, without
+	// the penalty for another data centre.
 	Weight float64
 	// Age is the mean age of the load reports, Reports their number.
 	Age     time.Duration
@@ -49,7 +48,9 @@
 		return
 	}
 	s.InFlight += float64(a.InFlight)
-	s.Weight += float64(a.SpareCapacity) * math.Pow(a.Cost, -placement.CostExponent)
+	if !a.Closed {
+		s.Weight += placement.CostWeight(a.Cost / a.Time)
+	}
 	switch {
 	case c.Cold || a.Limited:
 		s.Cold++
