placement, locality: the draw of servers and the play cost less

Sample sums up the weights while it computes them, and the sixth power is written out; a test compares it with CostExponent. The play finds servers in the same state by an index in place of a map.

--- a/locality/play_test.go
+++ b/locality/play_test.go
@@ -72,6 +72,7 @@
 	known  []placement.Candidate
 	usual  placement.Usual
 	rated  []placement.Assessment
+	alike  []placement.Assessment // by the state of a server
 	summed []Site
 	// others is the sum of the known backlogs, of which own is each instance's.
 	others      admission.Counts
@@ -123,24 +124,27 @@
 	}
 	p.usual = placement.UsualOf(p.known[present:])
 	p.rated, p.summed = p.rated[:0], make([]Site, p.sites)
-	type state struct{ inFlight, slowdown, cold, gone int }
-	alike := make(map[state]placement.Assessment)
-	for i, c := range p.known {
-		key := state{inFlight: c.Load.Running + c.Load.Waiting, slowdown: c.Load.SlowdownPercent}
+	// Servers in the same state are rated once.
+	clear(p.alike)
+	for i := range p.known {
+		c := &p.known[i]
+		key := (c.Load.Running+c.Load.Waiting)*8 + c.Load.SlowdownPercent/400*4
 		if c.Cold {
-			key.cold = 1
+			key += 2
 		}
 		if c.Quiet {
-			key.gone = 1
+			key++
 		}
-		a, ok := alike[key]
-		if !ok {
-			a = p.rate(c)
-			alike[key] = a
+		for key >= len(p.alike) {
+			p.alike = append(p.alike, placement.Assessment{})
 		}
-		p.rated = append(p.rated, a)
+		a := &p.alike[key]
+		if a.Time == 0 {
+			*a = p.rate(*c)
+		}
+		p.rated = append(p.rated, *a)
 		if !c.Quiet {
-			p.summed[p.all[i].site].Add(c, a)
+			p.summed[p.all[i].site].Add(*c, *a)
 		}
 	}
 	p.own, p.others = p.backlogs[then], admission.Counts{}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -186,23 +186,18 @@
 // SampleBy is [Sample] with the given source of random numbers from 0 to 1.
 func SampleBy(assessed []Assessment, n int, draw func() float64) []int {
 	healthy := anyHealthy(assessed)
-	weights, open := make([]float64, len(assessed)), 0
+	weights, open, total := make([]float64, len(assessed)), 0, 0.0
 	for i := range assessed {
 		a := &assessed[i]
 		if a.Closed || !a.Healthy && healthy {
 			continue
 		}
 		weights[i] = CostWeight(a.Cost / a.Time)
+		total += weights[i]
 		open++
 	}
 	chosen := make([]int, 0, min(n, open))
 	for len(chosen) < cap(chosen) {
-		// The sum is formed anew, since small weights would drown in the rounding errors
-		// of a difference.
-		total := 0.0
-		for _, w := range weights {
-			total += w
-		}
 		left, last := draw()*total, 0
 		for i, w := range weights {
 			if w == 0 {
@@ -214,6 +209,12 @@
 			}
 		}
 		chosen, weights[last] = append(chosen, last), 0
+		// The sum is formed anew, since small weights would drown in the rounding errors
+		// of a difference.
+		total = 0
+		for _, w := range weights {
+			total += w
+		}
 	}
 	return chosen
 }
@@ -221,11 +222,9 @@
 // CostWeight returns the factor of the probability with which a server is selected that costs
 // the given multiple.
 func CostWeight(cost float64) float64 {
-	power := 1.0
-	for range CostExponent {
-		power *= cost
-	}
-	return 1 / power
+	// The power is written out, because each draw needs it of all servers.
+	cube := cost * cost * cost
+	return 1 / (cube * cube)
 }
 
 // Promising reports whether the server is expected to be no slower than one of which
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -231,6 +231,13 @@
 	}
 }
 
+// TestCostWeightIsThePower guards against a changed exponent that only locality computes with.
+func TestCostWeightIsThePower(t *testing.T) {
+	for _, cost := range []float64{0.5, 1, 1.4, 8} {
+		gomega.NewWithT(t).Expect(CostWeight(cost) * math.Pow(cost, CostExponent)).To(gomega.BeNumerically("~", 1, 1e-9))
+	}
+}
+
 // TestFullLocalServersDontHoldRequests guards against a penalty that keeps a request from idle
 // servers elsewhere when no local one has room.
 func TestFullLocalServersDontHoldRequests(t *testing.T) {
