--- a/feed/feed.go
+++ b/feed/feed.go
@@ -39,7 +39,8 @@
 	maxBackupReaders    = 20
 	// tablePollTime is how long the store may hold a long poll for the next table.
 	tablePollTime = 2 * time.Second
-	// callTimeout bounds a call to the store, excluding the long poll time.
+	// callTimeout bounds a call to the store, excluding the long poll time. Calls that prove
+	// the table have tableCallTimeout.
 	callTimeout = 700 * time.Millisecond
 	// outageThreshold is how long reads have to fail to count as an outage. During
 	// an outage live servers may lose their entries.
@@ -165,6 +166,9 @@
 	heardTable uint64
 	// refused is the newest table of the store if it can't be used.
 	refused *Refusal
+	// refusedUpTo is the highest version of a series of refused tables that follow the one
+	// in force without a gap, in refusedEra of the store.
+	refusedUpTo, refusedEra uint64
 	// heardState is set once a peer has sent its state.
 	heardState bool
 	// table is the active table, encoded as JSON.
@@ -398,6 +402,7 @@
 // reads those.
 func (f *Feed) followTable(ctx context.Context) {
 	var version uint64
+	failed := false
 	for ctx.Err() == nil {
 		now := time.Now()
 		if now.Before(f.readNotBefore) || f.opts.Current.Load() != nil && !f.shouldRead(now) && !f.shouldProve() {
@@ -408,15 +413,23 @@
 			sleep(ctx, pollInterval)
 			continue
 		}
-		read, err := f.readTable(ctx, version)
-		version = read
-		if err != nil {
+		wait := f.pollTime()
+		if failed {
+			// The response to the failed read may have been lost with a change.
+			wait = 0
+		}
+		read, err := f.readTable(ctx, version, wait)
+		version, failed = read, err != nil
+		if failed {
 			sleep(ctx, f.readDelay(err))
 		}
 	}
 }
 
-func (f *Feed) readTable(ctx context.Context, after uint64) (uint64, error) {
+// readTable reads the changes of the desired state after a version, for which the store may
+// hold the request for some time, and returns the version from which to continue; 0 means that
+// the next read has to fetch the whole state.
+func (f *Feed) readTable(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
 	asked := time.Now()
 	var state Desired
 	var version uint64
@@ -425,8 +438,7 @@
 	if after == 0 {
 		state, version, err = f.readDesired(ctx)
 	} else {
-		wait := f.pollTime()
-		limited, cancel := context.WithTimeout(ctx, wait+callTimeout)
+		limited, cancel := context.WithTimeout(ctx, wait+f.tableCallTimeout())
 		state, version, err = f.opts.Store.DesiredChange(limited, after, wait)
 		cancel()
 	}
@@ -445,13 +457,13 @@
 	if state.Table != nil {
 		f.activate(*state.Table, "store")
 	}
-	f.recordTableRead(sent, version, state)
+	f.recordTableRead(sent, after > 0, version, state)
 	return version, nil
 }
 
 // readDesired reads the whole desired state without waiting for a change.
 func (f *Feed) readDesired(ctx context.Context) (Desired, uint64, error) {
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	limited, cancel := context.WithTimeout(ctx, f.tableCallTimeout())
 	defer cancel()
 	return f.opts.Store.Desired(limited)
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -145,10 +145,38 @@
 	// undecodable makes reads fail to decode the table, noDesired makes all reads of the
 	// desired state fail.
 	undecodable, noDesired bool
+	// rejects is the number of reads of changes of the desired state that fail.
+	rejects int
+	// losses is the number of changes of the desired state whose responses are lost.
+	losses int
 	// afterChange, if set, is called when a change of the desired state has been read.
 	afterChange func()
 	// tableDown makes only the reads of the table fail.
 	tableDown bool
+	// slow is the time after which responses arrive.
+	slow time.Duration
+}
+
+// respond waits until the response of a call arrives.
+func (a *access) respond(ctx context.Context) error {
+	a.mu.Lock()
+	slow := a.slow
+	a.mu.Unlock()
+	if slow == 0 {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(slow):
+		return nil
+	}
+}
+
+func (a *access) setSlow(d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.slow = d
 }
 
 // countTableCall is like countCall for a read of the table.
@@ -184,8 +212,8 @@
 	return a.calls
 }
 
-func (a *access) Servers(context.Context) ([]directory.Change, uint64, error) {
-	if err := a.countCall(); err != nil {
+func (a *access) Servers(ctx context.Context) ([]directory.Change, uint64, error) {
+	if err := errors.Join(a.countCall(), a.respond(ctx)); err != nil {
 		return nil, 0, err
 	}
 	a.store.mu.Lock()
@@ -199,8 +227,8 @@
 	return all, a.version, nil
 }
 
-func (a *access) ServerChanges(_ context.Context, after uint64) ([]directory.Change, uint64, error) {
-	if err := a.countCall(); err != nil {
+func (a *access) ServerChanges(ctx context.Context, after uint64) ([]directory.Change, uint64, error) {
+	if err := errors.Join(a.countCall(), a.respond(ctx)); err != nil {
 		return nil, 0, err
 	}
 	a.store.mu.Lock()
@@ -217,7 +245,12 @@
 	return changes, a.version, nil
 }
 
-func (a *access) Desired(context.Context) (Desired, uint64, error) {
+func (a *access) Desired(ctx context.Context) (Desired, uint64, error) {
+	state, version, err := a.readDesired()
+	return state, version, errors.Join(err, a.respond(ctx))
+}
+
+func (a *access) readDesired() (Desired, uint64, error) {
 	if err := a.countTableCall(); err != nil {
 		return Desired{}, 0, err
 	}
@@ -241,9 +274,17 @@
 }
 
 func (a *access) DesiredChange(ctx context.Context, after uint64, wait time.Duration) (Desired, uint64, error) {
+	state, version, err := a.awaitChange(ctx, after, wait)
+	return state, version, errors.Join(err, a.respond(ctx))
+}
+
+func (a *access) awaitChange(ctx context.Context, after uint64, wait time.Duration) (Desired, uint64, error) {
 	if err := a.countTableCall(); err != nil {
 		return Desired{}, 0, err
 	}
+	if a.take(&a.rejects) {
+		return Desired{}, 0, errUnavailable
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -254,6 +295,10 @@
 		if lost {
 			return Desired{}, 0, &HistoryError{Version: after}
 		}
+		if found && a.take(&a.losses) {
+			<-ctx.Done()
+			return Desired{}, 0, ctx.Err()
+		}
 		if found {
 			if a.afterChange != nil {
 				a.afterChange()
@@ -277,6 +322,17 @@
 	}
 }
 
+// take reports whether the number of failures to come is not zero, and counts one.
+func (a *access) take(failures *int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if *failures == 0 {
+		return false
+	}
+	*failures--
+	return true
+}
+
 type instance struct {
 	id        string
 	access    *access
@@ -477,7 +533,7 @@
 	before := newcomer.exchange.SentBytes.Load()
 	_, err := f.readServers(t.Context(), 0)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	_, err = f.readTable(t.Context(), 0)
+	_, err = f.readTable(t.Context(), 0, tablePollTime)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(newcomer.servers()).To(gomega.HaveLen(servers))
 	g.Expect(newcomer.tableVersion()).To(gomega.Equal(uint64(3)))
--- a/feed/proof_test.go
+++ b/feed/proof_test.go
@@ -242,6 +242,45 @@
 	})
 }
 
+// TestSlowStoreProvesTheTable guards against calls that are given up shortly before their
+// responses arrive, again and again, while each response would be recent enough: at instances
+// that run and at one that starts meanwhile.
+func TestSlowStoreProvesTheTable(t *testing.T) {
+	for _, slow := range []time.Duration{650 * time.Millisecond, 750 * time.Millisecond, time.Second} {
+		t.Run(slow.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				s := newStore()
+				s.keys = true
+				s.put(server("a"))
+				s.setTable(3)
+				network := gossiptest.NewNetwork()
+				instances := provingFleet(t, network, s, 6)
+				time.Sleep(3 * time.Second)
+				for _, i := range instances {
+					i.access.setSlow(slow)
+				}
+				late, member := newInstanceIn(t, network, s, 6, "dc-0")
+				late.prove(6)
+				late.access.setSlow(slow)
+				for _, i := range instances {
+					i.exchange.Add(member)
+					late.exchange.Add(gossip.Member{ID: i.id, DataCentre: "dc-0", Address: i.conn.Address()})
+				}
+				late.start(t)
+				for n := range 400 {
+					time.Sleep(50 * time.Millisecond)
+					for _, i := range instances {
+						age, _ := i.proof.Age()
+						g.Expect(i.serves()).To(gomega.BeTrue(), "%s at %d: %v", i.id, n, age)
+					}
+				}
+				g.Expect(late.serves()).To(gomega.BeTrue(), "an instance that started meanwhile")
+			})
+		})
+	}
+}
+
 // TestSuspendedMachineHasAnOldProof guards against a local clock that leaves out suspension.
 func TestSuspendedMachineHasAnOldProof(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -292,6 +331,44 @@
 	})
 }
 
+// TestProcessesThatStartedInAnOutageServeSoonAfterIt guards against processes that refuse requests
+// for seconds after the store is back, because their next calibration is that far away.
+func TestProcessesThatStartedInAnOutageServeSoonAfterIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		s := newStore()
+		s.keys = true
+		s.put(server("a"))
+		s.setTable(3)
+		network := gossiptest.NewNetwork()
+		instances := provingFleet(t, network, s, 3)
+		time.Sleep(2 * time.Second)
+		for _, i := range instances {
+			i.access.setDown(true)
+		}
+		for n := range 8 {
+			late, member := newInstance(t, network, s, 3+n)
+			late.prove(3 + n)
+			late.access.setDown(true)
+			for _, i := range instances {
+				i.exchange.Add(member)
+				late.exchange.Add(gossip.Member{ID: i.id, DataCentre: "a", Address: i.conn.Address()})
+			}
+			late.start(t)
+			instances = append(instances, late)
+		}
+		time.Sleep(20 * time.Second)
+		for _, i := range instances {
+			g.Expect(i.serves()).To(gomega.BeFalse())
+			i.access.setDown(false)
+		}
+		time.Sleep(2 * time.Second)
+		for _, i := range instances {
+			g.Expect(i.serves()).To(gomega.BeTrue(), i.id)
+		}
+	})
+}
+
 // TestRestoredStoreIsCalibratedAnew restores the store from a copy, with a clock that is
 // ahead of the one before by an hour. It guards against a time of the new clock that is
 // converted with the offset of the old one: the table would never look old again.
@@ -391,15 +468,15 @@
 				g := gomega.NewWithT(t)
 				f, clock := newProver(5)
 				now := newStore().now()
-				f.recordTableRead(clock.now(), 9, Desired{StoreNow: now, Refused: &Refusal{Version: c.refused, Err: errors.New("fault")}})
+				f.recordTableRead(clock.now(), false, 9, Desired{StoreNow: now, Refused: &Refusal{Version: c.refused, Err: errors.New("fault")}})
 				_, ok := f.opts.Proof.Age()
 				g.Expect(ok).To(gomega.Equal(c.proven))
 				time.Sleep(time.Second)
-				f.recordTableRead(clock.now(), 9, Desired{StoreNow: now + time.Second})
+				f.recordTableRead(clock.now(), false, 9, Desired{StoreNow: now + time.Second})
 				_, ok = f.opts.Proof.Age()
 				g.Expect(ok).To(gomega.Equal(c.proven), "nothing has changed since")
 				f.opts.Current.Swap(table.Compile(table.Document{Version: 8}))
-				f.recordTableRead(clock.now(), 10, Desired{StoreNow: now + time.Second, Table: &table.Document{Version: 8}})
+				f.recordTableRead(clock.now(), false, 10, Desired{StoreNow: now + time.Second, Table: &table.Document{Version: 8}})
 				_, ok = f.opts.Proof.Age()
 				g.Expect(ok).To(gomega.BeTrue())
 			})
@@ -407,6 +484,39 @@
 	}
 }
 
+// TestSeveralRefusedTablesProveTheOneBefore guards against a fleet that stops serving because an
+// operator corrects a faulty table wrongly, and against a proof across a version that was missed.
+func TestSeveralRefusedTablesProveTheOneBefore(t *testing.T) {
+	for name, c := range map[string]struct {
+		refused []uint64
+		proven  bool
+	}{
+		"without a gap":     {[]uint64{6, 7, 8}, true},
+		"with a gap":        {[]uint64{6, 8}, false},
+		"after a gap":       {[]uint64{7, 8}, false},
+		"read again":        {[]uint64{6, 7, 7}, true},
+		"one is unreadable": {[]uint64{6, 0, 8}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, clock := newProver(5)
+				started := newStore()
+				for i, version := range c.refused {
+					time.Sleep(time.Second)
+					refused := &Refusal{Version: version, Err: errors.New("fault")}
+					f.recordTableRead(clock.now(), false, uint64(9+i), Desired{StoreNow: started.now(), Refused: refused})
+				}
+				g := gomega.NewWithT(t)
+				age, ok := f.opts.Proof.Age()
+				g.Expect(ok && age < time.Millisecond).To(gomega.Equal(c.proven))
+				f.receiveProof(gossip.Freshness{TableVersion: 5, TableAsOf: started.now()})
+				age, ok = f.opts.Proof.Age()
+				g.Expect(ok && age < time.Millisecond).To(gomega.BeTrue(), "a peer has read all versions")
+			})
+		})
+	}
+}
+
 // TestNoProofWithoutNeed guards against bytes in datagrams, calls and shorter long polls for
 // customers whose table has no workspaces or whose settings ask for no proof.
 func TestNoProofWithoutNeed(t *testing.T) {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -106,6 +106,9 @@
 	UnknownKey, UnprovenTable uint64
 	// Remote counts the requests sent to servers in other data centres.
 	Remote uint64
+	// OverShare counts the requests refused because the wait would have been too long, while
+	// their workspace had more of the queue than its fair share.
+	OverShare uint64
 	// InFlight is the number of requests being served now.
 	InFlight int64
 }
@@ -118,6 +121,7 @@
 	delegated, forPeers       atomic.Uint64
 	unknownKey, unprovenTable atomic.Uint64
 	remote                    atomic.Uint64
+	overShare                 atomic.Uint64
 	inFlight                  atomic.Int64
 
 	mu       sync.Mutex
@@ -185,7 +189,8 @@
 		Requests: f.requests.Load(), Retries: f.retries.Load(), Hedges: f.hedges.Load(),
 		Delegated: f.delegated.Load(), ForPeers: f.forPeers.Load(), Remote: f.remote.Load(),
 		UnknownKey: f.unknownKey.Load(), UnprovenTable: f.unprovenTable.Load(),
-		InFlight: f.inFlight.Load(),
+		OverShare: f.overShare.Load(),
+		InFlight:  f.inFlight.Load(),
 	}
 }
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -77,21 +77,21 @@
 		{"unknown_keys_total", "Requests refused without a key of a workspace.", func() uint64 { return stats().UnknownKey }},
 		{"table_unproven_total", "Requests refused because the table was too old to judge their key.", func() uint64 { return stats().UnprovenTable }},
 		{"remote_requests_total", "Requests sent to backend servers in other data centres.", func() uint64 { return stats().Remote }},
+		{"share_refused_total", "Requests refused while their workspace had more than its fair share of a queue.", func() uint64 { return stats().OverShare }},
 		{"server_connections_opened_total", "Connections opened to backend servers.", d.pool.Opened.Load},
 		{"server_connections_reused_total", "Uses of kept connections to backend servers.", d.pool.Reused.Load},
 		{"status_checks_total", "Status checks of backend servers.", d.pool.Checks.Load},
 		{"limited_requests_total", "Requests sent to backend servers that had named a limit.", func() uint64 { n, _ := d.board.LimitedSends(); return n }},
 		{"limited_checks_total", "Status checks of backend servers that had named a limit.", func() uint64 { _, n := d.board.LimitedSends(); return n }},
 		{"cold_requests_total", "Requests sent to backend servers that were cold.", d.board.ColdSends},
-		{"cold_turns_total", "Times that a backend server turned cold or warm.", d.coldTurns.Load},
-		{"quota_served_total", "Requests served within the caps of workspaces.", func() uint64 { return d.quotas.share.Stats().Served }},
-		{"quota_refused_total", "Requests refused beyond the caps of workspaces.", func() uint64 { return d.quotas.share.Stats().Refused }},
-		{"quota_floor_total", "Requests of workspaces served without a share of the cap.", func() uint64 { return d.quotas.share.Stats().Floor }},
-		{"quota_loans_total", "Requests that lent the shares of caps to an allocator.", func() uint64 { return d.quotas.share.Stats().Loans }},
-		{"quota_grants_total", "Answers of allocators with shares of caps.", func() uint64 { return d.quotas.share.Stats().Grants }},
-		{"quota_allocators_failed_total", "Allocators of caps that did not answer.", func() uint64 { return d.quotas.share.Stats().Failures }},
-		{"quota_granted_total", "Shares of caps granted to instances.", func() uint64 { return d.quotas.allocator.Stats().Granted }},
-		{"quota_cut_total", "Shares of caps granted late because others still held them.", func() uint64 { return d.quotas.allocator.Stats().Cut }},
+		{"cold_changes_total", "Times that a backend server turned cold or warm.", d.coldChanges.Load},
+		{"quota_served_total", "Requests served within the caps of workspaces.", func() uint64 { return d.quotas.client.Stats().Served }},
+		{"quota_refused_total", "Requests refused beyond the caps of workspaces.", func() uint64 { return d.quotas.client.Stats().Refused }},
+		{"quota_floor_total", "Requests of workspaces served while no allocator answered.", func() uint64 { return d.quotas.client.Stats().Floor }},
+		{"quota_asked_total", "Requests for units to allocators.", func() uint64 { return d.quotas.client.Stats().Asked }},
+		{"quota_allocators_failed_total", "Requests for units that an allocator did not answer.", func() uint64 { return d.quotas.client.Stats().Failures }},
+		{"quota_granted_total", "Units granted to instances.", func() uint64 { return d.quotas.allocator.Stats().Granted }},
+		{"quota_denied_total", "Units that instances asked for and that were not granted.", func() uint64 { return d.quotas.allocator.Stats().Refused }},
 		{"peer_sent_datagrams_total", "Datagrams sent to other instances.", d.exchange.Sent.Load},
 		{"peer_received_datagrams_total", "Datagrams received from other instances.", d.exchange.Received.Load},
 		{"peer_sent_bytes_total", "Bytes of datagrams sent to other instances.", d.exchange.SentBytes.Load},
@@ -110,7 +110,7 @@
 	} {
 		read := func() []metrics.Sample {
 			var samples []metrics.Sample
-			for _, c := range d.quotas.share.Counts() {
+			for _, c := range d.quotas.client.Counts() {
 				samples = append(samples, metrics.Sample{Label: c.Workspace, Value: f.count(c)})
 			}
 			return samples
