--- a/quota/client.go
+++ b/quota/client.go
@@ -408,7 +408,7 @@
 		return
 	}
 	c.forgetLocked(q)
-	send := func() {}
+	var send func()
 	a := q.account
 	if c.opts.BootTime()-q.sent >= unitTTL {
 		// The process was stopped meanwhile, or the answer was.
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -237,17 +237,17 @@
 	for name, fail := range map[string]func(f *fleet){
 		"nothing": func(*fleet) {},
 		"allocator killed": func(f *fleet) {
-			owner := f.owner("w")
+			owner := f.owner()
 			f.set(func() { owner.down = true })
 			time.Sleep(noticeTime)
 			f.change(func(ids []string) []string { return without(ids, owner.id) })
 		},
 		"allocator restarted": func(f *fleet) {
-			owner := f.owner("w")
+			owner := f.owner()
 			f.set(owner.restart)
 		},
 		"allocator frozen": func(f *fleet) {
-			owner := f.owner("w")
+			owner := f.owner()
 			f.set(func() { owner.down = true })
 			time.Sleep(noticeTime)
 			f.change(func(ids []string) []string { return without(ids, owner.id) })
@@ -271,7 +271,7 @@
 			})
 		},
 		"views of the allocators differ": func(f *fleet) {
-			owner := f.owner("w").id
+			owner := f.owner().id
 			leave := func(every int) func() {
 				return func() {
 					for n, i := range f.instances {
@@ -319,12 +319,12 @@
 	})
 }
 
-// owner returns the allocator of a workspace as the last instance sees it.
-func (f *fleet) owner(workspace string) *instance {
+// owner returns the allocator of the workspace "w" as the last instance sees it.
+func (f *fleet) owner() *instance {
 	last := f.instances[len(f.instances)-1]
 	last.client.mu.Lock()
 	defer last.client.mu.Unlock()
-	id, _ := last.client.allocatorLocked(last.client.account(workspace, time.Now()))
+	id, _ := last.client.allocatorLocked(last.client.account("w", time.Now()))
 	return f.find(id)
 }
 
