quota: allocators are relays with much capacity, and the bucket leaves room for substitutes

Change: only relays with half of the greatest capacity are allocators; a substitute grants a twentieth, and the bucket is the burst and 0.4 of the slack deep: 5 s of rate, burst, substitute and permits are 6.33 of 6.6 times the rate.

Not shown: whether repeated runs of a request count too; that needs a trace.

--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -233,6 +233,27 @@
 	return len(e.Alive(dataCentre)), e.members.countIn(dataCentre) + e.selfIn(dataCentre)
 }
 
+// Strong returns the sorted IDs of the relays of all data centres that have at least half of the
+// greatest relay capacity, for tasks that every instance waits for.
+func (e *Exchange) Strong() []string {
+	now := time.Now()
+	var relays []presence
+	greatest := uint32(0)
+	centres := e.members.knownDataCentres()
+	if !slices.Contains(centres, e.opts.DataCentre) {
+		centres = append(centres, e.opts.DataCentre)
+	}
+	for _, centre := range centres {
+		for _, r := range e.members.relays(centre, e.self(), now) {
+			relays = append(relays, r)
+			greatest = max(greatest, r.relayCapacity)
+		}
+	}
+	strong := ids(slices.DeleteFunc(relays, func(r presence) bool { return 2*r.relayCapacity < greatest }))
+	slices.Sort(strong)
+	return strong
+}
+
 // HeardShare returns the part of the fleet that this instance hears: the mean over the data
 // centres. Of its own, that is the part of the instances that are alive; another one counts whole
 // if any instance there is alive, since in a large fleet only the relays are known lately. Data
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -110,7 +110,7 @@
 		d.quotas.setLimits(d.settings.Load().Caps)
 		if d.quotas.refresh() {
 			now := d.quotas.now()
-			d.quotas.since(d.exchange.Readers(), now)
+			d.quotas.setAllocators(d.exchange.Strong(), now)
 			d.quotas.setHeard(d.heardShare())
 			d.quotas.allocator.Tick(now)
 		}
@@ -118,22 +118,20 @@
 	return nil
 }
 
-// since returns the time since which the given instances can be allocators.
-func (q *quotas) since(allocators []string, now time.Time) time.Time {
-	slices.Sort(allocators)
+// setAllocators records the instances that can be allocators.
+func (q *quotas) setAllocators(allocators []string, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if !slices.Equal(allocators, q.allocators) {
 		q.allocators, q.allocatorsSince = allocators, now
 	}
-	return q.allocatorsSince
 }
 
 // quotaFleet describes the fleet to the client.
 func (d *Daemon) quotaFleet() quota.Fleet {
-	allocators := d.exchange.Readers()
-	slices.Sort(allocators)
-	return quota.Fleet{Instances: d.sharers(), Allocators: allocators}
+	d.quotas.mu.Lock()
+	defer d.quotas.mu.Unlock()
+	return quota.Fleet{Instances: d.sharers(), Allocators: d.quotas.allocators}
 }
 
 // heardShare returns the part of the fleet that this instance hears. One that does not know the
@@ -152,18 +150,17 @@
 }
 
 // role describes this instance as an allocator.
-func (q *quotas) role(allocators []string, now time.Time) quota.Role {
-	since := q.since(allocators, now)
+func (q *quotas) role() quota.Role {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return quota.Role{Share: q.heard, Since: since}
+	return quota.Role{Share: q.heard, Since: q.allocatorsSince}
 }
 
 // sendUnitRequest sends a request to an allocator, which may be this instance.
 func (d *Daemon) sendUnitRequest(to string, req *quotapb.UnitRequest) {
 	if to == d.self.ID {
 		now := d.quotas.now()
-		d.quotas.client.Receive(to, d.quotas.allocator.Receive(to, req, d.quotas.role(d.exchange.Readers(), now), now))
+		d.quotas.client.Receive(to, d.quotas.allocator.Receive(to, req, d.quotas.role(), now))
 		return
 	}
 	d.sendQuota(to, kindUnitRequest, req)
@@ -177,7 +174,7 @@
 	}
 	d.quotas.refresh()
 	now := d.quotas.now()
-	d.sendQuota(from, kindUnitGrant, d.quotas.allocator.Receive(from, req, d.quotas.role(d.exchange.Readers(), now), now))
+	d.sendQuota(from, kindUnitGrant, d.quotas.allocator.Receive(from, req, d.quotas.role(), now))
 }
 
 func (d *Daemon) receiveUnitGrant(from string, payload []byte) {
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -16,7 +16,7 @@
 	takeoverShare = 0.5
 	// substituteShare is the part of a cap that is granted to instances that don't reach the
 	// allocator itself, which may go on granting to others.
-	substituteShare = 0.1
+	substituteShare = 0.05
 	// maxPause is the time without a call after which the process may have been stopped, so
 	// that another allocator may have taken over.
 	maxPause = time.Second
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -11,13 +11,12 @@
 	Slack float64
 }
 
-// Of Excess and Slack, depthExcess and depthSlack make the bucket deeper than the cap's burst:
-// requests of a workspace arrive in clusters. floorExcess and floorSlack go to instances that
-// reach no allocator, as permits. The rest covers the time for which units are held by instances,
-// and a change of the allocator.
+// Of Slack, depthSlack makes the bucket deeper than the cap's burst: requests of a workspace
+// arrive in clusters. floorExcess and floorSlack go to instances that reach no allocator, as
+// permits. The rest covers substitutes, the time for which requests hold a unit and wait in a
+// queue, and a change of the allocator.
 const (
-	depthExcess = 0.15
-	depthSlack  = 0.6
+	depthSlack  = 0.4
 	floorExcess = 0.05
 	floorSlack  = 0.2
 )
@@ -26,9 +25,7 @@
 func (l Limits) excess(c Cap) float64 { return l.Excess * (c.PerSecond*l.Window.Seconds() + c.Burst) }
 
 // depth returns the depth of the token bucket of a workspace.
-func (l Limits) depth(c Cap) float64 {
-	return c.Burst + depthExcess*l.excess(c) + depthSlack*l.Slack
-}
+func (l Limits) depth(c Cap) float64 { return c.Burst + depthSlack*l.Slack }
 
 // floor returns the number of permits a second that all instances get together.
 func (l Limits) floor(c Cap) float64 {
