entry: an instance that has just started is an allocator before it knows the whole fleet

Cause: for 0.8 s after the start of a process it granted 1/512 of each cap; after the loss of power of all, that refused nearly all requests of workspaces with a cap.

--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -134,10 +134,11 @@
 	return quota.Fleet{Instances: d.sharers(), Allocators: d.quotas.allocators}
 }
 
-// heardShare returns the part of the fleet that this instance hears. One that does not know the
-// fleet may have been cut off from it.
+// heardShare returns the part of the fleet that this instance hears. One that knows nobody may
+// have been cut off from the others. One that has just started grants before it knows all: the
+// others ask it only if they know it, and a new allocator grants half of each cap.
 func (d *Daemon) heardShare() float64 {
-	if !d.knowsFleet() {
+	if !d.joined.Load() && d.exchange.Known() <= 1 {
 		return 1.0 / assumedInstances
 	}
 	return d.exchange.HeardShare()
