quota: the bucket of a restarted allocator is 0.3 full and grants the whole rate

Ruled out: telling a restart of all from one of the allocator by the starts of its peers (clocks jump).

--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -154,7 +154,7 @@
 func (q *quotas) role() quota.Role {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return quota.Role{Share: q.heard, Since: q.allocatorsSince}
+	return quota.Role{Share: q.heard, Since: q.allocatorsSince, Started: q.began}
 }
 
 // sendUnitRequest sends a request to an allocator, which may be this instance.
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -14,6 +14,10 @@
 	// one before may still be asked by instances that don't know of the change.
 	takeoverTime  = 1500 * time.Millisecond
 	takeoverShare = 0.5
+	// restartLevel is the part of its depth to which the bucket of a new process is filled. What
+	// the process before it granted, this part and the rate stay within the excess together,
+	// however soon it has restarted; callers that could not be served meanwhile return at once.
+	restartLevel = 0.3
 	// substituteShare is the part of a cap that is granted to instances that don't reach the
 	// allocator itself, which may go on granting to others.
 	substituteShare = 0.05
@@ -35,8 +39,8 @@
 	// so that the sides of a partition don't grant more than the whole.
 	Share float64
 	// Since is when the set of instances that can be allocators last changed, or the time at
-	// which the process started.
-	Since time.Time
+	// which the process started, which is Started.
+	Since, Started time.Time
 }
 
 // AllocatorStats are counters since the start of the process.
@@ -198,7 +202,7 @@
 
 // newBucket returns the bucket of a workspace of which this allocator knows nothing. If the
 // allocators have long been the same, nobody has asked for units lately and the bucket is full.
-// Otherwise another allocator may have granted them.
+// Otherwise another allocator may have granted them, or this one before its process ended.
 func (a *Allocator) newBucket(c Cap, role Role, substitute bool, now time.Time) *bucket {
 	if substitute {
 		return &bucket{at: now}
@@ -206,6 +210,9 @@
 	if now.Sub(role.Since) >= a.limits.Window && now.Sub(a.resumed) >= a.limits.Window {
 		return &bucket{level: a.limits.depth(c) * role.Share, at: now}
 	}
+	if now.Sub(role.Started) < a.limits.Window {
+		return &bucket{level: restartLevel * a.limits.depth(c) * role.Share, at: now}
+	}
 	return &bucket{at: now, slowUntil: now.Add(takeoverTime)}
 }
 
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -41,6 +41,7 @@
 	client    *Client
 	allocator *Allocator
 	since     time.Time
+	started   time.Time
 	// side is the side of a partition on which the instance is; allocators are those that it
 	// sees, share the part of the fleet that it hears.
 	side       int
@@ -75,7 +76,7 @@
 // restart replaces the process of an instance. The fleet's lock is held.
 func (i *instance) restart() {
 	started := time.Now()
-	i.since = started
+	i.since, i.started = started, started
 	i.client = NewClient(ClientOptions{
 		Process: i.f.random.Uint32(), Random: rand.New(rand.NewPCG(i.f.random.Uint64(), 3)),
 		Fleet: func() Fleet {
@@ -111,7 +112,9 @@
 	i.f.carry(i, other, func() {
 		var allocator *Allocator
 		var role Role
-		i.f.set(func() { allocator, role = other.allocator, Role{Share: other.share, Since: other.since} })
+		i.f.set(func() {
+			allocator, role = other.allocator, Role{Share: other.share, Since: other.since, Started: other.started}
+		})
 		grant := allocator.Receive(i.id, req, role, time.Now())
 		i.f.carry(other, i, func() { client.Receive(to, grant) })
 	})
