forward: a rejected request is sent back at once only if another server may have room

Cause (found in review): if one server with free slots rejected a request and the next attempt found no room anywhere, the caller was still told to return after 5 to 25 ms, to a full service.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -318,6 +318,8 @@
 					continue
 				}
 				x.refund()
+				// No other server has room.
+				x.rejected = false
 			}
 			if running == 0 {
 				return finish(x.finalResponse(last))
--- a/forward/refresh.go
+++ b/forward/refresh.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	// refreshCount is the number of servers whose loads are known to be fresh when a
-	// request chooses one.
+	// refreshCount is the number of servers, drawn at random, that a request looks at in one
+	// round.
 	refreshCount = 2
-	// refreshRounds is the number of times that others are tried if these are slow.
+	// refreshRounds is the number of rounds while none of the servers is promising.
 	refreshRounds = 3
-	// freshAge is the age up to which a load counts as fresh. Slowdowns last some
-	// hundred milliseconds.
+	// freshAge is the age up to which a load counts as fresh. All instances that hear of an
+	// idle server send there: after 10 ms, such a server is idle less often than any other.
 	freshAge = 2 * time.Millisecond
 	// refreshWait bounds the time for which a request waits for fresh loads. It is some
 	// round trips between data centres.
--- a/forward/rejected_test.go
+++ b/forward/rejected_test.go
@@ -5,8 +5,11 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/pomelolock/pomelolock/readings"
 )
 
 // TestCallerOfARejectedRequestReturnsAtOnce guards against callers who wait some hundred
@@ -34,3 +37,20 @@
 		})
 	}
 }
+
+// TestCallerOfARejectedRequestWaitsWithoutRoomElsewhere guards against callers who return at once
+// to a service whose other servers are full.
+func TestCallerOfARejectedRequestWaitsWithoutRoomElsewhere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture(t, startServer(t, "s1", func(conn net.Conn, req *http.Request) {
+		respond(conn, req, http.StatusServiceUnavailable, "", "Not-Executed: 1", "Upstream-Load: 1,0,6,100")
+	}), startServer(t, "s2", ok))
+	f.board.Receive(readings.Reading{
+		Server: readings.KeyOf("s2"), HasReport: true, At: time.Now().Add(time.Hour), Report: readings.Report{Running: 6, Slots: 6, SlowdownPercent: 100},
+	})
+	resp, _ := f.call(t, http.MethodGet, "/look/", "")
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(seconds).To(gomega.BeNumerically(">=", 0.15))
+}
--- a/internal/entry/quotaclock_test.go
+++ b/internal/entry/quotaclock_test.go
@@ -9,8 +9,8 @@
 	"github.com/pomelolock/pomelolock/storeclock"
 )
 
-// TestCapsCountSuspension guards against grants that are in use after a suspension of the
-// machine: they are valid for a second, but Go's monotonic clock stops.
+// TestCapsCountSuspension guards against an allocator that does not notice a suspension of its
+// machine, in which another one took over: Go's monotonic clock stops.
 func TestCapsCountSuspension(t *testing.T) {
 	g := gomega.NewWithT(t)
 	suspended := time.Duration(0)
