entry: a table that arrives while units are asked for doesn't block the instance

Cause (found in a reading): refresh holds the lock of quotas while it sets the client's table; the client holds its own lock while it asks for the allocators, which took the lock of quotas. A table that arrived at that moment stopped all requests of workspaces with a cap, and the goroutine that receives datagrams.

Change: what the client asks for has a lock of its own.

--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -37,6 +37,10 @@
 	// last is the table whose caps are in force, capped whether it has any.
 	last   *table.Snapshot
 	capped bool
+
+	// fleetMu guards the fields below. The client asks for them with its own lock held, which
+	// refresh takes while it holds mu.
+	fleetMu sync.Mutex
 	// allocators are the instances that can be allocators, since allocatorsSince.
 	allocators      []string
 	allocatorsSince time.Time
@@ -120,18 +124,23 @@
 
 // setAllocators records the instances that can be allocators.
 func (q *quotas) setAllocators(allocators []string, now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
+	q.fleetMu.Lock()
+	defer q.fleetMu.Unlock()
 	if !slices.Equal(allocators, q.allocators) {
 		q.allocators, q.allocatorsSince = allocators, now
 	}
 }
 
+// allocatorIDs returns the IDs of the instances that can be allocators.
+func (q *quotas) allocatorIDs() []string {
+	q.fleetMu.Lock()
+	defer q.fleetMu.Unlock()
+	return q.allocators
+}
+
 // quotaFleet describes the fleet to the client.
 func (d *Daemon) quotaFleet() quota.Fleet {
-	d.quotas.mu.Lock()
-	defer d.quotas.mu.Unlock()
-	return quota.Fleet{Instances: d.sharers(), Allocators: d.quotas.allocators}
+	return quota.Fleet{Instances: d.sharers(), Allocators: d.quotas.allocatorIDs()}
 }
 
 // heardShare returns the part of the fleet that this instance hears. One that knows nobody may
@@ -145,15 +154,15 @@
 }
 
 func (q *quotas) setHeard(share float64) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
+	q.fleetMu.Lock()
+	defer q.fleetMu.Unlock()
 	q.heard = share
 }
 
 // role describes this instance as an allocator.
 func (q *quotas) role() quota.Role {
-	q.mu.Lock()
-	defer q.mu.Unlock()
+	q.fleetMu.Lock()
+	defer q.fleetMu.Unlock()
 	return quota.Role{Share: q.heard, Since: q.allocatorsSince, Started: q.began}
 }
 
