gossip, entry: StrongRelays says what it returns; caps are followed only while a table has some

Change: without caps, the goroutine waits for a table that has some. Doc comments of SpareCapacity say what the number counts.

Checked: go test ./gossip ./placement ./internal/entry passes.

--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -233,9 +233,9 @@
 	return len(e.Alive(dataCentre)), e.members.countIn(dataCentre) + e.selfIn(dataCentre)
 }
 
-// Strong returns the sorted IDs of the relays of all data centres that have at least half of the
-// greatest relay capacity, for tasks that every instance waits for.
-func (e *Exchange) Strong() []string {
+// StrongRelays returns the sorted IDs of the relays of all data centres that have at least half
+// of the greatest relay capacity, for tasks whose result callers wait for.
+func (e *Exchange) StrongRelays() []string {
 	now := time.Now()
 	var relays []presence
 	greatest := uint32(0)
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -18,7 +18,7 @@
 )
 
 // quotaInterval is the time between two looks at the settings and at the instances that can be
-// allocators.
+// allocators, while the table has caps.
 const quotaInterval = 100 * time.Millisecond
 
 // quotas caps the requests of workspaces. It implements [forward.Quota].
@@ -108,16 +108,24 @@
 // Return implements [forward.Quota].
 func (q *quotas) Return(workspace string) { q.client.Return(workspace) }
 
-// followQuotas keeps what the caps depend on up to date.
+// followQuotas keeps what the caps depend on up to date. Without caps, it waits for a table that
+// has some.
 func (d *Daemon) followQuotas(ctx context.Context) error {
-	for sleep(ctx, quotaInterval) {
+	for ctx.Err() == nil {
+		changed := d.current.Changed()
 		d.quotas.setLimits(d.settings.Load().Caps)
-		if d.quotas.refresh() {
-			now := d.quotas.now()
-			d.quotas.setAllocators(d.exchange.Strong(), now)
-			d.quotas.setHeard(d.heardShare())
-			d.quotas.allocator.Tick(now)
+		if !d.quotas.refresh() {
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			}
+			continue
 		}
+		now := d.quotas.now()
+		d.quotas.setAllocators(d.exchange.StrongRelays(), now)
+		d.quotas.setHeard(d.heardShare())
+		d.quotas.allocator.Tick(now)
+		sleep(ctx, quotaInterval)
 	}
 	return nil
 }
@@ -144,8 +152,8 @@
 }
 
 // heardShare returns the part of the fleet that this instance hears. One that knows nobody may
-// have been cut off from the others. One that has just started grants before it knows all: the
-// others ask it only if they know it, and a new allocator grants half of each cap.
+// have been cut off from the others. One that has just started grants before it knows all: until
+// the others know it, only its own requests ask it.
 func (d *Daemon) heardShare() float64 {
 	if !d.joined.Load() && d.exchange.Known() <= 1 {
 		return 1.0 / assumedInstances
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -133,7 +133,7 @@
 	return assessed
 }
 
-// SpareCapacity returns how many requests can run without slowdown on the servers
+// SpareCapacity returns how many more requests the servers accept
 // whose expected time is at most maxTime. Unhealthy servers count only if none is
 // healthy, and limited ones not at all.
 func SpareCapacity(assessed []Assessment, maxTime float64) int {
@@ -248,8 +248,7 @@
 	return false
 }
 
-// spareCapacity returns how many more requests the server accepts before it slows
-// down.
+// spareCapacity returns how many more requests the server accepts before it does less work.
 func (c Candidate) spareCapacity() int {
 	if c.Quiet {
 		return 0
