--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -106,7 +106,7 @@
 		if len(x.reservations) == 0 && len(x.peers) == 0 {
 			x.returnUnit()
 		}
-		x.log("caller left", slog.Any("tried", x.reservations), slog.Duration("after", time.Since(x.receivedAt)))
+		x.log("caller left", append(x.timing(), slog.Any("tried", x.reservations), slog.Duration("after", time.Since(x.receivedAt)))...)
 		panic(http.ErrAbortHandler)
 	case failed != nil:
 		x.writeError(failed)
@@ -517,9 +517,9 @@
 	if x.service != nil {
 		service = x.service.Name
 	}
-	x.log("request not served", slog.String("code", string(failed.Code)), slog.Int("status", failed.Status),
-		slog.String("service", service), slog.Any("tried", x.reservations), slog.Duration("took", took),
-		slog.Duration("retry_after", failed.RetryAfter), slog.Any("error", failed.Err))
+	x.log("request not served", append(x.timing(), slog.String("code", string(failed.Code)), slog.Int("status", failed.Status),
+		slog.Any("tried", x.reservations), slog.Duration("took", took),
+		slog.Duration("retry_after", failed.RetryAfter), slog.Any("error", failed.Err))...)
 	if x.delegation != nil {
 		writePeerError(x.w.Header(), failed)
 	}
@@ -530,6 +530,23 @@
 	}
 }
 
+// timing returns what the log tells about the time of a request: its service and target, its
+// age when it arrived, counted from the caller's first attempt, and after which time it was
+// first sent to a server.
+func (x *exchange) timing() []slog.Attr {
+	if x.service == nil {
+		return nil
+	}
+	attrs := []slog.Attr{
+		slog.String("service", x.service.Name), slog.Duration("target", x.target()),
+		slog.Duration("age", x.receivedAt.Sub(x.firstSentAt)),
+	}
+	if len(x.reservations) > 0 {
+		attrs = append(attrs, slog.Duration("waited", x.reservations[0].reservedAt.Sub(x.receivedAt)))
+	}
+	return attrs
+}
+
 // log writes a log line about the request.
 func (x *exchange) log(event string, attrs ...slog.Attr) {
 	ctx := context.Background()
