readings: a shared reading has the requests that were sent since

Cause: the instance that gets a response learns first of the slot that it frees, and often uses it at once; the reading that it then shares still shows the slot as free.

Change: Board.TakeUnshared and Recent add the requests of this instance that began and ended since the report.

--- a/readings/board.go
+++ b/readings/board.go
@@ -380,12 +380,31 @@
 		load.ColdRate = s.warmth.issued / float64(max(instances, 1))
 		load.Permitted = load.Permitted && s.warmth.available(instances, now)
 	}
+	load.UnreportedInFlight = s.unreported()
+	return load
+}
+
+// unreported returns the net change in this instance's in-flight requests since the report.
+func (s *state) unreported() int {
+	sum := 0
 	for _, e := range s.events {
 		if e.at.After(s.reading.At) {
-			load.UnreportedInFlight += e.delta
+			sum += e.delta
 		}
 	}
-	return load
+	return sum
+}
+
+// shared returns the reading for other instances, with the requests that this instance has sent
+// since the report. The instance that gets a response is the first to know of the free slot and
+// often uses it before the reading is sent; without these requests, the others would use the
+// same slot.
+func (s *state) shared() Reading {
+	r := s.reading
+	if r.HasReport {
+		r.Running = max(r.Running+s.unreported(), 0)
+	}
+	return r
 }
 
 // TakeUnshared returns the readings and results that this instance recorded since
@@ -403,7 +422,7 @@
 		s.queued = false
 		if s.readingUnshared && !s.readingHeld {
 			s.readingUnshared = false
-			readings = append(readings, s.reading)
+			readings = append(readings, s.shared())
 		}
 		if s.unsharedGood > 0 || s.unsharedFailed > 0 {
 			results = append(results, Results{Server: server, Good: s.unsharedGood, Failed: s.unsharedFailed})
@@ -421,7 +440,7 @@
 	var recent []Reading
 	for _, s := range b.servers {
 		if now.Sub(s.reading.newest()) <= maxAge {
-			recent = append(recent, s.reading)
+			recent = append(recent, s.shared())
 		}
 	}
 	return recent
--- a/readings/board_test.go
+++ b/readings/board_test.go
@@ -96,3 +96,22 @@
 	g.Expect(b.Load("busy", now).OwnInFlight).To(gomega.Equal(1))
 	g.Expect(b.Load("s", now).HasReport).To(gomega.BeFalse())
 }
+
+// TestSharedReadingHasWhatWasSentSince guards against instances that all use the slot that a
+// response has reported as free, although the one that got the response has used it.
+func TestSharedReadingHasWhatWasSentSince(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	b := NewBoard()
+	b.Began("s", now.Add(-time.Second))
+	b.Observe(Reading{Server: KeyOf("s"), HasReport: true, At: now, Report: Report{Running: 2, Slots: 3}})
+	b.Ended("s", now.Add(time.Millisecond))
+	b.Began("s", now.Add(2*time.Millisecond))
+	b.Began("s", now.Add(3*time.Millisecond))
+	shared, _ := b.TakeUnshared()
+	g.Expect(shared).To(gomega.HaveLen(1))
+	g.Expect(shared[0].Running).To(gomega.Equal(3))
+	g.Expect(b.Load("s", now.Add(4*time.Millisecond)).Running).To(gomega.Equal(2), "the own reading stays as reported")
+	b.Ended("s", now.Add(5*time.Millisecond))
+	g.Expect(b.Recent(now, time.Second)[0].Running).To(gomega.Equal(2))
+}
