forward: servers are checked before waiting requests are sent to them

Cause: while requests wait, all instances see the same few free slots, and until the next datagram none knows that another has used one. Their dispatch ticks also coincided, as they start together.

Instances begin their ticks at random moments.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -163,6 +164,12 @@
 
 // Run sends queued requests as capacity becomes available, until ctx is done.
 func (f *Forwarder) Run(ctx context.Context) error {
+	// Instances that start together don't look for free slots at the same moments.
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-time.After(rand.N(dispatchInterval)):
+	}
 	ticker := time.NewTicker(dispatchInterval)
 	defer ticker.Stop()
 	for {
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -82,8 +82,10 @@
 	// checksAt.
 	checks   float64
 	checksAt time.Time
-	usual    usualCache
-	local    localState
+	// dispatching is set while a round of dispatching waits for the loads of servers.
+	dispatching bool
+	usual       usualCache
+	local       localState
 }
 
 // waiter is an attempt that waits for spare capacity.
@@ -392,7 +394,7 @@
 		}
 		q.openLocked(now)
 	}
-	q.dispatchLocked(now)
+	q.startDispatchLocked(now)
 	q.rate += rateSmoothing * (float64(q.sent)/dispatchInterval.Seconds() - q.rate)
 	q.lateRate += rateSmoothing * (float64(q.sentLate)/dispatchInterval.Seconds() - q.lateRate)
 	q.intervals++
@@ -428,38 +430,6 @@
 	}
 }
 
-// dispatchLocked sends waiting requests in their order, up to this instance's share
-// of the spare capacity.
-func (q *queue) dispatchLocked(now time.Time) {
-	if len(q.waiters) == 0 {
-		return
-	}
-	q.sortLocked(now)
-	candidates := q.assess(q.servers(), now)
-	allowance := q.sharesLocked(candidates, now)
-	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
-		allowed := &allowance.InTime
-		if w.Late(now, q.serviceTime) {
-			allowed = &allowance.Late
-		}
-		untried := candidates.excluding(w.x.tried)
-		if *allowed <= 0 {
-			untried = untried.limited()
-		}
-		r, ok := q.reserveLocked(w, untried, now)
-		if !ok {
-			return false
-		}
-		q.reassess(candidates, r.server, now)
-		if !r.load.Limited() {
-			*allowed--
-		}
-		w.granted <- grant{reservation: r}
-		return true
-	})
-	q.publishBacklogLocked(now)
-}
-
 // refuseEvacuatedLocked refuses the waiting requests for which evacuations left no server.
 // Without an evacuation, requests wait, since a server that restarts is back soon.
 func (q *queue) refuseEvacuatedLocked(now time.Time) {
@@ -492,16 +462,6 @@
 	q.publishBacklogLocked(now)
 }
 
-// sharesLocked returns how many waiting requests this instance may send now. The
-// first waiter determines which servers are fast enough for those in time.
-func (q *queue) sharesLocked(candidates candidateSet, now time.Time) admission.Counts {
-	assessed := candidates.excluding(q.waiters[0].x.tried).assessed
-	own, others := counts(q.waiters, now, q.serviceTime), q.f.opts.Backlogs.Others(q.service, now)
-	inTime := admission.Shares(placement.SpareCapacity(assessed, q.maxTime(q.waiters[0], now)), own, others)
-	late := admission.Shares(placement.SpareCapacity(assessed, math.Inf(1)), own, others)
-	return admission.Counts{InTime: inTime.InTime, Late: late.Late}
-}
-
 // refuseExpiredLocked refuses waiting requests that would miss their deadline.
 func (q *queue) refuseExpiredLocked(now time.Time) {
 	before := len(q.waiters)
--- a/forward/refresh.go
+++ b/forward/refresh.go
@@ -55,10 +55,7 @@
 			}
 			fresh = append(fresh, server.ID)
 			if load.Age > freshAge && !load.Limit.Named {
-				stale = append(stale, readings.Target{
-					Server: server.ID, DataCentre: server.DataCentre, Address: server.Address, Born: server.Born, Path: x.service.HealthPath,
-					Connections: q.f.opts.ConnLimit(x.service),
-				})
+				stale = append(stale, q.target(server, x))
 			}
 		}
 		if allowed := stale[:q.takeChecks(len(stale), now)]; len(allowed) > 0 {
@@ -68,16 +65,28 @@
 	return fresh
 }
 
+// target returns the status check of a server for a request.
+func (q *queue) target(server directory.Server, x *exchange) readings.Target {
+	return readings.Target{
+		Server: server.ID, DataCentre: server.DataCentre, Address: server.Address, Born: server.Born, Path: x.service.HealthPath,
+		Connections: q.f.opts.ConnLimit(x.service),
+	}
+}
+
 // takeChecks returns how many of the wanted checks this instance may make now: an equal share
 // of the checks that the servers may get from all instances.
 func (q *queue) takeChecks(want int, now time.Time) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.takeChecksLocked(want, now)
+}
+
+func (q *queue) takeChecksLocked(want int, now time.Time) int {
 	perServer := q.f.opts.CheckRate()
 	if perServer <= 0 {
 		return want
 	}
 	rate := perServer * float64(len(q.servers())) / float64(max(q.f.opts.Instances(), 1))
-	q.mu.Lock()
-	defer q.mu.Unlock()
 	most := max(rate*checkBurst.Seconds(), refreshCount*refreshRounds)
 	if q.checksAt.IsZero() {
 		q.checks = most
