--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -357,7 +357,7 @@
 	if !x.route.Repeatable || target <= 0 || x.body.streamed() {
 		target = time.Hour
 	}
-	return time.NewTimer(time.Until(x.firstSentAt) + time.Duration(float64(target)*hedgeDelayShare))
+	return time.NewTimer(time.Until(x.receivedAt) + time.Duration(float64(target)*hedgeDelayShare))
 }
 
 // target returns the target latency of the request, within which the response has
