forward: freed capacity is left to requests that can still be in time

Cause: the instance that frees a slot gave it to its own next request, also to one that was late already while requests at other instances could still meet their targets.

Change: if only late requests wait here and others can be in time elsewhere, the slot is left to the next dispatch, unless the server is too slow for them or no check is available.

--- a/forward/dispatch_test.go
+++ b/forward/dispatch_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -26,7 +27,6 @@
 	fleetInstances   = 18
 	fleetServers     = 15
 	fleetSlots       = 3
-	fleetRequests    = 145 // a second
 	fleetWork        = 160 * time.Millisecond
 	fleetTarget      = 400 * time.Millisecond
 	fleetDeadline    = 1200 * time.Millisecond
@@ -150,9 +150,9 @@
 }
 
 // playFleet runs the load and returns the share of requests served within their target and the
-// share of the servers' time in which they had too many requests. Without check, requests that
-// wait are sent by the readings that instances share.
-func playFleet(t *testing.T, check bool) (inTarget, crowded float64) {
+// share of the servers' time in which they had too many requests. requests is their number in a
+// second. Without check, requests that wait are sent by the readings that instances share.
+func playFleet(t *testing.T, requests float64, check bool) (inTarget, crowded float64) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		rng := rand.New(rand.NewPCG(7, 8))
@@ -189,7 +189,7 @@
 				exchangeReadings(instances)
 			}
 			l.advance()
-			if rng.Float64() < fleetRequests*fleetStep.Seconds() {
+			if rng.Float64() < requests*fleetStep.Seconds() {
 				total++
 				in, work := instances[rng.IntN(fleetInstances)], time.Duration(float64(fleetWork)*(0.7+0.6*rng.Float64()))
 				go func() {
@@ -244,9 +244,65 @@
 // same free slot, because each learns only from the next datagram that another has used it.
 func TestWaitingRequestsDoNotCrowdServers(t *testing.T) {
 	g := gomega.NewWithT(t)
-	without, crowdedWithout := playFleet(t, false)
-	with, crowded := playFleet(t, true)
+	const requests = 145
+	without, crowdedWithout := playFleet(t, requests, false)
+	with, crowded := playFleet(t, requests, true)
 	t.Logf("in target: %.3f with checks, %.3f without; servers crowded: %.3f and %.3f of the time", with, without, crowded, crowdedWithout)
 	g.Expect(crowded).To(gomega.BeNumerically("<", crowdedWithout/2))
 	g.Expect(with).To(gomega.BeNumerically(">", without))
 }
+
+// TestOverloadServesThoseInTime guards against capacity that goes to requests which are late
+// already, while others that could be served in time wait at other instances. With more requests
+// than the servers can run, 0.7 of what they can run has to be in time.
+func TestOverloadServesThoseInTime(t *testing.T) {
+	const requests, share = 165, 0.7
+	running := float64(fleetServers * (fleetSlots - 1))
+	capacity := running / fleetWork.Seconds() * (1 - fleetNoiseShare + fleetNoiseShare/fleetNoiseFactor)
+	inTarget, _ := playFleet(t, requests, true)
+	t.Logf("in target: %.3f of %d a second, the servers can run %.0f", inTarget, requests, capacity)
+	gomega.NewWithT(t).Expect(inTarget*requests).To(gomega.BeNumerically(">=", share*capacity))
+}
+
+// TestFreedCapacityIsLeftToRequestsInTime guards against an instance that uses the capacity it
+// frees for late requests, while others elsewhere could still meet their targets there.
+func TestFreedCapacityIsLeftToRequestsInTime(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name      string
+		elsewhere int
+		slowdown  int
+		late      bool
+		checks    float64
+		served    bool
+	}{
+		{"late, others in time", 1, 100, true, 30, false},
+		{"late, nobody else", 0, 100, true, 30, true},
+		{"late, server too slow for others", 1, 500, true, 30, true},
+		{"late, no checks", 1, 100, true, 1e-9, true},
+		{"in time", 1, 100, false, 30, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newOrderFixture()
+			f.q.f.opts.Pool = serverconn.NewPool()
+			f.q.f.opts.Current = table.NewCurrent()
+			if c.elsewhere > 0 {
+				f.q.f.opts.Backlogs.Receive("other", false, []admission.Backlog{{Service: "main", Counts: admission.Counts{InTime: c.elsewhere}}}, now)
+			}
+			f.q.f.opts.Board.Observe(readings.Reading{
+				Server: readings.KeyOf("s"), HasReport: true, At: now,
+				Report: readings.Report{Running: 1, Slots: fleetSlots, SlowdownPercent: c.slowdown},
+			})
+			f.q.f.opts.CheckRate = func() float64 { return c.checks }
+			x := &exchange{f: f.q.f, in: &http.Request{}, service: &table.Service{Name: "main", HealthPath: "/health"}, snapshot: f.snapshot, deadline: now.Add(time.Second)}
+			w := &waiter{Request: admission.Request{Target: now.Add(fleetTarget), Deadline: now.Add(time.Second)}, x: x, granted: make(chan grant, 1)}
+			if c.late {
+				w.Target = now.Add(-time.Millisecond)
+			}
+			f.q.waiters = []*waiter{w}
+			f.q.takeChecks(refreshCount*refreshRounds, now.Add(-time.Second))
+			f.q.capacityFreed("s", now)
+			gomega.NewWithT(t).Expect(len(w.granted)).To(gomega.Equal(map[bool]int{true: 1}[c.served]))
+		})
+	}
+}
--- a/forward/refresh.go
+++ b/forward/refresh.go
@@ -82,11 +82,27 @@
 }
 
 func (q *queue) takeChecksLocked(want int, now time.Time) int {
-	perServer := q.f.opts.CheckRate()
-	if perServer <= 0 {
+	if q.f.opts.CheckRate() <= 0 {
 		return want
 	}
-	rate := perServer * float64(len(q.servers())) / float64(max(q.f.opts.Instances(), 1))
+	q.earnChecksLocked(now)
+	allowed := min(want, int(q.checks))
+	q.checks -= float64(allowed)
+	return allowed
+}
+
+// checksAvailableLocked reports whether this instance may make a check now.
+func (q *queue) checksAvailableLocked(now time.Time) bool {
+	if q.f.opts.CheckRate() <= 0 {
+		return true
+	}
+	q.earnChecksLocked(now)
+	return q.checks >= 1
+}
+
+// earnChecksLocked adds the checks that have become available since the last call.
+func (q *queue) earnChecksLocked(now time.Time) {
+	rate := q.f.opts.CheckRate() * float64(len(q.servers())) / float64(max(q.f.opts.Instances(), 1))
 	most := max(rate*checkBurst.Seconds(), refreshCount*refreshRounds)
 	if q.checksAt.IsZero() {
 		q.checks = most
@@ -94,9 +110,6 @@
 		q.checks = min(q.checks+rate*now.Sub(q.checksAt).Seconds(), most)
 	}
 	q.checksAt = now
-	allowed := min(want, int(q.checks))
-	q.checks -= float64(allowed)
-	return allowed
 }
 
 // refreshable returns the servers, except the given ones, to which there are idle
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -18,9 +18,9 @@
 	// slowdownPersistence is the share of a request's time during which the
 	// interference seen at its start is expected to continue.
 	slowdownPersistence = 0.75
-	// defaultSlowdown is the expected slowdown of a server without a usable
+	// DefaultSlowdown is the expected slowdown of a server without a usable
 	// report, as a multiple of the time on a machine without other load.
-	defaultSlowdown = 1.6
+	DefaultSlowdown = 1.6
 	// nearlyFullShare is the share of occupied slots from which work slows down,
 	// and nearlyFullFactor the factor. Source: load curves of the users' servers.
 	nearlyFullShare  = 0.8
@@ -232,7 +232,7 @@
 // at the default penalty. A higher penalty says nothing about the server and is left out.
 func (a Assessment) Promising() bool {
 	cost := a.Cost * min(DefaultRemotePenalty/a.RemotePenalty, 1)
-	return a.Time <= defaultSlowdown && cost <= defaultSlowdown*DefaultRemotePenalty
+	return a.Time <= DefaultSlowdown && cost <= DefaultSlowdown*DefaultRemotePenalty
 }
 
 func (a Assessment) eligible(maxTime float64, anyHealthy bool) bool {
@@ -317,11 +317,11 @@
 // report decays with its age.
 func (c Candidate) slowdown() float64 {
 	if !c.Load.HasReport || c.Load.SlowdownPercent <= 0 {
-		return defaultSlowdown
+		return DefaultSlowdown
 	}
 	reported := float64(c.Load.SlowdownPercent) / readings.NormalSlowdownPercent
 	influence := slowdownPersistence * math.Exp(-float64(c.Load.Age)/float64(slowdownDecay))
-	return defaultSlowdown + (reported-defaultSlowdown)*influence
+	return DefaultSlowdown + (reported-DefaultSlowdown)*influence
 }
 
 // expectedOccupancyFactor returns the slowdown factor caused by the requests that are expected
