--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -66,10 +66,9 @@
 
 // dispatchLocked sends waiting requests in their order to the candidates, up to the allowance.
 func (q *queue) dispatchLocked(candidates candidateSet, allowance admission.Counts, now time.Time) {
-	expected := q.expectedTime()
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
 		allowed := &allowance.InTime
-		if w.Late(now, expected) {
+		if w.Late(now, q.serviceTime) {
 			allowed = &allowance.Late
 		}
 		untried := candidates.excluding(w.x.tried)
@@ -94,7 +93,7 @@
 // first waiter determines which servers are fast enough for those in time.
 func (q *queue) sharesLocked(candidates candidateSet, now time.Time) admission.Counts {
 	assessed := candidates.excluding(q.waiters[0].x.tried).assessed
-	own, others := counts(q.waiters, now, q.expectedTime()), q.f.opts.Backlogs.Others(q.service, now)
+	own, others := counts(q.waiters, now, q.serviceTime), q.f.opts.Backlogs.Others(q.service, now)
 	inTime := admission.Shares(placement.SpareCapacity(assessed, q.maxTime(q.waiters[0], now)), own, others)
 	late := admission.Shares(placement.SpareCapacity(assessed, math.Inf(1)), own, others)
 	return admission.Counts{InTime: inTime.InTime, Late: late.Late}
--- a/forward/dispatch_test.go
+++ b/forward/dispatch_test.go
@@ -261,7 +261,7 @@
 	capacity := running / fleetWork.Seconds() * (1 - fleetNoiseShare + fleetNoiseShare/fleetNoiseFactor)
 	inTarget, _ := playFleet(t, requests, true)
 	t.Logf("in target: %.3f of %d a second, the servers can run %.0f", inTarget, requests, capacity)
-	gomega.NewWithT(t).Expect(inTarget*requests).To(gomega.BeNumerically(">=", share*capacity))
+	gomega.NewWithT(t).Expect(inTarget * requests).To(gomega.BeNumerically(">=", share*capacity))
 }
 
 // TestFreedCapacityIsLeftToRequestsInTime guards against an instance that uses the capacity it
--- a/forward/order.go
+++ b/forward/order.go
@@ -24,14 +24,14 @@
 
 // sortLocked sorts the waiting requests into the order in which they are sent.
 func (q *queue) sortLocked(now time.Time) {
-	admission.SortFair(&q.fair, q.waiters, (*waiter).request, now, q.expectedTime())
+	admission.SortFair(&q.fair, q.waiters, (*waiter).request, now, q.serviceTime)
 }
 
 // countSentLocked counts a request that is sent.
 func (q *queue) countSentLocked(w *waiter, now time.Time) {
-	q.fair.Sent(w.Request, now, q.expectedTime())
+	q.fair.Sent(w.Request, now, q.serviceTime)
 	q.sent++
-	if w.Late(now, q.expectedTime()) {
+	if w.Late(now, q.serviceTime) {
 		q.sentLate++
 	}
 }
@@ -45,8 +45,8 @@
 		q.logRefused(w, admission.Position{}, slog.String("reason", "all servers want quiet"), slog.Duration("quiet_for", until.Sub(now)))
 		return w.x.refusalFor(outcome.CodeOverload, "all servers of the service want no requests", until.Sub(now))
 	}
-	late := w.Late(now, q.expectedTime())
-	place := admission.Locate(&q.fair, q.waiters, (*waiter).request, w.Request, now, q.expectedTime())
+	late := w.Late(now, q.serviceTime)
+	place := admission.Locate(&q.fair, q.waiters, (*waiter).request, w.Request, now, q.serviceTime)
 	rate := q.rate
 	if late {
 		rate = max(q.lateRate, minLateShare*q.rate)
@@ -65,7 +65,7 @@
 			q.f.overShare.Add(1)
 		}
 		q.logRefused(w, place, slog.Int("ahead", place.Ahead), slog.Float64("rate", rate), slog.Bool("late", late),
-			slog.Duration("work", q.serviceTime), slog.Duration("expected", q.expectedTime()))
+			slog.Duration("work", q.serviceTime))
 		return w.x.refusal(outcome.CodeOverload, "the request can't be served in time")
 	}
 	q.waiters = append(q.waiters, w)
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -38,12 +38,6 @@
 	// time on an idle machine without other load; more than half of the requests
 	// run on such machines.
 	serviceTimeQuantile = 0.4
-	// likelyTimeQuantile is the quantile of the measured times, on all machines, that decides
-	// which requests are likely to meet their target.
-	likelyTimeQuantile = 0.8
-	// maxLikelyShare bounds the likely time by a share of the target. A request that has more
-	// than this left is never put behind others as late.
-	maxLikelyShare = 0.5
 	// rateSmoothing is the weight of the last dispatch interval in the send rate,
 	// so that the rate adapts within half a second.
 	rateSmoothing = 0.05
@@ -72,10 +66,8 @@
 	open bool
 	// serviceTime is the estimated time of a request on an idle machine without
 	// other load, samples the number of responses that it is based on.
-	serviceTime time.Duration
-	samples     int
-	// likelyTime is the estimated time within which most requests are answered once sent.
-	likelyTime   time.Duration
+	serviceTime  time.Duration
+	samples      int
 	lastResponse time.Time
 	// rate and lateRate are the smoothed numbers of requests, and of late requests,
 	// sent per second; sent and sentLate count those of the present interval.
@@ -157,32 +149,19 @@
 	q.lastResponse = now
 	smooth(&q.local.responseBytes, float64(bytes))
 	q.samples++
-	q.serviceTime = nextQuantile(q.serviceTime, serviceTimeQuantile, took, q.samples)
-	q.likelyTime = nextQuantile(q.likelyTime, likelyTimeQuantile, took, q.samples)
-}
-
-// nextQuantile returns the estimate of a quantile of measured times after the n-th of them.
-func nextQuantile(estimate time.Duration, quantile float64, took time.Duration, n int) time.Duration {
-	if n == 1 || estimate == 0 {
-		return took
+	if q.samples == 1 {
+		q.serviceTime = took
+		return
 	}
 	// Steps up are weighted with the quantile and steps down with its complement,
 	// so that the estimate converges to the quantile. The first steps are larger
 	// because services differ by an order of magnitude.
-	step := max(minStep, initialStep/float64(n)) * float64(estimate)
-	if took > estimate {
-		return estimate + time.Duration(step*quantile)
+	step := max(minStep, initialStep/float64(q.samples)) * float64(q.serviceTime)
+	if took > q.serviceTime {
+		q.serviceTime += time.Duration(step * serviceTimeQuantile)
+	} else {
+		q.serviceTime -= time.Duration(step * (1 - serviceTimeQuantile))
 	}
-	return estimate - time.Duration(step*(1-quantile))
-}
-
-// expectedTime returns the time that a request is expected to take once it is sent, for the
-// decision whether it still meets its target. Servers differ, so that a request with just the
-// usual time left is late more often than not; under overload, one with more time left gains
-// more from the same server.
-func (q *queue) expectedTime() time.Duration {
-	bound := time.Duration(maxLikelyShare * q.local.target * float64(time.Second))
-	return max(q.serviceTime, min(q.likelyTime, bound))
 }
 
 // expireServiceTimeLocked resets the estimated service time if it is older than
@@ -190,7 +169,7 @@
 // if all are refused, it would never be measured again.
 func (q *queue) expireServiceTimeLocked(now time.Time) {
 	if q.samples > 0 && now.Sub(q.lastResponse) > serviceTimeTTL {
-		q.serviceTime, q.likelyTime, q.samples = initialServiceTime, 0, 0
+		q.serviceTime, q.samples = initialServiceTime, 0
 	}
 }
 
@@ -265,7 +244,7 @@
 		}
 	}
 	candidates := q.assess(q.servers(), now).excluding(w.x.tried)
-	own := counts([]*waiter{w}, now, q.expectedTime())
+	own := counts([]*waiter{w}, now, q.serviceTime)
 	if admission.Shares(placement.SpareCapacity(candidates.assessed, q.maxTime(w, now)), own, others) != own {
 		return q.reserveLocked(w, candidates.limited(), now)
 	}
@@ -300,7 +279,7 @@
 
 // publishBacklogLocked updates the backlog that is published to other instances.
 func (q *queue) publishBacklogLocked(now time.Time) {
-	q.f.opts.Backlogs.Set(q.service, counts(q.waiters, now, q.expectedTime()))
+	q.f.opts.Backlogs.Set(q.service, counts(q.waiters, now, q.serviceTime))
 }
 
 // maxTime returns the time that a server may need for the request, as a multiple of
@@ -441,11 +420,10 @@
 	}
 	q.sortLocked(now)
 	candidates := q.assess(servers[at:at+1], now)
-	expected := q.expectedTime()
 	leave := q.f.opts.Backlogs.Others(q.service, now).InTime > 0 && candidates.assessed[0].Slowdown <= placement.DefaultSlowdown &&
 		q.waiters[0].x.service.HealthPath != "" && q.checksAvailableLocked(now)
 	for i, w := range q.waiters {
-		if leave && w.Late(now, expected) {
+		if leave && w.Late(now, q.serviceTime) {
 			return
 		}
 		if slices.Contains(w.x.tried, server) {
