forward: requests are hedged only while capacity and retry budget are not needed elsewhere

Of 83 hedges of a calm span ten responded first; on the grown site 141 of 240 were refused by the retry budget, which the retries of rejected requests need.

Change: no hedge while a request for the service waits at any instance, or the servers' usual failure rate is above 0.1.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -41,6 +41,9 @@
 	// without a response is sent to a second server, if one can still respond in
 	// time.
 	hedgeDelayShare = 0.5
+	// maxHedgeFailureRate is the usual failure rate of servers up to which requests are hedged:
+	// half of the usual retry budget, a fifth of the requests.
+	maxHedgeFailureRate = 0.1
 )
 
 // exchange handles one request of a caller, from its arrival to its response.
@@ -371,9 +374,10 @@
 }
 
 // mayHedge reports whether a hedge is allowed, and takes it from the retry budget if
-// so.
+// so. Most hedged requests would be served in time anyway; while others wait for capacity or
+// servers reject many, these need the capacity and the budget more.
 func (x *exchange) mayHedge() bool {
-	return x.maxAttempts() > 1 && x.sent == 1 && len(x.tried) == 1 && x.charge()
+	return x.maxAttempts() > 1 && x.sent == 1 && len(x.tried) == 1 && x.f.queue(x.service.Name).relaxed(time.Now()) && x.charge()
 }
 
 // charge takes an additional attempt from the retry budget; it reports false if the
--- a/forward/refresh.go
+++ b/forward/refresh.go
@@ -136,6 +136,12 @@
 	return q.open && len(q.waiters) == 0
 }
 
+// relaxed reports whether no request waits for capacity at any instance, and the servers of the
+// service reject or fail few.
+func (q *queue) relaxed(now time.Time) bool {
+	return !q.f.opts.Backlogs.Waiting(q.service, now) && q.usualState(now).FailureRate <= maxHedgeFailureRate
+}
+
 // arrivalRate returns the smoothed number of requests that arrive in a second.
 func (q *queue) arrivalRate() float64 {
 	q.mu.Lock()
