--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -41,8 +41,8 @@
 	// without a response is sent to a second server, if one can still respond in
 	// time.
 	hedgeDelayShare = 0.5
-	// maxHedgeFailureRate is the usual failure rate of servers up to which requests are hedged:
-	// half of the usual retry budget, a fifth of the requests.
+	// maxHedgeFailureRate is the usual failure rate of servers up to which requests are hedged.
+	// At this rate, retries take about half of a retry budget of a fifth of the requests.
 	maxHedgeFailureRate = 0.1
 )
 
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -404,9 +404,7 @@
 
 // capacityFreed gives the capacity released by an attempt of this instance to the
 // next waiting request. Other instances don't know of this capacity yet. If only late requests
-// wait here while others could still meet their targets elsewhere, it is left to those, unless
-// the server is too slow for them. Without checks it is used at once, because the others would
-// all send requests there.
+// wait here while others could still meet their targets there, it is left to those.
 func (q *queue) capacityFreed(server string, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -420,10 +418,9 @@
 	}
 	q.sortLocked(now)
 	candidates := q.assess(servers[at:at+1], now)
-	leave := q.f.opts.Backlogs.Others(q.service, now).InTime > 0 && candidates.assessed[0].Slowdown <= placement.DefaultSlowdown &&
-		q.waiters[0].x.service.HealthPath != "" && q.checksAvailableLocked(now)
+	leaveToOthers := q.wantedElsewhereLocked(candidates.assessed[0], now)
 	for i, w := range q.waiters {
-		if leave && w.Late(now, q.serviceTime) {
+		if leaveToOthers && w.Late(now, q.serviceTime) {
 			return
 		}
 		if slices.Contains(w.x.tried, server) {
@@ -438,6 +435,13 @@
 	}
 }
 
+// wantedElsewhereLocked reports whether requests at other instances could still meet their targets
+// at the server. Without checks, these instances would all send requests there at once.
+func (q *queue) wantedElsewhereLocked(server placement.Assessment, now time.Time) bool {
+	return q.f.opts.Backlogs.Others(q.service, now).InTime > 0 && server.Slowdown <= placement.DefaultSlowdown &&
+		q.waiters[0].x.service.HealthPath != "" && q.checksAvailableLocked(now)
+}
+
 // refuseEvacuatedLocked refuses the waiting requests for which evacuations left no server.
 // Without an evacuation, requests wait, since a server that restarts is back soon.
 func (q *queue) refuseEvacuatedLocked(now time.Time) {
