review: cases in their final order; uploads that exceed the memory, and a cap that is handed over

Three: a burst of uploads is buffered without a bound on bytes, and the process exceeds its memory. Four replaces the restart of an allocator by its planned stop, which grants a burst twice for usual caps too. Five is the former case three. The case of a broken answer before pipelined requests is left out as the least grave.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/standin ] && [ -x ../../target/pomelolockd ] || { echo "run review/build.sh and the build of the deploy file first"; exit 2; }
-exec ../bin/standin pipeline-break ../.. .
+exec ../bin/standin pipeline-stop ../.. .
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,11 +25,11 @@
 }
 
 var cases = map[string]func(t *trial) (broken bool, err error){
-	"check-copy":     checkCopy,
-	"cap-restart":    capRestart,
-	"pipeline-stop":  pipelineStop,
-	"pipeline-break": pipelineBreak,
-	"queue-stop":     queueStop,
+	"check-copy":    checkCopy,
+	"cap-handover":  capHandover,
+	"pipeline-stop": pipelineStop,
+	"queue-stop":    queueStop,
+	"upload-burst":  uploadBurst,
 }
 
 func main() { os.Exit(run()) }
