--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -84,6 +85,8 @@
 	cmd  *exec.Cmd
 	done chan struct{}
 	log  *os.File
+	// ended is set when the case ends; the process is not started again then.
+	ended bool
 }
 
 // fleet is the daemons of a case, in a temporary folder.
@@ -169,6 +172,9 @@
 func (d *daemon) start(rec *record) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.ended {
+		return errors.New("the case has ended")
+	}
 	cmd := exec.Command(d.binary, "--platform")
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "POMELOLOCK_CONFIG=" + d.path}
 	cmd.Stdout, cmd.Stderr = d.log, d.log
@@ -241,6 +247,7 @@
 	}
 	for _, d := range f.daemons {
 		d.mu.Lock()
+		d.ended = true
 		if d.cmd != nil {
 			_ = d.cmd.Process.Kill()
 			<-d.done
