forward: a stopping instance refuses what it can't answer before its end

Cause: the stop waits for requests in flight, those in queues among them, until 0.3 s before the end of the grace period; the queues judged them by their own deadlines only.

Change: Forwarder.Leave gives the queues the end of the stop. It bounds the deadline of queued requests, less the time of slow work; what doesn't fit is refused with a true "not run", at the start of the stop by the estimated wait, later when it is certain.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,6 +130,10 @@
 	mu       sync.Mutex
 	queues   map[string]*queue
 	timeouts *timeoutEstimator
+
+	// stopEnd is the time by which requests have to be answered because of a planned stop; nil
+	// if there is none.
+	stopEnd atomic.Pointer[time.Time]
 }
 
 // New returns a Forwarder with the given options.
@@ -148,6 +154,12 @@
 	return q
 }
 
+func (f *Forwarder) allQueues() []*queue {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Values(f.queues))
+}
+
 // RequestRate returns the number of requests for the service that arrive at this instance
 // in a second, averaged over some seconds.
 func (f *Forwarder) RequestRate(service string) float64 { return f.queue(service).arrivalRate() }
@@ -177,13 +189,7 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			f.mu.Lock()
-			queues := make([]*queue, 0, len(f.queues))
-			for _, q := range f.queues {
-				queues = append(queues, q)
-			}
-			f.mu.Unlock()
-			for _, q := range queues {
+			for _, q := range f.allQueues() {
 				q.tick(now)
 			}
 		}
--- a/forward/order.go
+++ b/forward/order.go
@@ -47,25 +47,20 @@
 	}
 	late := w.Late(now, q.serviceTime)
 	place := admission.Locate(&q.fair, q.waiters, (*waiter).request, w.Request, now, q.serviceTime)
-	rate := q.rate
-	if late {
-		rate = max(q.lateRate, minLateShare*q.rate)
-	}
-	rate = min(rate, q.coldRate(now))
-	wait := admission.EstimateWait(max(place.Ahead-minQueue, 0), rate)
-	if !q.open {
-		wait = 0
-	}
+	wait := q.estimateWaitLocked(place.Ahead, late, now)
 	if w.MissesDeadline(now, q.minServiceTime()) {
 		q.expireServiceTimeLocked(now)
 	}
-	if w.MissesDeadline(now, q.minServiceTime()) || wait > time.Duration(maxWaitShare*float64(w.Deadline.Sub(now)-q.minServiceTime())) {
+	if !q.fitsLocked(w, wait, now) {
 		// A request that has no time left is not refused for the share of its workspace.
 		if place.OverShare() && !w.MissesDeadline(now, q.minServiceTime()) {
 			q.f.overShare.Add(1)
 		}
-		q.logRefused(w, place, slog.Int("ahead", place.Ahead), slog.Float64("rate", rate), slog.Bool("late", late),
-			slog.Duration("work", q.serviceTime))
+		q.logRefused(w, place, slog.Int("ahead", place.Ahead), slog.Float64("rate", q.sendRateLocked(late, now)), slog.Bool("late", late),
+			slog.Duration("work", q.serviceTime), slog.Bool("stopping", w.stopping))
+		if w.stopping {
+			return w.noRoom()
+		}
 		return w.x.refusal(outcome.CodeOverload, "the request can't be served in time")
 	}
 	q.waiters = append(q.waiters, w)
@@ -73,6 +68,31 @@
 	return nil
 }
 
+// sendRateLocked returns the rate in requests a second at which this instance is expected to
+// send waiting requests, or late ones among them.
+func (q *queue) sendRateLocked(late bool, now time.Time) float64 {
+	rate := q.rate
+	if late {
+		rate = max(q.lateRate, minLateShare*q.rate)
+	}
+	return min(rate, q.coldRate(now))
+}
+
+// estimateWaitLocked estimates the time until a request with the given number of requests ahead
+// of it is sent.
+func (q *queue) estimateWaitLocked(ahead int, late bool, now time.Time) time.Duration {
+	if !q.open {
+		return 0
+	}
+	return admission.EstimateWait(max(ahead-minQueue, 0), q.sendRateLocked(late, now))
+}
+
+// fitsLocked reports whether a request that is sent after the estimated wait meets its deadline.
+func (q *queue) fitsLocked(w *waiter, wait time.Duration, now time.Time) bool {
+	return !w.MissesDeadline(now, q.minServiceTime()) &&
+		wait <= time.Duration(maxWaitShare*float64(w.Deadline.Sub(now)-q.minServiceTime()))
+}
+
 // logRefused logs a request that is refused when it arrives. place is the zero value if the
 // refusal does not depend on the other waiting requests.
 func (q *queue) logRefused(w *waiter, place admission.Position, attrs ...slog.Attr) {
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -92,6 +92,8 @@
 type waiter struct {
 	admission.Request
 	x *exchange
+	// stopping is set if the deadline is the end of a planned stop.
+	stopping bool
 	// granted receives one grant.
 	granted chan grant
 }
@@ -188,6 +190,11 @@
 	q.mu.Lock()
 	q.arrived++
 	smooth(&q.local.target, x.target().Seconds())
+	q.boundLocked(w)
+	if w.stopping && w.MissesDeadline(now, q.minServiceTime()) {
+		q.mu.Unlock()
+		return reservation{}, w.tooLong()
+	}
 	if !q.open && q.f.started() {
 		q.openLocked(now)
 	}
@@ -481,7 +488,7 @@
 		if !w.MissesDeadline(now, q.minServiceTime()) {
 			return false
 		}
-		w.granted <- grant{failed: w.x.refusal(outcome.CodeOverload, "no room in time")}
+		w.granted <- grant{failed: w.noRoom()}
 		return true
 	})
 	if len(q.waiters) != before {
--- /dev/null
+++ b/forward/stop.go
@@ -0,0 +1,88 @@
+package forward
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/pomelolock/pomelolock/outcome"
+)
+
+// A planned stop has a fixed end. Requests that would not be answered by then are refused
+// before they are sent to a server, so that their callers can go to another instance while
+// there is time. Requests that run at servers are waited for until the end.
+
+const (
+	// slowestShare is the time, as a multiple of the usual service time, that the last
+	// requests of a stop have beyond it: work on busy servers takes longer than usual.
+	slowestShare = 2.0
+	// maxSlowest bounds that time, so that services with long requests are served for most of
+	// a stop.
+	maxSlowest = time.Second
+)
+
+// Leave begins a planned stop. From then on, requests that can't be answered by end are
+// refused, those that wait now as well as those that arrive later.
+func (f *Forwarder) Leave(end time.Time) {
+	f.stopEnd.Store(&end)
+	now := time.Now()
+	for _, q := range f.allQueues() {
+		q.leave(now)
+	}
+}
+
+// boundLocked moves the deadline of a request forward to the end of a planned stop.
+func (q *queue) boundLocked(w *waiter) {
+	end := q.f.stopEnd.Load()
+	if end == nil {
+		return
+	}
+	slowest := time.Duration(slowestShare * float64(q.minServiceTime()))
+	if bound := end.Add(-min(slowest, maxSlowest)); bound.Before(w.Deadline) {
+		w.Deadline, w.stopping = bound, true
+	}
+}
+
+// leave refuses the waiting requests that are not expected to be answered by the end of the
+// planned stop.
+func (q *queue) leave(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, w := range q.waiters {
+		q.boundLocked(w)
+	}
+	q.sortLocked(now)
+	ahead := 0
+	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
+		late := w.Late(now, q.serviceTime)
+		wait := q.estimateWaitLocked(ahead, late, now)
+		if !w.stopping || q.fitsLocked(w, wait, now) {
+			ahead++
+			return false
+		}
+		w.x.log("refused at once", slog.String("service", q.service), slog.String("reason", "the instance stops"),
+			slog.Int("ahead", ahead), slog.Bool("late", late), slog.Duration("wait", wait), slog.Duration("work", q.serviceTime),
+			slog.Duration("left", w.Deadline.Sub(now)))
+		w.granted <- grant{failed: w.noRoom()}
+		return true
+	})
+	q.publishBacklogLocked(now)
+}
+
+// noRoom returns the error for a request that waits and can't be served in time.
+func (w *waiter) noRoom() *outcome.Error {
+	if w.stopping {
+		return w.x.refusal(outcome.CodeStopping, "the instance stops before the request can be served")
+	}
+	return w.x.refusal(outcome.CodeOverload, "no room in time")
+}
+
+// tooLong returns the error for a request that takes longer than the planned stop. Other
+// instances may have room for it now.
+func (w *waiter) tooLong() *outcome.Error {
+	failed := w.x.refusal(outcome.CodeStopping, "the instance stops before a server can answer")
+	if failed.Outcome == outcome.NotRun {
+		failed.RetryAfter = rejectedRetryAfter()
+	}
+	return failed
+}
--- /dev/null
+++ b/forward/stop_test.go
@@ -0,0 +1,63 @@
+package forward_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/pomelolock/pomelolock/readings"
+)
+
+// busy is a reading of a server without free slots that stays the newest.
+func busy(server string) readings.Reading {
+	return readings.Reading{
+		Server: readings.KeyOf(server), HasReport: true, At: time.Now().Add(time.Hour),
+		Report: readings.Report{Running: 6, Slots: 6, SlowdownPercent: 100},
+	}
+}
+
+// TestStopRefusesWhatItCannotServe guards against requests that a stopping instance holds until
+// it exits: those that wait are refused in time, those that arrive too late are refused at once,
+// and none of them has reached a server.
+func TestStopRefusesWhatItCannotServe(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startServer(t, "s1", func(conn net.Conn, req *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		ok(conn, req)
+	})
+	f := newFixture(t, s)
+	for range 3 {
+		resp, _ := f.call(t, http.MethodPost, "/order/1", "")
+		g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
+	}
+	before := s.arrivals()
+	f.board.Receive(busy("s1"))
+	const stopTime = 600 * time.Millisecond
+	began := time.Now()
+	type end struct {
+		resp *http.Response
+		body string
+	}
+	waiting := make(chan end, 1)
+	go func() {
+		resp, body := f.call(t, http.MethodPost, "/order/2", "")
+		waiting <- end{resp, body}
+	}()
+	time.Sleep(50 * time.Millisecond)
+	f.forwarder.Leave(began.Add(stopTime))
+	got := <-waiting
+	g.Expect(time.Since(began)).To(gomega.And(gomega.BeNumerically("<", stopTime), gomega.BeNumerically(">", stopTime/2)))
+	g.Expect(got.resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(got.resp.Header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+	g.Expect(got.body).To(gomega.HavePrefix("stopping:"))
+
+	sent := time.Now()
+	resp, body := f.call(t, http.MethodPost, "/order/3", "")
+	g.Expect(time.Since(sent)).To(gomega.BeNumerically("<", 100*time.Millisecond))
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(body).To(gomega.HavePrefix("stopping:"))
+	g.Expect(s.arrivals()).To(gomega.Equal(before))
+}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -21,21 +21,23 @@
 // stop shuts the instance down without aborting requests: the instance becomes
 // unready, serves until the balancer has removed it, closes the listener and waits for
 // the in-flight requests, until shortly before the end of the grace period at the
-// latest.
+// latest. Requests that can't be answered by then are refused before they are sent to a server.
 func (d *Daemon) stop() {
 	began := time.Now()
 	grace := d.settings.Load().Grace
 	if grace <= 0 {
 		grace = defaultGrace
 	}
+	end := began.Add(grace - exitMargin)
 	d.logger.Info("stopping", "in_flight", d.forwarder.Stats().InFlight, "grace", grace)
 	d.leaving.Store(true)
 	d.callers.Leave()
 	d.delegates.Leave()
+	d.forwarder.Leave(end)
 	d.exchange.Leave()
 	d.exchange.Flush()
 	time.Sleep(min(balancerLag, grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-exitMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	// Peers send nothing more to an instance that is leaving.
 	if err := errors.Join(d.callers.Shutdown(ctx), d.delegates.Shutdown(ctx)); err != nil {
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -77,6 +77,7 @@
 	CodeCrashesServers  Code = "crashes_servers"
 	CodeOverCap         Code = "over_cap"
 	CodeCallerGone      Code = "caller_gone"
+	CodeStopping        Code = "stopping"
 	// CodeUnauthorized means that the request has no key of a workspace, CodeTableStale
 	// that the instance can't judge its key because its table may not be the newest.
 	CodeUnauthorized Code = "unauthorized"
