callerconn: a leaving server ends connections that always have a request in flight

Cause: closesAfter closed a connection only with the response to the newest request read, closeIfIdle only without any in flight. A caller that sends each request before the response to the one before met neither.

Change: once the server leaves, the first response on a connection ends the acceptance of requests, and the last accepted one closes it. A request whose header is still arriving gets no 408 behind the response that closes the connection.

--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -157,6 +157,13 @@
 // was closed.
 func (c *conn) rejectRequest(err error, turn <-chan struct{}) {
 	<-turn
+	c.mu.Lock()
+	closing := c.closing
+	c.mu.Unlock()
+	if closing {
+		// The response before has closed the connection.
+		return
+	}
 	var long *hop.HeadSizeError
 	status := http.StatusBadRequest
 	switch {
@@ -239,14 +246,17 @@
 }
 
 // closesAfter reports whether the connection has to be closed after the response. If so,
-// no further requests are accepted.
+// no further requests are accepted. While the server stops, the first response ends the
+// acceptance of requests and the last one closes the connection: a caller that always has a
+// request in flight would otherwise keep it open until the process exits.
 func (c *conn) closesAfter(resp *response, requested bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if (requested || c.server.stopping.Load()) && c.last == resp {
+	last := c.last == resp
+	if c.server.stopping.Load() || requested && last {
 		c.closing = true
 	}
-	return c.closing && c.last == resp
+	return c.closing && last
 }
 
 // closeIfIdle closes the connection if no request is in flight.
--- a/callerconn/server.go
+++ b/callerconn/server.go
@@ -87,7 +87,8 @@
 	delete(s.conns, c)
 }
 
-// Leave makes each connection close after the response to the last request read from it.
+// Leave makes each connection accept no further requests from its next response on, and
+// close after the response to the last request read from it.
 func (s *Server) Leave() { s.stopping.Store(true) }
 
 // Shutdown closes the listener and the idle connections and waits until no request is
--- a/callerconn/server_test.go
+++ b/callerconn/server_test.go
@@ -267,3 +267,34 @@
 	long := &hop.HeadSizeError{}
 	gomega.NewWithT(t).Expect(headFault(long)).To(gomega.Equal(long.Error()))
 }
+
+// TestLeavingEndsConnectionsThatAlwaysHaveARequestInFlight guards against requests that are cut
+// off when the process exits: a caller that sends each request before the response to the one
+// before has arrived kept its connection open.
+func TestLeavingEndsConnectionsThatAlwaysHaveARequestInFlight(t *testing.T) {
+	g := gomega.NewWithT(t)
+	release := map[string]chan struct{}{"/1": make(chan struct{}), "/2": make(chan struct{}), "/3": make(chan struct{})}
+	begun := make(chan string, len(release))
+	s, conn, reader := start(t, func(w http.ResponseWriter, r *http.Request) {
+		begun <- r.URL.Path
+		<-release[r.URL.Path]
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	defer close(release["/3"])
+	send(t, conn, get("/1")+get("/2"))
+	g.Eventually(begun).Should(gomega.Receive())
+	g.Eventually(begun).Should(gomega.Receive())
+	s.Leave()
+	close(release["/1"])
+	first, _, err := read(t, reader)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(first.Close).To(gomega.BeFalse())
+	send(t, conn, get("/3"))
+	g.Consistently(begun).ShouldNot(gomega.Receive(), "a request behind the last accepted one")
+	close(release["/2"])
+	second, body, err := read(t, reader)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal("/2"))
+	g.Expect(second.Close).To(gomega.BeTrue())
+	g.Expect(s.Shutdown(t.Context())).To(gomega.Succeed())
+}
