callerconn: a stop drains connections instead of closing them from outside

What callers saw: in a planned stop, a request on a kept connection that had arrived but was not read yet got a reset; a response just written could be destroyed by the reset of its connection.

Cause: closeIfIdle closed connections without a request in flight, with whatever lay unread in the socket, and the process exited without waiting for callers to close.

Change: the reading goroutine closes its connection after a last look for a request that has arrived. Shutdown ends when all connections are closed. Peers' connections are drained at the same time as callers'.

--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -21,8 +21,14 @@
 	// lingerTimeout is how long to wait for the caller to close the connection
 	// after the last response.
 	lingerTimeout = 500 * time.Millisecond
+	// arrivedTimeout is how long a draining connection waits for a request whose bytes may
+	// have arrived without having been read.
+	arrivedTimeout = 20 * time.Millisecond
 )
 
+// past is a deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
 // conn is the connection of a caller.
 type conn struct {
 	server *Server
@@ -41,6 +47,10 @@
 	pending int
 	// closing is set when no further requests are accepted.
 	closing bool
+	// draining is set when the connection closes as soon as no request is in flight.
+	draining bool
+	// awaiting is set while the reading goroutine waits for the first byte of a request.
+	awaiting bool
 	// last is the response to the newest request.
 	last *response
 }
@@ -119,8 +129,15 @@
 	c.limit.Limit(c.server.opts.Limits().HeaderBytes - int64(c.reader.Buffered()))
 	for {
 		limit := withSlack(c.server.opts.Limits().IdleTimeout)
-		_ = c.raw.SetReadDeadline(idleSince.Add(limit))
+		draining, ok := c.beginAwait(idleSince.Add(limit))
+		if !ok {
+			return false
+		}
+		if draining {
+			return c.requestArrived()
+		}
 		_, err := c.reader.Peek(1)
+		idle := c.endAwait()
 		if err == nil {
 			return true
 		}
@@ -128,11 +145,7 @@
 			c.cancel()
 			return false
 		}
-		c.mu.Lock()
-		idle := c.pending == 0
-		closing := c.closing
-		c.mu.Unlock()
-		if closing || idle && time.Since(idleSince) >= limit {
+		if idle && time.Since(idleSince) >= limit {
 			return false
 		}
 		if !idle {
@@ -141,6 +154,67 @@
 	}
 }
 
+// beginAwait sets the read deadline for the wait for a request and reports whether the
+// connection is draining instead. It returns false if no further requests are accepted.
+func (c *conn) beginAwait(deadline time.Time) (draining, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.draining && c.pending > 0 && !c.last.headed {
+		// The response will say that the connection closes.
+		c.closing = true
+	}
+	if c.closing || c.draining {
+		return c.draining, !c.closing
+	}
+	c.awaiting = true
+	_ = c.raw.SetReadDeadline(deadline)
+	return false, true
+}
+
+// endAwait ends the wait for a request and reports whether no request is in flight.
+func (c *conn) endAwait() (idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaiting = false
+	return c.pending == 0
+}
+
+// requestArrived waits until no request is in flight on a draining connection and reports
+// whether another one has arrived. Closing the connection would cut off a request that waits
+// unread in the socket.
+func (c *conn) requestArrived() bool {
+	c.mu.Lock()
+	last := c.last
+	c.mu.Unlock()
+	if last != nil {
+		<-last.done
+	}
+	c.mu.Lock()
+	closing := c.closing
+	if !closing {
+		_ = c.raw.SetReadDeadline(time.Now().Add(arrivedTimeout))
+	}
+	c.mu.Unlock()
+	if closing {
+		return false
+	}
+	_, err := c.reader.Peek(1)
+	return err == nil
+}
+
+// drain makes the connection close as soon as no request is in flight.
+func (c *conn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.draining {
+		return
+	}
+	c.draining = true
+	if c.awaiting {
+		_ = c.raw.SetReadDeadline(past)
+	}
+}
+
 func withSlack(allowed time.Duration) time.Duration {
 	return time.Duration(float64(allowed) * timeoutSlack)
 }
@@ -217,9 +291,6 @@
 			c.server.opts.Logger.Error("handler panicked", "error", aborted)
 		}
 		resp.finish(aborted != nil)
-		c.mu.Lock()
-		c.pending--
-		c.mu.Unlock()
 		c.server.inFlight.Add(-1)
 		<-c.slots
 	}()
@@ -252,20 +323,10 @@
 func (c *conn) closesAfter(resp *response, requested bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	resp.headed = true
 	last := c.last == resp
 	if c.server.stopping.Load() || requested && last {
 		c.closing = true
 	}
 	return c.closing && last
 }
-
-// closeIfIdle closes the connection if no request is in flight.
-func (c *conn) closeIfIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.pending > 0 {
-		return
-	}
-	c.closing = true
-	c.raw.Close()
-}
--- a/callerconn/response.go
+++ b/callerconn/response.go
@@ -32,6 +32,9 @@
 	noBody    bool
 	close     bool
 	err       error
+	// headed is set once the status and the headers are being written. The mutex of conn
+	// guards it.
+	headed bool
 }
 
 // requestBody signals when the body of a request has been read completely.
@@ -182,7 +185,12 @@
 // finish completes the response. If the response was aborted or is incomplete, it closes
 // the connection, so that the caller doesn't take it for a complete one.
 func (r *response) finish(aborted bool) {
-	defer close(r.done)
+	defer func() {
+		r.conn.mu.Lock()
+		r.conn.pending--
+		r.conn.mu.Unlock()
+		close(r.done)
+	}()
 	if !aborted && r.status == 0 {
 		r.header.Set("Content-Length", "0")
 		r.WriteHeader(http.StatusOK)
@@ -215,7 +223,7 @@
 	if complete {
 		// The reading goroutine closes the connection once all responses are
 		// written.
-		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+		_ = c.raw.SetReadDeadline(past)
 		return
 	}
 	c.raw.Close()
--- a/callerconn/server.go
+++ b/callerconn/server.go
@@ -18,7 +18,7 @@
 	// timeoutSlack is the factor applied to the idle and header timeouts, so that
 	// data sent in time isn't rejected because of network delay.
 	timeoutSlack = 1.25
-	// shutdownPollInterval is the time between two checks for in-flight requests
+	// shutdownPollInterval is the time between two checks for open connections
 	// during a shutdown.
 	shutdownPollInterval = 20 * time.Millisecond
 	// acceptRetryDelay is the delay before accepting again after an error.
@@ -91,8 +91,8 @@
 // close after the response to the last request read from it.
 func (s *Server) Leave() { s.stopping.Store(true) }
 
-// Shutdown closes the listener and the idle connections and waits until no request is
-// in flight. If ctx ends first, it returns the error of ctx.
+// Shutdown closes the listener, drains the connections and waits until all are closed. If ctx
+// ends first, it returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Leave()
 	s.mu.Lock()
@@ -103,8 +103,8 @@
 	ticker := time.NewTicker(shutdownPollInterval)
 	defer ticker.Stop()
 	for {
-		s.closeIdle()
-		if s.inFlight.Load() == 0 {
+		// Connections that were just accepted are drained in a later round.
+		if s.drain() == 0 && s.inFlight.Load() == 0 {
 			return nil
 		}
 		select {
@@ -115,8 +115,8 @@
 	}
 }
 
-// closeIdle closes the connections without in-flight requests.
-func (s *Server) closeIdle() {
+// drain drains the connections and returns their number.
+func (s *Server) drain() int {
 	s.mu.Lock()
 	conns := make([]*conn, 0, len(s.conns))
 	for c := range s.conns {
@@ -124,8 +124,9 @@
 	}
 	s.mu.Unlock()
 	for _, c := range conns {
-		c.closeIfIdle()
+		c.drain()
 	}
+	return len(conns)
 }
 
 // Close closes the listener and all connections immediately.
--- a/callerconn/server_test.go
+++ b/callerconn/server_test.go
@@ -298,3 +298,53 @@
 	g.Expect(second.Close).To(gomega.BeTrue())
 	g.Expect(s.Shutdown(t.Context())).To(gomega.Succeed())
 }
+
+// TestShutdownServesARequestThatHasArrived guards against a request that is cut off because it
+// waits unread in the socket when the idle connections are closed.
+func TestShutdownServesARequestThatHasArrived(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for range 20 {
+		s, conn, reader := start(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+		send(t, conn, get("/1"))
+		_, _, err := read(t, reader)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		send(t, conn, get("/2"))
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Shutdown(t.Context()) }()
+		_, body, err := read(t, reader)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal("/2"))
+		conn.Close()
+		g.Eventually(stopped).Should(gomega.Receive(gomega.BeNil()))
+	}
+}
+
+// TestShutdownDeliversTheLastResponse guards against a response that is destroyed because the
+// connection is closed while bytes of further requests lie unread in the socket.
+func TestShutdownDeliversTheLastResponse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	body := strings.Repeat("x", 8<<20)
+	release := make(chan struct{})
+	s, conn, reader := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, body)
+	})
+	send(t, conn, get("/1"))
+	time.Sleep(30 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() {
+		err := s.Shutdown(t.Context())
+		s.Close()
+		stopped <- err
+	}()
+	time.Sleep(30 * time.Millisecond)
+	send(t, conn, strings.Repeat(get("/behind"), 10))
+	close(release)
+	// The caller reads slowly, so that most of the response waits in the socket.
+	time.Sleep(100 * time.Millisecond)
+	resp, got, err := read(t, reader)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(len(got)).To(gomega.Equal(len(body)))
+	g.Expect(resp.Close).To(gomega.BeTrue())
+	g.Eventually(stopped).Should(gomega.Receive(gomega.BeNil()))
+}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -37,11 +37,19 @@
 	d.exchange.Leave()
 	d.exchange.Flush()
 	time.Sleep(min(balancerLag, grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	// Peers send nothing more to an instance that is leaving.
-	if err := errors.Join(d.callers.Shutdown(ctx), d.delegates.Shutdown(ctx)); err != nil {
+	if err := d.shutdown(end); err != nil {
 		d.logger.Warn("requests in flight at the end of the grace period",
 			"in_flight", d.forwarder.Stats().InFlight, "error", err)
 	}
 }
+
+// shutdown closes the listeners and waits until the requests in flight have ended and their
+// connections are closed, until the given time at the latest.
+func (d *Daemon) shutdown(end time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	// Peers send nothing more to an instance that is leaving.
+	delegates := make(chan error, 1)
+	go func() { delegates <- d.delegates.Shutdown(ctx) }()
+	return errors.Join(d.callers.Shutdown(ctx), <-delegates)
+}
