forward: requests that run at the end of a planned stop get an answer

Cause: the stop closed the connections with the requests in flight still running.

Change: at the end of the stop, 0.3 s before the platform's SIGKILL as before, each of these requests gets a 502, which promises nothing, and a line "cut by the stop" with the servers tried. Servers are waited for as long as before. TestStopWaitsForServersAtWork.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -338,6 +338,9 @@
 			x.f.hedges.Add(1)
 		case <-ctx.Done():
 			return finish(nil, x.deadlineExceeded())
+		case <-x.f.ended:
+			x.log("cut by the stop", append(x.timing(), slog.Any("tried", x.reservations), slog.Any("peers", x.peers))...)
+			return finish(nil, x.stopped())
 		}
 	}
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -132,14 +132,17 @@
 	timeouts *timeoutEstimator
 
 	// stopEnd is the time by which requests have to be answered because of a planned stop; nil
-	// if there is none.
+	// if there is none. ended is closed at the end of the stop.
 	stopEnd atomic.Pointer[time.Time]
+	ended   chan struct{}
 }
 
 // New returns a Forwarder with the given options.
 func New(opts Options) *Forwarder {
 	opts.Board.ShareLimits(opts.Instances)
-	return &Forwarder{opts: opts, queues: make(map[string]*queue), timeouts: newTimeoutEstimator()}
+	return &Forwarder{
+		opts: opts, queues: make(map[string]*queue), timeouts: newTimeoutEstimator(), ended: make(chan struct{}),
+	}
 }
 
 // queue returns the queue of a service, which it creates if necessary.
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -222,6 +222,9 @@
 			return reservation{}, x.deadlineExceeded()
 		}
 		return reservation{}, x.refusal(outcome.CodeOverload, "no room in time")
+	case <-q.f.ended:
+		q.remove(w)
+		return reservation{}, w.noRoom()
 	}
 }
 
--- a/forward/stop.go
+++ b/forward/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/http"
 	"slices"
 	"time"
 
@@ -31,6 +32,10 @@
 	}
 }
 
+// End gives the requests that still run at servers their final response, which promises
+// nothing. It must be called at most once, at the end of a planned stop.
+func (f *Forwarder) End() { close(f.ended) }
+
 // boundLocked moves the deadline of a request forward to the end of a planned stop.
 func (q *queue) boundLocked(w *waiter) {
 	end := q.f.stopEnd.Load()
@@ -86,3 +91,11 @@
 	}
 	return failed
 }
+
+// stopped returns the error for a request that still runs at the end of a planned stop.
+func (x *exchange) stopped() *outcome.Error {
+	return &outcome.Error{
+		Outcome: outcome.Unknown, Status: http.StatusBadGateway, Code: outcome.CodeStopping,
+		Detail: "the instance stopped before a server answered",
+	}
+}
--- a/forward/stop_test.go
+++ b/forward/stop_test.go
@@ -61,3 +61,30 @@
 	g.Expect(body).To(gomega.HavePrefix("stopping:"))
 	g.Expect(s.arrivals()).To(gomega.Equal(before))
 }
+
+// TestStopWaitsForServersAtWork guards against requests that are given up, or refused as if
+// they had not run, while a server works on them during a planned stop.
+func TestStopWaitsForServersAtWork(t *testing.T) {
+	g := gomega.NewWithT(t)
+	release := make(chan struct{})
+	s := startServer(t, "s1", func(conn net.Conn, req *http.Request) {
+		<-release
+		ok(conn, req)
+	})
+	f := newFixture(t, s)
+	status := make(chan int, 2)
+	for range 2 {
+		go func() {
+			resp, _ := f.call(t, http.MethodPost, "/order/1", "")
+			status <- resp.StatusCode
+		}()
+	}
+	g.Eventually(s.arrivals).Should(gomega.Equal(2))
+	f.forwarder.Leave(time.Now().Add(100 * time.Millisecond))
+	g.Consistently(status, "300ms").ShouldNot(gomega.Receive())
+	release <- struct{}{}
+	g.Eventually(status).Should(gomega.Receive(gomega.Equal(http.StatusOK)))
+	f.forwarder.End()
+	g.Eventually(status).Should(gomega.Receive(gomega.Equal(http.StatusBadGateway)), "promises nothing")
+	close(release)
+}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -14,6 +14,8 @@
 	// exitMargin is kept between the end of the last request and the platform's
 	// SIGKILL.
 	exitMargin = 300 * time.Millisecond
+	// answerTime is the part of exitMargin in which requests that still run are answered.
+	answerTime = 150 * time.Millisecond
 	// defaultGrace is the grace period if the settings have none.
 	defaultGrace = 6 * time.Second
 )
@@ -37,8 +39,15 @@
 	d.exchange.Leave()
 	d.exchange.Flush()
 	time.Sleep(min(balancerLag, grace/2))
-	if err := d.shutdown(end); err != nil {
-		d.logger.Warn("requests in flight at the end of the grace period",
+	err := d.shutdown(end)
+	if err == nil {
+		return
+	}
+	d.logger.Warn("requests in flight at the end of the grace period",
+		"in_flight", d.forwarder.Stats().InFlight, "error", err)
+	d.forwarder.End()
+	if err := d.shutdown(end.Add(answerTime)); err != nil {
+		d.logger.Warn("connections cut at the end of the grace period",
 			"in_flight", d.forwarder.Stats().InFlight, "error", err)
 	}
 }
