--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -14,6 +14,8 @@
 	mu sync.Mutex
 	// runs lists, by request ID or by crashPath, the servers that ran the request.
 	runs map[string][]string
+	// spans holds when servers worked on requests, by request ID.
+	spans map[string][]*span
 }
 
 func (j *journal) record(id, server string) {
@@ -22,6 +24,38 @@
 	j.runs[id] = append(j.runs[id], server)
 }
 
+// span is the time in which a server worked on a request; to is zero while it does.
+type span struct{ from, to time.Time }
+
+// begin records the begin of a run and returns a function that records its end.
+func (j *journal) begin(id, server string) (end func()) {
+	j.record(id, server)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.spans == nil {
+		j.spans = make(map[string][]*span)
+	}
+	run := &span{from: time.Now()}
+	j.spans[id] = append(j.spans[id], run)
+	return func() {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		run.to = time.Now()
+	}
+}
+
+// atWork reports whether a server worked on the request at the given time.
+func (j *journal) atWork(id string, at time.Time) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, run := range j.spans[id] {
+		if run.from.Before(at) && (run.to.IsZero() || run.to.After(at)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (j *journal) count(id string) int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -93,6 +127,10 @@
 	crashed sync.Once
 	// replace starts another server in place of this one after a crash.
 	replace func()
+	// work returns how long a request takes; serviceTime if it is nil. With it, the server runs
+	// backendSlots requests at a time, queues as many and rejects others.
+	work  func() time.Duration
+	slots chan struct{}
 }
 
 func startBackend(id, service, zone string, s *store, j *journal) (*backend, error) {
@@ -100,7 +138,10 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &backend{id: id, service: service, zone: zone, startedMillis: time.Now().UnixMilli(), store: s, journal: j, stop: make(chan struct{})}
+	b := &backend{
+		id: id, service: service, zone: zone, startedMillis: time.Now().UnixMilli(), store: s, journal: j, stop: make(chan struct{}),
+		slots: make(chan struct{}, backendSlots),
+	}
 	if b.link, err = newLink("127.0.0.1", listener.Addr().String()); err != nil {
 		return nil, err
 	}
@@ -161,7 +202,8 @@
 		b.reached = append(b.reached, time.Now())
 		b.mu.Unlock()
 	}
-	w.Header().Set("Upstream-Load", fmt.Sprintf("%d,0,%d,100", b.running.Load(), backendSlots))
+	running := int(b.running.Load())
+	w.Header().Set("Upstream-Load", fmt.Sprintf("%d,%d,%d,100", min(running, backendSlots), max(running-backendSlots, 0), backendSlots))
 	if r.URL.Path == "/healthz" {
 		w.Header().Set("Instance-Id", b.id)
 		return
@@ -181,6 +223,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if b.work != nil {
+		b.serveQueued(w, r, id)
+		return
+	}
 	b.running.Add(1)
 	defer b.running.Add(-1)
 	if r.URL.Path == crashPath {
@@ -203,3 +249,30 @@
 	w.Header().Set("Upstream-Signature", "sig-"+id)
 	fmt.Fprintf(w, "%s %s", id, r.URL.Path)
 }
+
+// serveQueued runs a request for the time that work returns, on one of the slots. It rejects
+// the request if the queue is full, and ends if the caller leaves.
+func (b *backend) serveQueued(w http.ResponseWriter, r *http.Request, id string) {
+	running := b.running.Add(1)
+	defer b.running.Add(-1)
+	if running > 2*backendSlots {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case b.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-b.slots }()
+	end := b.journal.begin(id, b.id)
+	defer end()
+	select {
+	case <-time.After(b.work()):
+	case <-r.Context().Done():
+		return
+	}
+	w.Header().Set("Upstream-Signature", "sig-"+id)
+	fmt.Fprintf(w, "%s %s", id, r.URL.Path)
+}
--- a/internal/soak/daemon_test.go
+++ b/internal/soak/daemon_test.go
@@ -18,6 +18,7 @@
 	binary   string
 	settings string
 	caller   string
+	ready    string
 	store    *link
 
 	mu  sync.Mutex
@@ -74,12 +75,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	front := freePort(t, ip)
+	front, ready := freePort(t, ip), freePort(t, ip)
 	d := &daemon{
 		t: t, binary: binary, store: l, settings: filepath.Join(t.TempDir(), "boot.toml"),
-		caller: fmt.Sprintf("%s:%d", ip, front),
+		caller: fmt.Sprintf("%s:%d", ip, front), ready: fmt.Sprintf("%s:%d", ip, ready),
 	}
-	text := fmt.Sprintf(settingsFormat, n, ip, freePort(t, ip), front, freePort(t, ip), l.address())
+	text := fmt.Sprintf(settingsFormat, n, ip, freePort(t, ip), front, ready, l.address())
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -79,6 +79,8 @@
 	sequence atomic.Int64
 	table    atomic.Int64
 	log      *os.File
+	// timeout is that of the routes.
+	timeout string
 }
 
 func TestSoak(t *testing.T) {
@@ -106,7 +108,7 @@
 	defer log.Close()
 	s := &soak{
 		t: t, rng: rand.New(rand.NewPCG(seed, 0)), store: newStore(), log: log,
-		journal: &journal{runs: make(map[string][]string)},
+		journal: &journal{runs: make(map[string][]string)}, timeout: "2000ms",
 	}
 	defer s.store.Close()
 	s.accept("/old/")
@@ -161,7 +163,7 @@
 	version := s.table.Add(3)
 	route := func(prefix, kind string) map[string]any {
 		return map[string]any{
-			"name": "r" + prefix, "hostname": "h", "prefix": prefix, "kind": kind, "timeout": "2000ms",
+			"name": "r" + prefix, "hostname": "h", "prefix": prefix, "kind": kind, "timeout": s.timeout,
 			"latency_target": "300ms", "attempts": 2, "priority": 1, "service": "main",
 		}
 	}
