forward: a late copy of a refusal proves nothing about another request

Cause: an error without a request ID counted as the response to whatever the connection carried. A faulty server's second copy of a refusal, of a rejected status check above all, then proved that an order had not run.

Ruled out: that servers need the old rule.

Change: a response without an ID counts only on a connection that has carried nothing else; others are passed over and logged. A status check no longer takes the response to a request. The rejection of a delegated request bears its ID.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -121,7 +121,7 @@
 		conn.Close()
 		return result{server: a.reservation.server, notRun: true, unsent: true, err: context.DeadlineExceeded}
 	}
-	resp, err := conn.RoundTrip(ctx, a.request(left), x.matches)
+	resp, err := conn.RoundTrip(ctx, a.request(left), x.matches(conn, a.reservation.server.ID))
 	if err != nil {
 		return a.sendFailed(ctx, conn, err)
 	}
@@ -239,11 +239,20 @@
 	return &out
 }
 
-// matches reports whether a response belongs to the request. Errors that a server
-// returns before it has read the request carry no ID.
-func (x *exchange) matches(resp *http.Response) bool {
-	id := x.f.opts.Protocol.Response(resp).RequestID
-	return id == x.caller.ID || id == "" && resp.StatusCode >= http.StatusBadRequest
+// matches returns a function that reports whether a response on the connection belongs to the
+// request. Errors that a server returns before it has read the request carry no ID. On a
+// connection that has carried anything else, such an error can be a late copy of the response
+// to that, and says nothing about this request.
+func (x *exchange) matches(conn *serverconn.Conn, server string) func(*http.Response) bool {
+	return func(resp *http.Response) bool {
+		id := x.f.opts.Protocol.Response(resp).RequestID
+		if id == x.caller.ID || id == "" && resp.StatusCode >= http.StatusBadRequest && !conn.Reused {
+			return true
+		}
+		x.log("response to another request", slog.String("server", server), slog.String("its_request", id),
+			slog.Int("status", resp.StatusCode), slog.Duration("rested", conn.IdleTime))
+		return false
+	}
 }
 
 // sendFailed returns the result of an attempt without any response.
--- a/forward/delegate.go
+++ b/forward/delegate.go
@@ -92,7 +92,10 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d, ok := takeDelegation(r.Header)
 		if !ok {
-			w.WriteHeader(http.StatusBadRequest)
+			// Without the ID, the peer could not tell the response from one to another request.
+			_ = f.opts.Protocol.WriteError(w, &outcome.Error{
+				Outcome: outcome.NotRun, Status: http.StatusBadRequest, Code: outcome.CodeBadRequest, Detail: "the delegation can't be read",
+			}, f.opts.Protocol.Caller(r.Header).ID)
 			return
 		}
 		f.forPeers.Add(1)
@@ -136,7 +139,7 @@
 	delegation{
 		by: x.f.opts.ID, attempts: attempts, timeout: left, elapsed: time.Since(x.firstSentAt), table: tableVersion,
 	}.write(out.Header)
-	resp, err := conn.RoundTrip(ctx, out, x.matches)
+	resp, err := conn.RoundTrip(ctx, out, x.matches(conn, peer.ID))
 	if err != nil {
 		r.err = err
 		r.unsent = serverconn.Unsent(err)
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -33,6 +33,9 @@
 type Checker interface {
 	// ServerID returns the ID of the server that sent the response, or "".
 	ServerID(header http.Header) string
+	// RequestID returns the ID of the request that the response belongs to, or "". Status
+	// checks have none.
+	RequestID(header http.Header) string
 	// Report returns the server's load report, or nil if there is none.
 	Report(header http.Header) *Report
 	// Notice returns what the server says about requests to come.
@@ -286,8 +289,8 @@
 	return r
 }
 
-// IsCheck reports whether a response belongs to a status check. A response with status
-// 200 and no server ID is a late response to an earlier request instead.
+// IsCheck reports whether a response belongs to a status check. A response with the ID of a
+// request, or with status 200 and no server ID, is a late response to an earlier request instead.
 func IsCheck(checker Checker, resp *http.Response) bool {
-	return resp.StatusCode != http.StatusOK || checker.ServerID(resp.Header) != ""
+	return checker.RequestID(resp.Header) == "" && (resp.StatusCode != http.StatusOK || checker.ServerID(resp.Header) != "")
 }
--- a/readings/checks_test.go
+++ b/readings/checks_test.go
@@ -17,6 +17,7 @@
 type silentChecker struct{}
 
 func (silentChecker) ServerID(http.Header) string  { return "s1" }
+func (silentChecker) RequestID(http.Header) string { return "" }
 func (silentChecker) Report(http.Header) *Report   { return nil }
 func (silentChecker) Notice(*http.Response) Notice { return Notice{} }
 
