callerconn: an aborted response that only its end frames is reset

Found beside it: a caller of HTTP/1.0 to whom a response without a length broke off saw the connection end in order, which is the mark of a whole body.

Cause: the connection of an aborted response was closed, whatever framed the body. Change: it is reset if nothing else does. TestAbortedResponseWithoutFramingIsNotComplete failed before (no error for the cut body).

--- a/callerconn/response.go
+++ b/callerconn/response.go
@@ -209,8 +209,24 @@
 		r.err = r.conn.writer.Flush()
 	}
 	_ = r.conn.raw.SetWriteDeadline(time.Time{})
-	if !complete || r.err != nil || r.close {
-		r.conn.stop(complete && r.err == nil)
+	complete = complete && r.err == nil
+	if !complete && r.unframed() {
+		r.conn.resetOnClose()
+	}
+	if !complete || r.close {
+		r.conn.stop(complete)
+	}
+}
+
+// unframed reports whether the end of the connection marks the end of the body.
+func (r *response) unframed() bool {
+	return r.status != 0 && r.chunked == nil && r.remaining < 0 && !r.noBody
+}
+
+// resetOnClose makes the connection end with a reset, which no caller takes for the end of a body.
+func (c *conn) resetOnClose() {
+	if tcp, ok := c.raw.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0)
 	}
 }
 
--- a/callerconn/server_test.go
+++ b/callerconn/server_test.go
@@ -348,3 +348,16 @@
 	g.Expect(resp.Close).To(gomega.BeTrue())
 	g.Eventually(stopped).Should(gomega.Receive(gomega.BeNil()))
 }
+
+// TestAbortedResponseWithoutFramingIsNotComplete guards against a short body that looks whole to
+// a caller of HTTP/1.0, for whom the end of the connection ends the body.
+func TestAbortedResponseWithoutFramingIsNotComplete(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, conn, reader := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 2*bufferSize))
+		panic(http.ErrAbortHandler)
+	})
+	send(t, conn, "GET / HTTP/1.0\r\nHost: x\r\n\r\n")
+	_, _, err := read(t, reader)
+	g.Expect(err).To(gomega.HaveOccurred())
+}
