--- a/internal/soak/daemon_test.go
+++ b/internal/soak/daemon_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,6 +27,8 @@
 	// paused is set while the process is suspended.
 	paused bool
 	done   chan struct{}
+	// ends counts how often the process has ended.
+	ends atomic.Int64
 }
 
 const settingsFormat = `
@@ -115,6 +118,7 @@
 				return
 			}
 			_ = cmd.Wait()
+			d.ends.Add(1)
 			time.Sleep(100 * time.Millisecond)
 		}
 	}()
--- a/internal/soak/store_test.go
+++ b/internal/soak/store_test.go
@@ -53,6 +53,13 @@
 	s.putLocked(row)
 }
 
+// putRaw writes a row with the given bytes as its value.
+func (s *store) putRaw(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.putLocked(storeRow{Table: table, Key: key, Value: value})
+}
+
 func (s *store) putLocked(row storeRow) {
 	s.ver++
 	row.Ver = s.ver
