forward: nothing is begun in a stop whose answer would come after its end

By design, a stopping instance that reaches no server delegated requests for their whole deadline, and cut those that peers still worked on.

Cause: only requests that wait for capacity were judged by the end of the stop. Change: the check stands before each attempt: first ones, retries, hedges and delegations. TestDelegatedRequestLeavesAStoppingPeer: a refusal of a stopping peer sends the request to another peer; a stopping instance doesn't delegate what it can't wait for.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -266,6 +266,9 @@
 		if failed := x.authorize(); failed != nil {
 			return failed
 		}
+		if x.f.queue(x.service.Name).stopsBefore(time.Now()) {
+			return x.tooLong()
+		}
 		if delegate(maxUnreached) {
 			return nil
 		}
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -191,10 +191,6 @@
 	q.arrived++
 	smooth(&q.local.target, x.target().Seconds())
 	q.boundLocked(w)
-	if w.stopping && w.MissesDeadline(now, q.minServiceTime()) {
-		q.mu.Unlock()
-		return reservation{}, w.tooLong()
-	}
 	if !q.open && q.f.started() {
 		q.openLocked(now)
 	}
--- a/forward/stop.go
+++ b/forward/stop.go
@@ -36,16 +36,32 @@
 // nothing. It must be called at most once, at the end of a planned stop.
 func (f *Forwarder) End() { close(f.ended) }
 
-// boundLocked moves the deadline of a request forward to the end of a planned stop.
+// boundLocked moves the deadline of a request forward to the end of a planned stop, if there is
+// one.
 func (q *queue) boundLocked(w *waiter) {
+	if bound, ok := q.stopBoundLocked(); ok && bound.Before(w.Deadline) {
+		w.Deadline, w.stopping = bound, true
+	}
+}
+
+// stopBoundLocked returns the time by which a request of usual duration has to be answered so
+// that slower ones are before the end of the planned stop; false if there is none.
+func (q *queue) stopBoundLocked() (time.Time, bool) {
 	end := q.f.stopEnd.Load()
 	if end == nil {
-		return
+		return time.Time{}, false
 	}
 	slowest := time.Duration(slowestShare * float64(q.minServiceTime()))
-	if bound := end.Add(-min(slowest, maxSlowest)); bound.Before(w.Deadline) {
-		w.Deadline, w.stopping = bound, true
-	}
+	return end.Add(-min(slowest, maxSlowest)), true
+}
+
+// stopsBefore reports whether a request that is sent now, to a server or to a peer, is not
+// expected to be answered before the end of the planned stop.
+func (q *queue) stopsBefore(now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	bound, ok := q.stopBoundLocked()
+	return ok && now.Add(q.minServiceTime()).After(bound)
 }
 
 // leave refuses the waiting requests that are not expected to be answered by the end of the
@@ -84,8 +100,8 @@
 
 // tooLong returns the error for a request that takes longer than the planned stop. Other
 // instances may have room for it now.
-func (w *waiter) tooLong() *outcome.Error {
-	failed := w.x.refusal(outcome.CodeStopping, "the instance stops before a server can answer")
+func (x *exchange) tooLong() *outcome.Error {
+	failed := x.refusal(outcome.CodeStopping, "the instance stops before a server can answer")
 	if failed.Outcome == outcome.NotRun {
 		failed.RetryAfter = rejectedRetryAfter()
 	}
--- a/forward/stop_test.go
+++ b/forward/stop_test.go
@@ -88,3 +88,24 @@
 	g.Eventually(status).Should(gomega.Receive(gomega.Equal(http.StatusBadGateway)), "promises nothing")
 	close(release)
 }
+
+// TestDelegatedRequestLeavesAStoppingPeer guards against callers of an instance that reaches no
+// server who are refused because a peer stops, and against requests that a stopping instance
+// delegates although it can't wait for the answer.
+func TestDelegatedRequestLeavesAStoppingPeer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startServer(t, "s1", ok)
+	stopping, serving := newFixture(t, s), newFixture(t, s)
+	stopping.forwarder.Leave(time.Now())
+	f := cutOff(t, stopping.asPeer(t, "stopping"), serving.asPeer(t, "serving"))
+	for range 10 {
+		resp, _ := f.call(t, http.MethodPost, "/order/1", "x")
+		g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
+	}
+	f.forwarder.Leave(time.Now())
+	arrivals := s.arrivals()
+	resp, body := f.call(t, http.MethodPost, "/order/2", "x")
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(body).To(gomega.HavePrefix("stopping:"))
+	g.Expect(s.arrivals()).To(gomega.Equal(arrivals))
+}
