--- a/forward/stop.go
+++ b/forward/stop.go
@@ -58,6 +58,9 @@
 // stopsBefore reports whether a request that is sent now, to a server or to a peer, is not
 // expected to be answered before the end of the planned stop.
 func (q *queue) stopsBefore(now time.Time) bool {
+	if q.f.stopEnd.Load() == nil {
+		return false
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	bound, ok := q.stopBoundLocked()
