--- a/internal/soak/daemon_test.go
+++ b/internal/soak/daemon_test.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// restartDelay is the time between the end of a process and its next start.
+const restartDelay = 100 * time.Millisecond
+
 // daemon runs pomelolockd on its own loopback address and restarts it when it ends.
 type daemon struct {
 	t        *testing.T
@@ -119,7 +122,7 @@
 			}
 			_ = cmd.Wait()
 			d.ends.Add(1)
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(restartDelay)
 		}
 	}()
 	<-started
--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -75,6 +75,15 @@
 	time.AfterFunc(grace, func() { _ = process.Kill() })
 }
 
+// stopRestarted stops the process once more, a short time after it has ended and started again.
+func (s *stoppable) stopRestarted(delay time.Duration) {
+	for ends := s.ends.Load(); s.ends.Load() == ends; {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(restartDelay + delay)
+	s.stop()
+}
+
 // lastStop returns the last signal before the given time.
 func (s *stoppable) lastStop(before time.Time) (last time.Time) {
 	s.mu.Lock()
@@ -173,11 +182,14 @@
 				continue
 			}
 			d.stop()
-			switch s.rng.IntN(3) {
+			switch s.rng.IntN(4) {
 			case 0:
 				time.AfterFunc(time.Duration(s.rng.IntN(4000))*time.Millisecond, func() { d.signal(syscall.SIGHUP) })
 			case 1:
 				time.AfterFunc(time.Duration(s.rng.IntN(1000))*time.Millisecond, func() { d.signal(syscall.SIGTERM) })
+			case 2:
+				delay := time.Duration(s.rng.IntN(600)) * time.Millisecond
+				go d.stopRestarted(delay)
 			}
 		}
 		if s.rng.IntN(3) == 0 {
