--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -159,7 +159,7 @@
 func (c *conn) beginAwait(deadline time.Time) (draining, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.draining && c.pending > 0 && !c.last.headed {
+	if c.draining && c.pending > 0 && !c.last.headStarted {
 		// The response will say that the connection closes.
 		c.closing = true
 	}
@@ -323,7 +323,7 @@
 func (c *conn) closesAfter(resp *response, requested bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	resp.headed = true
+	resp.headStarted = true
 	last := c.last == resp
 	if c.server.stopping.Load() || requested && last {
 		c.closing = true
--- a/callerconn/response.go
+++ b/callerconn/response.go
@@ -32,9 +32,9 @@
 	noBody    bool
 	close     bool
 	err       error
-	// headed is set once the status and the headers are being written. The mutex of conn
+	// headStarted is set once the status and the headers are being written. The mutex of conn
 	// guards it.
-	headed bool
+	headStarted bool
 }
 
 // requestBody signals when the body of a request has been read completely.
