--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -266,7 +266,7 @@
 		if failed := x.authorize(); failed != nil {
 			return failed
 		}
-		if x.f.queue(x.service.Name).stopsBefore(time.Now()) {
+		if x.f.stopsBefore(x.service.Name, time.Now()) {
 			return x.tooLong()
 		}
 		if delegate(maxUnreached) {
--- a/forward/stop.go
+++ b/forward/stop.go
@@ -55,12 +55,13 @@
 	return end.Add(-min(slowest, maxSlowest)), true
 }
 
-// stopsBefore reports whether a request that is sent now, to a server or to a peer, is not
-// expected to be answered before the end of the planned stop.
-func (q *queue) stopsBefore(now time.Time) bool {
-	if q.f.stopEnd.Load() == nil {
+// stopsBefore reports whether a request for the service that is sent now, to a server or to a
+// peer, is not expected to be answered before the end of the planned stop.
+func (f *Forwarder) stopsBefore(service string, now time.Time) bool {
+	if f.stopEnd.Load() == nil {
 		return false
 	}
+	q := f.queue(service)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	bound, ok := q.stopBoundLocked()
