quota: the log says which bucket granted the unit that a request used

A served or refused request names its unit (allocator, bucket, number of the request for units) and the unit's age; an allocator logs each bucket that it opens, with level, share and what it knew, and each change of the set of allocators. No decision changes.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/pomelolock/pomelolock/internal/hop"
 	"github.com/pomelolock/pomelolock/outcome"
+	"github.com/pomelolock/pomelolock/quota"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -64,8 +65,11 @@
 	body     *requestBody
 	// delegation is set if a peer delegated the request.
 	delegation *delegation
-	// taken is the workspace whose cap the request was taken out of; "" if none.
-	taken string
+	// unit is what the request took out of the cap of its workspace, nil if there is none;
+	// unitAge is the time since the unit was asked for.
+	unit         *quota.Unit
+	unitAge      time.Duration
+	unitReturned bool
 	// identity is who sent the request, by the newest table; denied is the error if that table
 	// did not let it through.
 	identity identity
@@ -554,7 +558,7 @@
 	if len(x.reservations) > 0 {
 		attrs = append(attrs, slog.Duration("waited", x.reservations[0].reservedAt.Sub(x.receivedAt)))
 	}
-	return attrs
+	return append(attrs, x.unitAttrs()...)
 }
 
 // log writes a log line about the request.
--- a/forward/quota.go
+++ b/forward/quota.go
@@ -14,8 +14,8 @@
 	// Take takes a request out of the workspace's cap, or refuses it. It may wait for some
 	// hundred milliseconds, until ctx ends at most.
 	Take(ctx context.Context, workspace string) quota.Decision
-	// Return returns a request that was taken and certainly did not run.
-	Return(workspace string)
+	// Return returns the unit of a request that certainly did not run.
+	Return(unit quota.Unit)
 }
 
 // takeUnit takes the request out of the cap of its workspace, or refuses it. A delegated
@@ -27,7 +27,7 @@
 	}
 	d := x.f.opts.Quota.Take(x.in.Context(), workspace.Name)
 	if d.OK {
-		x.taken = workspace.Name
+		x.unit, x.unitAge = &d.Unit, d.Age
 		return nil
 	}
 	x.log("over cap", slog.String("workspace", workspace.Name), slog.Float64("cap", d.Cap.PerSecond), slog.Float64("burst", d.Cap.Burst),
@@ -38,10 +38,21 @@
 	}
 }
 
-// returnUnit returns the request, which certainly did not run, to the cap of its workspace.
+// returnUnit returns the unit of the request, which certainly did not run.
 func (x *exchange) returnUnit() {
-	if x.taken != "" {
-		x.f.opts.Quota.Return(x.taken)
-		x.taken = ""
+	if x.unit != nil && !x.unitReturned {
+		x.f.opts.Quota.Return(*x.unit)
+		x.unitReturned = true
+	}
+}
+
+// unitAttrs describe the unit that the request took out of a cap, and its age then.
+func (x *exchange) unitAttrs() []slog.Attr {
+	if x.unit == nil {
+		return nil
+	}
+	return []slog.Attr{
+		slog.String("workspace", x.unit.Workspace), slog.Any("unit", *x.unit), slog.Duration("unit_age", x.unitAge),
+		slog.Bool("unit_returned", x.unitReturned),
 	}
 }
--- a/forward/quota_test.go
+++ b/forward/quota_test.go
@@ -27,13 +27,13 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.taken = append(q.taken, workspace)
-	return quota.Decision{OK: !q.refused, RetryAfter: 700 * time.Millisecond}
+	return quota.Decision{OK: !q.refused, Unit: quota.Unit{Workspace: workspace}, RetryAfter: 700 * time.Millisecond}
 }
 
-func (q *fakeQuota) Return(workspace string) {
+func (q *fakeQuota) Return(unit quota.Unit) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.returned = append(q.returned, workspace)
+	q.returned = append(q.returned, unit.Workspace)
 }
 
 // addWorkspaces puts a table in force with a workspace that has a cap and one that has none.
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -59,7 +60,7 @@
 		client: quota.NewClient(quota.ClientOptions{
 			Process: rand.Uint32(), Random: random(), Fleet: d.quotaFleet, Send: d.sendUnitRequest, BootTime: bootTime, Logger: logger,
 		}),
-		allocator: quota.NewAllocator(random()), current: d.current, logger: logger, heard: 1.0 / assumedInstances,
+		allocator: quota.NewAllocator(random(), logger), current: d.current, logger: logger, heard: 1.0 / assumedInstances,
 		local: bootTime, beganLocal: bootTime(), began: time.Now(),
 	}
 	d.quotas.allocatorsSince = d.quotas.began
@@ -106,7 +107,7 @@
 }
 
 // Return implements [forward.Quota].
-func (q *quotas) Return(workspace string) { q.client.Return(workspace) }
+func (q *quotas) Return(unit quota.Unit) { q.client.Return(unit) }
 
 // followQuotas keeps what the caps depend on up to date. Without caps, it waits for a table that
 // has some.
@@ -135,6 +136,8 @@
 	q.fleetMu.Lock()
 	defer q.fleetMu.Unlock()
 	if !slices.Equal(allocators, q.allocators) {
+		q.logger.Info("allocators of caps changed", "allocators", strings.Join(allocators, " "), "before", strings.Join(q.allocators, " "),
+			"held", now.Sub(q.allocatorsSince), "heard_share", q.heard)
 		q.allocators, q.allocatorsSince = allocators, now
 	}
 }
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"fmt"
+	"log/slog"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -56,6 +58,7 @@
 	limits  Limits
 	table   *Table
 	random  *rand.Rand
+	logger  *slog.Logger
 	buckets map[bucketKey]*bucket
 	// answers holds the answers of the last times by the request, recent and older.
 	answers, older map[question]*quotapb.UnitGrant
@@ -81,6 +84,8 @@
 
 // bucket is the token bucket of a workspace.
 type bucket struct {
+	// id identifies the bucket among those of the instance.
+	id    uint32
 	level float64
 	at    time.Time
 	// slowUntil is the end of the time after a takeover.
@@ -90,9 +95,9 @@
 }
 
 // NewAllocator returns an Allocator without a table, which grants nothing.
-func NewAllocator(random *rand.Rand) *Allocator {
+func NewAllocator(random *rand.Rand, logger *slog.Logger) *Allocator {
 	return &Allocator{
-		table: NewTable(0, nil), random: random, buckets: make(map[bucketKey]*bucket),
+		table: NewTable(0, nil), random: random, logger: logger, buckets: make(map[bucketKey]*bucket),
 		answers: make(map[question]*quotapb.UnitGrant),
 	}
 }
@@ -146,6 +151,7 @@
 // turn drops old answers, and all buckets if the process may have been stopped.
 func (a *Allocator) turn(now time.Time) {
 	if !a.called.IsZero() && now.Sub(a.called) > maxPause {
+		a.logger.Info("process was stopped, buckets dropped", "for", now.Sub(a.called), "buckets", len(a.buckets))
 		clear(a.buckets)
 		a.resumed = now
 	}
@@ -174,7 +180,10 @@
 	if b == nil || role.Since.After(b.at) && now.Sub(b.at) > maxPause {
 		// In the second case, another allocator may have been asked meanwhile.
 		b = a.newBucket(c, role, key.substitute, now)
+		b.id = a.random.Uint32()
 		a.buckets[key] = b
+		a.logger.Info("bucket opened", "workspace_hash", fmt.Sprintf("%x", key.workspace), "bucket", fmt.Sprintf("%08x", b.id), "substitute", key.substitute,
+			"level", b.level, "slow", b.slowUntil.After(now), "share", role.Share, "allocators_since", now.Sub(role.Since), "started", now.Sub(role.Started))
 	}
 	rate, depth := c.PerSecond*role.Share, a.limits.depth(c)*role.Share
 	switch {
@@ -189,7 +198,7 @@
 	b.at = now
 	units := min(float64(req.GetUnits()), math.Floor(b.level))
 	b.level -= units
-	grant.Units = uint32(units)
+	grant.Units, grant.Bucket = uint32(units), b.id
 	a.stats.Granted += uint64(units)
 	missing := float64(req.GetUnits()) - units
 	if missing <= 0 {
--- a/quota/client.go
+++ b/quota/client.go
@@ -78,16 +78,38 @@
 	Logger   *slog.Logger
 }
 
+// Unit allows one request of a workspace to run.
+type Unit struct {
+	Workspace string
+	// Allocator granted the unit from its bucket Bucket, in answer to the request for units
+	// Number of this instance. It is empty for a permit.
+	Allocator string
+	Bucket    uint32
+	Number    uint64
+	// asked is when the unit was asked for, as a time since the machine started.
+	asked time.Duration
+}
+
+// String returns what identifies the grant of the unit.
+func (u Unit) String() string {
+	if u.Allocator == "" {
+		return "permit"
+	}
+	return fmt.Sprintf("%s/%08x/%d", u.Allocator, u.Bucket, u.Number)
+}
+
 // Decision says whether a request may run.
 type Decision struct {
 	OK bool
+	// Unit is what the request takes out of its cap; unset without a cap.
+	Unit Unit
 	// RetryAfter is the time after which there is room for a refused request.
 	RetryAfter time.Duration
 	Cap        Cap
 	Source     Source
 	// Allocator is the instance that decided; "" if none did.
 	Allocator string
-	// Age is the time since the decision.
+	// Age is the time since the unit was asked for, or since the refusal.
 	Age time.Duration
 }
 
@@ -121,8 +143,9 @@
 type account struct {
 	name      string
 	workspace uint64
-	// units are in stock until expires.
+	// units are in stock until expires, each like unit.
 	units   int
+	unit    Unit
 	expires time.Duration
 	waiters []chan Decision
 	asking  *asking
@@ -203,8 +226,9 @@
 	if a.units > 0 && c.opts.BootTime() < a.expires {
 		a.units--
 		c.count(a, true)
+		unit := a.unit
 		c.mu.Unlock()
-		return Decision{OK: true, Cap: limit, Source: SourceAllocator}
+		return Decision{OK: true, Unit: unit, Cap: limit, Source: SourceAllocator, Allocator: unit.Allocator, Age: c.opts.BootTime() - unit.asked}
 	}
 	a.units = 0
 	if now.Before(a.refusedUntil) {
@@ -238,7 +262,7 @@
 	select {
 	case d := <-decided:
 		if d.OK {
-			a.put(c.opts.BootTime())
+			a.put(d.Unit, c.opts.BootTime())
 		}
 	default:
 	}
@@ -246,19 +270,20 @@
 
 // Return returns a request that was taken and certainly did not run. The next request of the
 // workspace at this instance uses its unit, if it comes soon.
-func (c *Client) Return(workspace string) {
+func (c *Client) Return(unit Unit) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if a := c.accounts[hash(workspace)]; a != nil {
-		a.put(c.opts.BootTime())
+	if a := c.accounts[hash(unit.Workspace)]; a != nil {
+		a.put(unit, c.opts.BootTime())
 	}
 }
 
-func (a *account) put(now time.Duration) {
+func (a *account) put(unit Unit, now time.Duration) {
 	if now >= a.expires {
 		a.units = 0
 	}
 	a.units++
+	a.unit = unit
 	a.expires = now + unitTTL
 }
 
@@ -394,7 +419,7 @@
 			c.stats.Floor++
 		}
 		c.count(a, ok)
-		waiter <- Decision{OK: ok, Source: SourceFloor, RetryAfter: unreachedRetryAfter}
+		waiter <- Decision{OK: ok, Unit: Unit{Workspace: a.name}, Source: SourceFloor, RetryAfter: unreachedRetryAfter}
 	}
 	a.waiters = nil
 }
@@ -424,10 +449,11 @@
 func (c *Client) serveLocked(q *asking, grant *quotapb.UnitGrant, now time.Time) (send func()) {
 	a := q.account
 	units := int(grant.GetUnits())
+	a.unit = Unit{Workspace: a.name, Allocator: q.to, Bucket: grant.GetBucket(), Number: q.req.GetNumber(), asked: q.sent}
 	served := min(units, len(a.waiters))
 	for _, waiter := range a.waiters[:served] {
 		c.count(a, true)
-		waiter <- Decision{OK: true, Source: SourceAllocator, Allocator: q.to}
+		waiter <- Decision{OK: true, Unit: a.unit, Source: SourceAllocator, Allocator: q.to, Age: c.opts.BootTime() - q.sent}
 	}
 	a.waiters = a.waiters[served:]
 	a.units, a.expires = units-served, q.sent+unitTTL
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -27,9 +28,17 @@
 type fleet struct {
 	mu        sync.Mutex
 	random    *rand.Rand
+	began     time.Time
 	instances []*instance
-	lost      float64
-	table     *Table
+	// allocatorIDs are the instances that can be allocators while they run.
+	allocatorIDs []string
+	// lost, late and doubled are the parts of the messages to which that happens.
+	lost, late, doubled float64
+	// blocked holds until when no message passes from one instance to another, side the last
+	// side of a partition.
+	blocked map[[2]string]time.Time
+	side    int
+	table   *Table
 	// served holds the times at which requests of each workspace were allowed.
 	served  map[string][]time.Time
 	refused map[string]int
@@ -48,17 +57,29 @@
 	share      float64
 	allocators []string
 	down       bool
+	leaving    bool
+}
+
+// see records that an instance appeared among the allocators, or left them.
+func (i *instance) see(id string, present bool) {
+	rest := without(i.allocators, id)
+	if present {
+		rest = append(rest, id)
+		slices.Sort(rest)
+	}
+	i.allocators, i.since = rest, time.Now()
 }
 
 func newFleet(instances, allocators int, caps map[string]Cap) *fleet {
 	f := &fleet{
-		random: rand.New(rand.NewPCG(1, 2)), table: NewTable(1, caps),
+		random: rand.New(rand.NewPCG(1, 2)), began: time.Now(), table: NewTable(1, caps), blocked: make(map[[2]string]time.Time),
 		served: make(map[string][]time.Time), refused: make(map[string]int),
 	}
 	var ids []string
 	for n := range allocators {
 		ids = append(ids, fmt.Sprint("i", n))
 	}
+	f.allocatorIDs = ids
 	for n := range instances {
 		f.instances = append(f.instances, &instance{f: f, id: fmt.Sprint("i", n), share: 1, allocators: ids, since: time.Now()})
 		f.instances[n].restart()
@@ -88,7 +109,7 @@
 		BootTime: func() time.Duration { return time.Since(started) },
 		Logger:   slog.New(slog.DiscardHandler),
 	})
-	i.allocator = NewAllocator(rand.New(rand.NewPCG(i.f.random.Uint64(), 4)))
+	i.allocator = NewAllocator(rand.New(rand.NewPCG(i.f.random.Uint64(), 4)), slog.New(slog.DiscardHandler))
 	i.client.SetLimits(testLimits)
 	i.allocator.SetLimits(testLimits)
 	i.client.SetTable(i.f.table)
@@ -123,17 +144,27 @@
 func (f *fleet) carry(from, to *instance, deliver func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if from.side != to.side || from.down || to.down || f.random.Float64() < f.lost {
+	if from.side != to.side || from.down || to.down || f.random.Float64() < f.lost || time.Now().Before(f.blocked[[2]string{from.id, to.id}]) {
 		return
 	}
-	time.AfterFunc(time.Millisecond+time.Duration(f.random.Int64N(int64(2*time.Millisecond))), func() {
-		f.mu.Lock()
-		down := to.down
-		f.mu.Unlock()
-		if !down {
-			deliver()
+	copies := 1
+	if f.random.Float64() < f.doubled {
+		copies = 2
+	}
+	for range copies {
+		delay := time.Millisecond + time.Duration(f.random.Int64N(int64(2*time.Millisecond)))
+		if f.random.Float64() < f.late {
+			delay += time.Duration(f.random.Int64N(int64(2 * time.Second)))
 		}
-	})
+		time.AfterFunc(delay, func() {
+			f.mu.Lock()
+			down := to.down
+			f.mu.Unlock()
+			if !down {
+				deliver()
+			}
+		})
+	}
 }
 
 // play has callers send requests of a workspace at a rate for a time, at instances drawn with the
@@ -388,7 +419,7 @@
 func TestRepeatedRequestGetsTheSameUnits(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Now()
-	a := NewAllocator(rand.New(rand.NewPCG(1, 1)))
+	a := NewAllocator(rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler))
 	a.SetLimits(Limits{Window: window})
 	a.SetTable(NewTable(1, map[string]Cap{"w": {1, 3}}))
 	role := Role{Share: 1, Since: now.Add(-window)}
@@ -409,8 +440,9 @@
 		f.instances[0].allocator.SetLimits(Limits{Window: window})
 		time.Sleep(6 * time.Second)
 		client := f.instances[0].client
-		g.Expect(client.Take(context.Background(), "w").OK).To(gomega.BeTrue())
-		client.Return("w")
+		d := client.Take(context.Background(), "w")
+		g.Expect(d.OK).To(gomega.BeTrue())
+		client.Return(d.Unit)
 		g.Expect(client.Take(context.Background(), "w").OK).To(gomega.BeTrue())
 		g.Expect(client.Take(context.Background(), "w").OK).To(gomega.BeFalse())
 	})
