quota: a model of a cap while its allocator changes, which fails

Random series of stops, kills, freezes, cuts, restarts of all and new tables, with views that differ, lost, late and doubled messages, returned units; burst 0 to 20 x rate. The bound is the rule's.

--- /dev/null
+++ b/quota/model_test.go
@@ -0,0 +1,364 @@
+package quota
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// The model plays fleets through random series of failures, in virtual time. Each instance learns
+// of a change of the fleet after a time of its own; messages get lost, late or doubled; requests
+// wait before they reach a server, and some of them don't run.
+
+var (
+	modelSeeds = flag.Int("model-seeds", 300, "seeds to play in each model test")
+	modelFirst = flag.Uint64("model-first", 1, "first seed of the model tests")
+)
+
+const (
+	modelSpan = 16 * time.Second
+	// modelSettled is the time before the first request, after which the instances know that
+	// nobody has used the caps.
+	modelSettled = 6 * time.Second
+)
+
+// model is a fleet with what a play records.
+type model struct {
+	*fleet
+	seed   uint64
+	cap    Cap
+	most   Cap
+	events []string
+	runs   []execution
+	asked  int
+	denied int
+	// spare is the number of requests that a bucket of the cap would have refused.
+	spare int
+	ideal float64
+	at    time.Time
+}
+
+// execution is a request that ran: when the caller sent it and when it reached a server.
+type execution struct{ sent, arrived time.Time }
+
+func newModel(seed uint64) *model {
+	r := rand.New(rand.NewPCG(seed, 7))
+	c := Cap{PerSecond: []float64{2, 10, 40}[r.IntN(3)]}
+	c.Burst = c.PerSecond * []float64{0, 0.5, 1, 5, 20}[r.IntN(5)]
+	size := 4 + r.IntN(6)
+	m := &model{seed: seed, cap: c, most: c, fleet: newFleet(size, 2+r.IntN(3), map[string]Cap{"w": c})}
+	m.random = r
+	m.lost, m.late, m.doubled = 0.03*r.Float64(), 0.02*r.Float64(), 0.02*r.Float64()
+	m.ideal, m.at = c.Burst, time.Now()
+	return m
+}
+
+// between returns a random time.
+func (m *model) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(m.random.Int64N(int64(high-low)))
+}
+
+func (m *model) note(format string, args ...any) {
+	m.events = append(m.events, fmt.Sprintf("%.2f s: ", time.Since(m.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// after changes the fleet after a time.
+func (m *model) after(d time.Duration, change func()) {
+	time.AfterFunc(d, func() { m.set(change) })
+}
+
+// spread lets the other instances learn of a change of an instance, each after a time of its own.
+func (m *model) spread(subject *instance, low, high time.Duration, present func() bool) {
+	for _, i := range m.instances {
+		if i != subject && slices.Contains(m.allocatorIDs, subject.id) {
+			m.after(m.between(low, high), func() {
+				if here := present(); here != slices.Contains(i.allocators, subject.id) && i.side == subject.side {
+					i.see(subject.id, here)
+				}
+			})
+		}
+	}
+}
+
+// away takes an instance out of the fleet for a time, after which it returns.
+func (m *model) away(i *instance, low, high, span time.Duration, back func()) {
+	m.spread(i, low, high, func() bool { return !i.down && !i.leaving })
+	m.after(span, func() {
+		i.down, i.leaving = false, false
+		back()
+		m.spread(i, 0, time.Second, func() bool { return !i.down && !i.leaving })
+	})
+}
+
+// The kinds of events. The fleet's lock is held.
+var modelEvents = []func(m *model, i *instance){
+	func(m *model, i *instance) {
+		grace := m.between(2600*time.Millisecond, 5700*time.Millisecond)
+		m.note("%s stops, gone after %v", i.id, grace)
+		i.leaving = true
+		i.see(i.id, false)
+		m.spread(i, 0, 3*time.Second, func() bool { return !i.down && !i.leaving })
+		m.after(grace, func() {
+			i.down = true
+			m.away(i, 0, time.Millisecond, m.between(50*time.Millisecond, 2*time.Second), func() { m.replace(i) })
+		})
+	},
+	func(m *model, i *instance) {
+		span := m.between(50*time.Millisecond, 4*time.Second)
+		m.note("%s is killed, back after %v", i.id, span)
+		i.down = true
+		m.away(i, 700*time.Millisecond, 3*time.Second, span, func() { m.replace(i) })
+	},
+	func(m *model, i *instance) {
+		span := m.between(100*time.Millisecond, 4*time.Second)
+		m.note("%s freezes for %v", i.id, span)
+		i.down = true
+		m.away(i, 700*time.Millisecond, 3*time.Second, span, func() {})
+	},
+	func(m *model, _ *instance) {
+		span := m.between(500*time.Millisecond, 5*time.Second)
+		cut := 1 + m.random.IntN(len(m.instances)-1)
+		if cut < len(m.instances)/2 {
+			cut = 1
+		}
+		m.note("%d instances are cut off for %v", cut, span)
+		m.cut(cut, span)
+	},
+	func(m *model, i *instance) {
+		span := m.between(500*time.Millisecond, 5*time.Second)
+		m.note("%s is cut from one instance for %v", i.id, span)
+		other := m.any()
+		m.blocked[[2]string{i.id, other.id}] = time.Now().Add(span)
+		m.blocked[[2]string{other.id, i.id}] = time.Now().Add(span)
+	},
+	func(m *model, _ *instance) {
+		m.note("all instances are restarted")
+		for _, i := range m.instances {
+			i.down = true
+			m.after(m.between(50*time.Millisecond, 300*time.Millisecond), func() {
+				i.down, i.leaving = false, false
+				m.replace(i)
+			})
+		}
+	},
+	func(m *model, _ *instance) {
+		m.cap.PerSecond *= 0.7 + 0.6*m.random.Float64()
+		m.most = Cap{PerSecond: max(m.most.PerSecond, m.cap.PerSecond), Burst: max(m.most.Burst, m.cap.Burst)}
+		m.note("a table with %.1f requests a second", m.cap.PerSecond)
+		m.table = NewTable(m.table.Version()+1, map[string]Cap{"w": m.cap})
+		table := m.table
+		for _, i := range m.instances {
+			m.after(m.between(0, 2*time.Second), func() {
+				i.client.SetTable(table)
+				i.allocator.SetTable(table)
+			})
+		}
+	},
+}
+
+// replace starts a new process of an instance, which knows the allocators of its side.
+func (m *model) replace(i *instance) {
+	i.allocators = nil
+	for _, id := range m.allocatorIDs {
+		other := m.find(id)
+		if other.side == i.side && !other.down && !other.leaving || other == i {
+			i.allocators = append(i.allocators, id)
+		}
+	}
+	i.restart()
+}
+
+// cut splits the fleet for a time. Each instance notices in its own time whom it no longer hears.
+func (m *model) cut(count int, span time.Duration) {
+	first := m.random.IntN(len(m.instances))
+	var out []*instance
+	for n := range count {
+		out = append(out, m.instances[(first+n)%len(m.instances)])
+	}
+	m.side++
+	side, noticed := m.side, m.between(700*time.Millisecond, 1300*time.Millisecond)
+	for _, i := range out {
+		i.side = side
+	}
+	refresh := func(i *instance) {
+		heard := 0
+		for _, other := range m.instances {
+			if other.side == i.side {
+				heard++
+			}
+		}
+		i.share = float64(heard) / float64(len(m.instances))
+		for _, id := range m.allocatorIDs {
+			other := m.find(id)
+			if here := other.side == i.side && !other.down && !other.leaving; here != slices.Contains(i.allocators, id) {
+				i.see(id, here)
+			}
+		}
+	}
+	for _, i := range m.instances {
+		m.after(noticed+m.between(0, 400*time.Millisecond), func() { refresh(i) })
+		m.after(span+m.between(0, 400*time.Millisecond), func() { refresh(i) })
+	}
+	m.after(span, func() {
+		for _, i := range out {
+			if i.side == side {
+				i.side = 0
+			}
+		}
+	})
+}
+
+// demand has callers send requests at a rate, at all instances or mostly at some of them.
+func (m *model) demand(perSecond float64, span time.Duration) {
+	var favourite *instance
+	m.set(func() {
+		if m.random.IntN(3) == 0 {
+			favourite = m.any()
+		}
+	})
+	for end := time.Now().Add(span); ; {
+		var gap time.Duration
+		m.set(func() { gap = time.Duration(m.random.ExpFloat64() / perSecond * float64(time.Second)) })
+		time.Sleep(gap)
+		if !time.Now().Before(end) {
+			return
+		}
+		m.set(func() {
+			i := m.any()
+			if favourite != nil && m.random.IntN(5) > 0 {
+				i = favourite
+			}
+			if !i.down {
+				go m.request(i.client, m.between(0, 50*time.Millisecond), m.random.IntN(10) == 0, m.between(0, 2*time.Second))
+			}
+		})
+	}
+}
+
+// request sends one request, which reaches a server after a time or is refused later.
+func (m *model) request(client *Client, queued time.Duration, notRun bool, held time.Duration) {
+	sent := time.Now()
+	d := client.Take(context.Background(), "w")
+	m.set(func() {
+		now := time.Now()
+		m.asked++
+		// ideal is the level of a bucket that the whole fleet shares without messages.
+		m.ideal = math.Min(m.ideal+m.cap.PerSecond*now.Sub(m.at).Seconds(), m.cap.Burst+1)
+		m.at = now
+		switch {
+		case m.ideal >= 1:
+			m.ideal--
+			if !d.OK {
+				m.denied++
+			}
+		default:
+			m.spare++
+		}
+		if d.OK && !notRun {
+			m.runs = append(m.runs, execution{sent: sent, arrived: now.Add(queued)})
+		}
+	})
+	if d.OK && notRun {
+		time.Sleep(held)
+		client.Return(d.Unit)
+	}
+}
+
+// fullest returns the largest number of requests that were both sent and run in any window.
+func (m *model) fullest() (most int, at time.Duration) {
+	slices.SortFunc(m.runs, func(a, b execution) int { return a.sent.Compare(b.sent) })
+	for n, from := range m.runs {
+		count := 0
+		for _, r := range m.runs[n:] {
+			if r.sent.Sub(from.sent) > window {
+				break
+			}
+			if r.arrived.Sub(from.sent) <= window {
+				count++
+			}
+		}
+		if count > most {
+			most, at = count, from.sent.Sub(m.began)
+		}
+	}
+	return most, at
+}
+
+// playEvents has events happen at random times; some overlap.
+func (m *model) playEvents(kinds []func(m *model, i *instance)) {
+	for left := modelSpan; ; {
+		var gap time.Duration
+		m.set(func() { gap = m.between(50*time.Millisecond, 6*time.Second) })
+		if left -= gap; left <= 0 {
+			return
+		}
+		time.Sleep(gap)
+		m.set(func() {
+			if i := m.any(); !i.down && !i.leaving {
+				kinds[m.random.IntN(len(kinds))](m, i)
+			}
+		})
+	}
+}
+
+// play plays one seed; demand is a multiple of the cap.
+func (m *model) play(demand float64) {
+	go m.tick(modelSettled + modelSpan + 2*time.Second)
+	time.Sleep(modelSettled)
+	go m.playEvents(modelEvents)
+	if demand > 1 {
+		// A workspace that was quiet has its whole burst.
+		var quiet time.Duration
+		m.set(func() { quiet = m.between(0, 4*time.Second) })
+		m.demand(0.6*m.cap.PerSecond, quiet)
+		m.demand(demand*m.cap.PerSecond, modelSpan-quiet)
+	} else {
+		m.demand(demand*m.cap.PerSecond, modelSpan)
+	}
+	time.Sleep(8 * time.Second)
+	synctest.Wait()
+}
+
+// TestNoWindowExceedsTheCapInAnySeriesOfFailures guards against a cap that is granted twice
+// around a change of its allocator.
+func TestNoWindowExceedsTheCapInAnySeriesOfFailures(t *testing.T) {
+	for n := range uint64(*modelSeeds) {
+		seed := *modelFirst + n
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			run(t, func(g *gomega.WithT) {
+				m := newModel(seed)
+				m.playHot()
+				most, at := m.fullest()
+				g.Expect(float64(most)).To(gomega.BeNumerically("<=", bound(m.most)),
+					"cap %+v, window from %.2f s; %q", m.most, at.Seconds(), m.events)
+			})
+		})
+	}
+}
+
+func (m *model) playHot() { m.play(2 + 5*m.random.Float64()) }
+
+// TestBelowTheCapLittleIsRefusedInAnySeriesOfFailures guards against caps that hold because
+// nothing is granted: of what the cap allows, 2 in 100 may be refused.
+func TestBelowTheCapLittleIsRefusedInAnySeriesOfFailures(t *testing.T) {
+	asked, denied := 0, 0
+	for n := range uint64(*modelSeeds) {
+		run(t, func(*gomega.WithT) {
+			m := newModel(*modelFirst + n)
+			m.play(1 / 1.6)
+			asked += m.asked - m.spare
+			denied += m.denied
+		})
+	}
+	t.Logf("refused below the cap: %d of %d", denied, asked)
+	gomega.NewWithT(t).Expect(float64(denied)).To(gomega.BeNumerically("<=", 0.02*float64(asked)))
+}
