quota: a bucket moves among allocators, so that a cap is granted once

Cause: each instance that thought itself the allocator opened a bucket of its own. Views of the allocators differ for up to 3.7 s; a stopping allocator went on granting to those that still asked it while the next one granted half of the rate, then all; one that was asked before it knew that it was the allocator started with a full bucket. Beside that, a returned unit made the whole stock of its instance usable for another 300 ms, however old.

Change: an allocator without a bucket asks the others for it, and who has it hands it over and grants no more; a leaving one offers its buckets. A new bucket is empty unless all allocators have granted nothing in the window. After a stop of the process, or when an allocator returns, the holder asks again. Units keep the time at which they were asked for.

--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -268,6 +268,10 @@
 		alive, known := e.Heard(centre)
 		switch {
 		case centre == e.opts.DataCentre:
+			if v := e.currentView(time.Now()); v.relaying {
+				// A relay hears its data centre itself, and notices sooner that it is cut off.
+				alive = len(e.members.heard(centre, time.Now())) + e.selfIn(centre)
+			}
 			sum += float64(alive) / float64(max(known, 1))
 		case alive > 0:
 			sum++
--- a/internal/entry/messages.go
+++ b/internal/entry/messages.go
@@ -9,8 +9,10 @@
 // Kinds of messages that are sent in gossip datagrams only. The numbers are not used by
 // [peerpb.Kind].
 const (
-	kindUnitRequest peerpb.Kind = 70
-	kindUnitGrant   peerpb.Kind = 71
+	kindUnitRequest   peerpb.Kind = 70
+	kindUnitGrant     peerpb.Kind = 71
+	kindBucketRequest peerpb.Kind = 72
+	kindBucketReply   peerpb.Kind = 73
 )
 
 // messages passes the messages of other instances to the handlers of their kinds.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -91,6 +91,8 @@
 		{"quota_asked_total", "Requests for units to allocators.", func() uint64 { return d.quotas.client.Stats().Asked }},
 		{"quota_allocators_failed_total", "Requests for units that an allocator did not answer.", func() uint64 { return d.quotas.client.Stats().Failures }},
 		{"quota_granted_total", "Units granted to instances.", func() uint64 { return d.quotas.allocator.Stats().Granted }},
+		{"quota_buckets_opened_total", "Buckets that this instance began to grant units of.", func() uint64 { return d.quotas.allocator.Stats().Opened }},
+		{"quota_buckets_handed_over_total", "Buckets handed over to other instances.", func() uint64 { return d.quotas.allocator.Stats().HandedOver }},
 		{"quota_denied_total", "Units that instances asked for and that were not granted.", func() uint64 { return d.quotas.allocator.Stats().Refused }},
 		{"peer_sent_datagrams_total", "Datagrams sent to other instances.", d.exchange.Sent.Load},
 		{"peer_received_datagrams_total", "Datagrams received from other instances.", d.exchange.Received.Load},
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -42,7 +42,7 @@
 	// fleetMu guards the fields below. The client asks for them with its own lock held, which
 	// refresh takes while it holds mu.
 	fleetMu sync.Mutex
-	// allocators are the instances that can be allocators, since allocatorsSince.
+	// allocators are the instances that can be allocators, the same since allocatorsSince.
 	allocators      []string
 	allocatorsSince time.Time
 	// heard is the part of the fleet that this instance hears.
@@ -56,17 +56,23 @@
 	if bootTime == nil {
 		bootTime = storeclock.BootTime
 	}
+	process := rand.Uint32()
 	d.quotas = &quotas{
 		client: quota.NewClient(quota.ClientOptions{
-			Process: rand.Uint32(), Random: random(), Fleet: d.quotaFleet, Send: d.sendUnitRequest, BootTime: bootTime, Logger: logger,
+			Process: process, Random: random(), Fleet: d.quotaFleet, Send: d.sendUnitRequest, BootTime: bootTime, Logger: logger,
 		}),
-		allocator: quota.NewAllocator(random(), logger), current: d.current, logger: logger, heard: 1.0 / assumedInstances,
+		allocator: quota.NewAllocator(quota.AllocatorOptions{
+			ID: d.self.ID, Process: process, Random: random(), Send: d.sendBucketRequest, Logger: logger,
+		}),
+		current: d.current, logger: logger, heard: 1.0 / assumedInstances,
 		local: bootTime, beganLocal: bootTime(), began: time.Now(),
 	}
 	d.quotas.allocatorsSince = d.quotas.began
 	d.quotas.setLimits(d.settings.Load().Caps)
 	d.messages.handle(kindUnitRequest, d.receiveUnitRequest)
 	d.messages.handle(kindUnitGrant, d.receiveUnitGrant)
+	d.messages.handle(kindBucketRequest, d.receiveBucketRequest)
+	d.messages.handle(kindBucketReply, d.receiveBucketReply)
 }
 
 // now returns the time. Unlike [time.Now], the difference of two times includes suspension, in
@@ -125,17 +131,18 @@
 		now := d.quotas.now()
 		d.quotas.setAllocators(d.exchange.StrongRelays(), now)
 		d.quotas.setHeard(d.heardShare())
-		d.quotas.allocator.Tick(now)
+		d.quotas.allocator.Tick(d.quotas.role(), now)
 		sleep(ctx, quotaInterval)
 	}
 	return nil
 }
 
-// setAllocators records the instances that can be allocators.
+// setAllocators records the instances that can be allocators. If there are none, because the only
+// one is leaving, it goes on.
 func (q *quotas) setAllocators(allocators []string, now time.Time) {
 	q.fleetMu.Lock()
 	defer q.fleetMu.Unlock()
-	if !slices.Equal(allocators, q.allocators) {
+	if len(allocators) > 0 && !slices.Equal(allocators, q.allocators) {
 		q.logger.Info("allocators of caps changed", "allocators", strings.Join(allocators, " "), "before", strings.Join(q.allocators, " "),
 			"held", now.Sub(q.allocatorsSince), "heard_share", q.heard)
 		q.allocators, q.allocatorsSince = allocators, now
@@ -174,37 +181,68 @@
 func (q *quotas) role() quota.Role {
 	q.fleetMu.Lock()
 	defer q.fleetMu.Unlock()
-	return quota.Role{Share: q.heard, Since: q.allocatorsSince, Started: q.began}
+	return quota.Role{Share: q.heard, Allocators: q.allocators}
 }
 
 // sendUnitRequest sends a request to an allocator, which may be this instance.
 func (d *Daemon) sendUnitRequest(to string, req *quotapb.UnitRequest) {
-	if to == d.self.ID {
-		now := d.quotas.now()
-		d.quotas.client.Receive(to, d.quotas.allocator.Receive(to, req, d.quotas.role(), now))
+	if to != d.self.ID {
+		d.sendQuota(to, kindUnitRequest, req)
 		return
 	}
-	d.sendQuota(to, kindUnitRequest, req)
+	if grant := d.quotas.allocator.Receive(to, req, d.quotas.role(), d.quotas.now()); grant != nil {
+		d.quotas.client.Receive(to, grant)
+	}
 }
 
 func (d *Daemon) receiveUnitRequest(from string, payload []byte) {
 	req := &quotapb.UnitRequest{}
-	if err := proto.Unmarshal(payload, req); err != nil {
-		d.quotas.logger.Warn("message is invalid", "from", from, "error", err)
+	if !d.quotas.decode(from, payload, req) {
 		return
 	}
 	d.quotas.refresh()
-	now := d.quotas.now()
-	d.sendQuota(from, kindUnitGrant, d.quotas.allocator.Receive(from, req, d.quotas.role(), now))
+	if grant := d.quotas.allocator.Receive(from, req, d.quotas.role(), d.quotas.now()); grant != nil {
+		d.sendQuota(from, kindUnitGrant, grant)
+	}
 }
 
 func (d *Daemon) receiveUnitGrant(from string, payload []byte) {
 	grant := &quotapb.UnitGrant{}
-	if err := proto.Unmarshal(payload, grant); err != nil {
-		d.quotas.logger.Warn("message is invalid", "from", from, "error", err)
+	if d.quotas.decode(from, payload, grant) {
+		d.quotas.client.Receive(from, grant)
+	}
+}
+
+// sendBucketRequest asks another allocator for a bucket.
+func (d *Daemon) sendBucketRequest(to string, req *quotapb.BucketRequest) {
+	d.sendQuota(to, kindBucketRequest, req)
+}
+
+func (d *Daemon) receiveBucketRequest(from string, payload []byte) {
+	req := &quotapb.BucketRequest{}
+	if !d.quotas.decode(from, payload, req) {
 		return
 	}
-	d.quotas.client.Receive(from, grant)
+	d.quotas.refresh()
+	if reply := d.quotas.allocator.ReceiveBucketRequest(from, req, d.quotas.role(), d.quotas.now()); reply != nil {
+		d.sendQuota(from, kindBucketReply, reply)
+	}
+}
+
+func (d *Daemon) receiveBucketReply(from string, payload []byte) {
+	reply := &quotapb.BucketReply{}
+	if d.quotas.decode(from, payload, reply) {
+		d.quotas.allocator.ReceiveBucketReply(from, reply, d.quotas.role(), d.quotas.now())
+	}
+}
+
+// decode decodes a message of another instance and reports whether it is valid.
+func (q *quotas) decode(from string, payload []byte, msg proto.Message) bool {
+	err := proto.Unmarshal(payload, msg)
+	if err != nil {
+		q.logger.Warn("message is invalid", "from", from, "error", err)
+	}
+	return err == nil
 }
 
 // sendQuota sends a message. A failure to send is equivalent to the loss of the message.
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -1,31 +1,40 @@
 package quota
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/pomelolock/pomelolock/membership"
 	"github.com/pomelolock/pomelolock/quota/quotapb"
 )
 
 const (
-	// takeoverTime is the time for which a new allocator grants takeoverShare of a cap: the
-	// one before may still be asked by instances that don't know of the change.
+	// takeoverShare is the part of a cap that is granted while it is not known whether another
+	// allocator grants units too: one that was lost within takeoverTime, or one that has
+	// returned.
+	takeoverShare = 0.7
 	takeoverTime  = 1500 * time.Millisecond
-	takeoverShare = 0.5
-	// restartLevel is the part of its depth to which the bucket of a new process is filled. What
-	// the process before it granted, this part and the rate stay within the excess together,
-	// however soon it has restarted; callers that could not be served meanwhile return at once.
-	restartLevel = 0.3
-	// substituteShare is the part of a cap that is granted to instances that don't reach the
-	// allocator itself, which may go on granting to others.
+	// substituteShare is the part of a cap that is granted while the allocator itself may go on
+	// granting: to instances that don't reach it, and before it has handed its bucket over.
 	substituteShare = 0.05
+	// openTime is the time for which requests for units wait for the answers of the other
+	// allocators. They are repeated later than that.
+	openTime = 30 * time.Millisecond
+	// handoverTTL is the time for which instances are sent to the new holder of a bucket. Then
+	// one that is still asked takes the bucket back.
+	handoverTTL = time.Second
+	// maxOffers is the number of buckets that a leaving allocator offers at a time.
+	maxOffers = 64
 	// maxPause is the time without a call after which the process may have been stopped, so
-	// that another allocator may have taken over.
-	maxPause = time.Second
+	// that another allocator may have taken over. It is shorter than the time after which other
+	// instances notice.
+	maxPause = 500 * time.Millisecond
 	// answerTTL is the time for which answers are kept, to answer a repetition with the
 	// same. Repetitions come within 100 ms.
 	answerTTL = 500 * time.Millisecond
@@ -35,37 +44,71 @@
 	maxRetryAfter = 3 * time.Second
 )
 
-// Role describes an instance as an allocator.
+// Role describes an instance as an allocator, as it knows the fleet now.
 type Role struct {
 	// Share is the part of each cap that it may grant: the part of the fleet that it hears,
 	// so that the sides of a partition don't grant more than the whole.
 	Share float64
-	// Since is when the set of instances that can be allocators last changed, or the time at
-	// which the process started, which is Started.
-	Since, Started time.Time
+	// Allocators are the IDs of the instances that can be allocators, sorted.
+	Allocators []string
+}
+
+// AllocatorOptions configure an [Allocator]. All are required.
+type AllocatorOptions struct {
+	// ID is the ID of the instance, Process identifies its process.
+	ID      string
+	Process uint32
+	Random  *rand.Rand
+	// Send asks another allocator for a bucket. It must not block.
+	Send   func(to string, req *quotapb.BucketRequest)
+	Logger *slog.Logger
 }
 
 // AllocatorStats are counters since the start of the process.
 type AllocatorStats struct {
-	// Granted and Refused count units.
-	Granted, Refused uint64
+	// Granted and Refused count units, Opened and HandedOver buckets.
+	Granted, Refused, Opened, HandedOver uint64
 }
 
-// Allocator keeps the token buckets of workspaces and grants units of them. It is safe for
-// concurrent use.
+// Allocator keeps the token buckets of workspaces and grants units of them. A bucket moves among
+// the allocators: one that is asked for units without having the bucket asks the others for it.
+// It is safe for concurrent use. The times that its methods take have to count the suspension of
+// the machine.
 type Allocator struct {
+	opts AllocatorOptions
+
 	mu      sync.Mutex
 	limits  Limits
 	table   *Table
-	random  *rand.Rand
-	logger  *slog.Logger
 	buckets map[bucketKey]*bucket
+	// handovers holds the buckets that were handed over, by workspace.
+	handovers map[uint64]*handover
+	number    uint64
 	// answers holds the answers of the last times by the request, recent and older.
 	answers, older map[question]*quotapb.UnitGrant
 	turned, called time.Time
-	// resumed is the time since which the process runs without a pause.
-	resumed time.Time
-	stats   AllocatorStats
+	// running is the time since which the process runs without a pause.
+	running time.Time
+	// share and allocators are those of the role, others the allocators lately known.
+	share      float64
+	allocators []string
+	others     map[string]*other
+	// outbox holds messages that are sent once the lock is free.
+	outbox []outgoing
+	stats  AllocatorStats
+}
+
+// other is another instance that can be an allocator, or could lately.
+type other struct {
+	present bool
+	goneAt  time.Time
+	// forgotten is set once no bucket waits for it any more.
+	forgotten bool
+}
+
+type outgoing struct {
+	to  string
+	req *quotapb.BucketRequest
 }
 
 // question identifies a request for units.
@@ -75,30 +118,11 @@
 	number  uint64
 }
 
-// bucketKey identifies a bucket. Units that are granted in place of another allocator have one of
-// their own.
-type bucketKey struct {
-	workspace  uint64
-	substitute bool
-}
-
-// bucket is the token bucket of a workspace.
-type bucket struct {
-	// id identifies the bucket among those of the instance.
-	id    uint32
-	level float64
-	at    time.Time
-	// slowUntil is the end of the time after a takeover.
-	slowUntil time.Time
-	// refused is the number of units refused lately, as of at.
-	refused float64
-}
-
 // NewAllocator returns an Allocator without a table, which grants nothing.
-func NewAllocator(random *rand.Rand, logger *slog.Logger) *Allocator {
+func NewAllocator(opts AllocatorOptions) *Allocator {
 	return &Allocator{
-		table: NewTable(0, nil), random: random, logger: logger, buckets: make(map[bucketKey]*bucket),
-		answers: make(map[question]*quotapb.UnitGrant),
+		opts: opts, table: NewTable(0, nil), buckets: make(map[bucketKey]*bucket), handovers: make(map[uint64]*handover),
+		answers: make(map[question]*quotapb.UnitGrant), others: make(map[string]*other),
 	}
 }
 
@@ -131,98 +155,251 @@
 	return a.stats
 }
 
-// Receive answers a request for units. The times have to count the suspension of the machine.
+// Receive answers a request for units. It returns nil if the request should be repeated, because
+// the bucket is being handed over.
 func (a *Allocator) Receive(from string, req *quotapb.UnitRequest, role Role, now time.Time) *quotapb.UnitGrant {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.turn(now)
+	defer a.send()
+	a.observe(role, now)
 	q := question{from: from, process: req.GetProcess(), number: req.GetNumber()}
 	for _, answers := range []map[question]*quotapb.UnitGrant{a.answers, a.older} {
 		if given := answers[q]; given != nil {
 			return given
 		}
 	}
-	grant := &quotapb.UnitGrant{Number: req.GetNumber(), Process: req.GetProcess()}
-	a.grant(grant, req, role, now)
-	a.answers[q] = grant
+	grant := a.grant(req, now)
+	if grant != nil {
+		grant.Number, grant.Process = req.GetNumber(), req.GetProcess()
+		a.answers[q] = grant
+	}
 	return grant
 }
 
-// turn drops old answers, and all buckets if the process may have been stopped.
-func (a *Allocator) turn(now time.Time) {
-	if !a.called.IsZero() && now.Sub(a.called) > maxPause {
-		a.logger.Info("process was stopped, buckets dropped", "for", now.Sub(a.called), "buckets", len(a.buckets))
-		clear(a.buckets)
-		a.resumed = now
+// Tick records that the process runs, and repeats what others have not answered. It has to be
+// called several times in maxPause.
+func (a *Allocator) Tick(role Role, now time.Time) {
+	a.mu.Lock()
+	defer a.send()
+	a.observe(role, now)
+	for key, b := range a.buckets {
+		if len(b.inquiries) > 0 && a.used(b, now) {
+			a.advance(key, b, a.table.caps[key.workspace], now)
+			a.inquire(key, b, now)
+		}
+	}
+	if !slices.Contains(a.allocators, a.opts.ID) {
+		a.offer()
+	}
+}
+
+// send releases the lock and sends the messages of the outbox.
+func (a *Allocator) send() {
+	outbox := a.outbox
+	a.outbox = nil
+	a.mu.Unlock()
+	slices.SortFunc(outbox, func(x, y outgoing) int { return cmp.Compare(x.to, y.to) })
+	for _, o := range outbox {
+		a.opts.Send(o.to, o.req)
 	}
-	a.called = now
+}
+
+// observe records what this instance knows of the fleet, and whether it was stopped.
+func (a *Allocator) observe(role Role, now time.Time) {
 	if now.Sub(a.turned) > answerTTL {
 		a.older, a.answers, a.turned = a.answers, make(map[question]*quotapb.UnitGrant), now
 	}
+	paused := now.Sub(a.called)
+	stopped := !a.called.IsZero() && paused > maxPause
+	a.called, a.share = now, role.Share
+	if a.running.IsZero() || stopped {
+		a.running = now
+	}
+	if !slices.Equal(role.Allocators, a.allocators) {
+		a.allocators = slices.Clone(role.Allocators)
+		a.compare(now)
+	}
+	if stopped {
+		a.opts.Logger.Info("process was stopped, asking the other allocators", "for", paused, "buckets", len(a.buckets))
+		for id, o := range a.others {
+			if o.present {
+				a.verify(id, now)
+			}
+		}
+	}
+	for id, o := range a.others {
+		if !o.present && now.Sub(o.goneAt) > takeoverTime {
+			a.forget(id, now)
+		}
+	}
 }
 
-// Tick records that the process runs. It has to be called more often than each second.
-func (a *Allocator) Tick(now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.turn(now)
+// compare records which allocators have come and gone.
+func (a *Allocator) compare(now time.Time) {
+	for id, o := range a.others {
+		if o.present && !slices.Contains(a.allocators, id) {
+			o.present, o.goneAt = false, now
+		}
+	}
+	for _, id := range a.allocators {
+		if id == a.opts.ID {
+			continue
+		}
+		if o := a.others[id]; o == nil || !o.present {
+			a.others[id] = &other{present: true}
+			a.verify(id, now)
+		}
+	}
 }
 
-func (a *Allocator) grant(grant *quotapb.UnitGrant, req *quotapb.UnitRequest, role Role, now time.Time) {
+// verify asks an allocator, which may have taken over buckets meanwhile, whether it has: now for
+// those in use, for the others once they are.
+func (a *Allocator) verify(id string, now time.Time) {
+	for key, b := range a.buckets {
+		if key.substitute {
+			continue
+		}
+		a.advance(key, b, a.table.caps[key.workspace], now)
+		b.inquiries[id] = &inquiry{}
+		if a.used(b, now) {
+			a.inquire(key, b, now)
+		}
+	}
+}
+
+// used reports whether units of the bucket were asked for within a window.
+func (a *Allocator) used(b *bucket, now time.Time) bool {
+	return now.Sub(b.askedAt) < a.limits.Window
+}
+
+// forget ends the wait for an allocator that has been gone for takeoverTime. It is kept in mind for
+// the window in which it may have granted units.
+func (a *Allocator) forget(id string, now time.Time) {
+	if now.Sub(a.others[id].goneAt) > a.limits.Window {
+		delete(a.others, id)
+		return
+	}
+	if a.others[id].forgotten {
+		return
+	}
+	a.others[id].forgotten = true
+	for key, b := range a.buckets {
+		if b.inquiries[id] != nil {
+			c := a.table.caps[key.workspace]
+			a.advance(key, b, c, now)
+			delete(b.inquiries, id)
+			b.unclean = true
+			a.settle(b, c, now)
+		}
+	}
+}
+
+// meet records an allocator that has sent a message. It may not be known as one yet.
+func (a *Allocator) meet(id string, now time.Time) {
+	if a.others[id] == nil && id != a.opts.ID {
+		a.others[id] = &other{goneAt: now}
+	}
+}
+
+// cleanSince reports whether this instance has run, and known all other allocators, for a window.
+func (a *Allocator) cleanSince(now time.Time) bool {
+	for _, o := range a.others {
+		if !o.present {
+			return false
+		}
+	}
+	return now.Sub(a.running) >= a.limits.Window
+}
+
+func (a *Allocator) grant(req *quotapb.UnitRequest, now time.Time) *quotapb.UnitGrant {
 	c, ok := a.table.caps[req.GetWorkspace()]
 	if !ok {
 		// The workspace is of a newer table, which arrives soon.
-		grant.RetryAfterMs = milliseconds(answerTTL)
-		return
+		return &quotapb.UnitGrant{RetryAfterMs: milliseconds(answerTTL)}
 	}
 	key := bucketKey{req.GetWorkspace(), req.GetSubstitute()}
 	b := a.buckets[key]
-	if b == nil || role.Since.After(b.at) && now.Sub(b.at) > maxPause {
-		// In the second case, another allocator may have been asked meanwhile.
-		b = a.newBucket(c, role, key.substitute, now)
-		b.id = a.random.Uint32()
-		a.buckets[key] = b
-		a.logger.Info("bucket opened", "workspace_hash", fmt.Sprintf("%x", key.workspace), "bucket", fmt.Sprintf("%08x", b.id), "substitute", key.substitute,
-			"level", b.level, "slow", b.slowUntil.After(now), "share", role.Share, "allocators_since", now.Sub(role.Since), "started", now.Sub(role.Started))
-	}
-	rate, depth := c.PerSecond*role.Share, a.limits.depth(c)*role.Share
-	switch {
-	case key.substitute:
-		rate, depth = rate*substituteShare, max(depth*substituteShare, 1)
-	case now.Before(b.slowUntil):
-		rate *= takeoverShare
-	}
-	elapsed := max(now.Sub(b.at).Seconds(), 0)
-	b.level = min(b.level+rate*elapsed, depth)
-	b.refused *= math.Exp(-elapsed / refusedDecay)
-	b.at = now
+	if b == nil {
+		if holder := a.holder(key, now); holder != "" {
+			return &quotapb.UnitGrant{HeldBy: holder}
+		}
+		b = a.open(key, c, now)
+	}
+	b.askedAt = now
+	a.inquire(key, b, now)
+	if a.pending(b, now) {
+		return nil
+	}
+	a.advance(key, b, c, now)
+	grant := &quotapb.UnitGrant{Bucket: b.id}
 	units := min(float64(req.GetUnits()), math.Floor(b.level))
-	b.level -= units
-	grant.Units, grant.Bucket = uint32(units), b.id
+	if units > 0 {
+		b.level -= units
+		b.granted += units
+		b.grantedAt = now
+	}
+	grant.Units = uint32(units)
 	a.stats.Granted += uint64(units)
 	missing := float64(req.GetUnits()) - units
 	if missing <= 0 {
-		return
+		return grant
 	}
 	a.stats.Refused += uint64(missing)
+	rate, _ := a.rates(key, b, c, now)
 	grant.RetryAfterMs = milliseconds(a.retryAfter(b, rate))
 	b.refused += missing
+	return grant
+}
+
+// pending reports whether another allocator was asked for the bucket so lately that its answer may
+// still come.
+func (a *Allocator) pending(b *bucket, now time.Time) bool {
+	for _, i := range b.inquiries {
+		if now.Sub(i.askedAt) < openTime {
+			return true
+		}
+	}
+	return false
 }
 
-// newBucket returns the bucket of a workspace of which this allocator knows nothing. If the
-// allocators have long been the same, nobody has asked for units lately and the bucket is full.
-// Otherwise another allocator may have granted them, or this one before its process ended.
-func (a *Allocator) newBucket(c Cap, role Role, substitute bool, now time.Time) *bucket {
-	if substitute {
-		return &bucket{at: now}
+// holder returns the allocator to ask for a bucket that this instance does not have, or "" if this
+// one should get it.
+func (a *Allocator) holder(key bucketKey, now time.Time) string {
+	if key.substitute {
+		return ""
 	}
-	if now.Sub(role.Since) >= a.limits.Window && now.Sub(a.resumed) >= a.limits.Window {
-		return &bucket{level: a.limits.depth(c) * role.Share, at: now}
+	if h := a.handovers[key.workspace]; h != nil && now.Sub(h.at) < handoverTTL {
+		// It is asked as well if this instance does not know it as an allocator yet.
+		if o := a.others[h.to]; o != nil && (o.present || !o.goneAt.After(h.at)) {
+			return h.to
+		}
 	}
-	if now.Sub(role.Started) < a.limits.Window {
-		return &bucket{level: restartLevel * a.limits.depth(c) * role.Share, at: now}
+	if !slices.Contains(a.allocators, a.opts.ID) && len(a.allocators) > 0 {
+		return ranked(key.workspace, a.allocators)[0]
 	}
-	return &bucket{at: now, slowUntil: now.Add(takeoverTime)}
+	return ""
+}
+
+// open returns a new bucket, which is empty until the other allocators have said what they have
+// granted.
+func (a *Allocator) open(key bucketKey, c Cap, now time.Time) *bucket {
+	b := &bucket{id: a.opts.Random.Uint32(), at: now, openedAt: now, askedAt: now, assumed: !key.substitute, inquiries: make(map[string]*inquiry)}
+	if !key.substitute {
+		if h := a.handovers[key.workspace]; h != nil && now.Sub(h.grantedAt) < a.limits.Window {
+			b.unclean = true
+		}
+		for id, o := range a.others {
+			if o.present || now.Sub(o.goneAt) <= takeoverTime {
+				b.inquiries[id] = &inquiry{}
+			}
+		}
+	}
+	delete(a.handovers, key.workspace)
+	a.settle(b, c, now)
+	a.buckets[key] = b
+	a.stats.Opened++
+	a.opts.Logger.Info("bucket opened", "workspace_hash", fmt.Sprintf("%x", key.workspace), "bucket", fmt.Sprintf("%08x", b.id), "substitute", key.substitute,
+		"level", b.level, "share", a.share, "asking", len(b.inquiries), "running", now.Sub(a.running))
+	return b
 }
 
 // retryAfter returns the time until the bucket has a unit, and a random time in which it has
@@ -231,8 +408,13 @@
 	if rate <= 0 {
 		return maxRetryAfter
 	}
-	seconds := (1 - min(b.level, 1) + a.random.Float64()*b.refused) / rate
+	seconds := (1 - min(b.level, 1) + a.opts.Random.Float64()*b.refused) / rate
 	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
 func milliseconds(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 1)) }
+
+// ranked returns allocators in the order in which they are asked for units of a workspace.
+func ranked(workspace uint64, allocators []string) []string {
+	return membership.Ranked(fmt.Sprintf("quota/%x", workspace), allocators)
+}
--- a/quota/client.go
+++ b/quota/client.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/internal/permit"
-	"github.com/pomelolock/pomelolock/membership"
 	"github.com/pomelolock/pomelolock/quota/quotapb"
 )
 
@@ -26,21 +25,28 @@
 )
 
 const (
-	// repeatAfter is the time without an answer after which a request for units is repeated,
-	// and failAfter the one after which another allocator is asked. A round trip takes 2 ms
-	// between data centres; an allocator with little processor time may take longer.
+	// repeatAfter is the time without an answer after which a request for units is repeated;
+	// after maxSent messages another allocator is asked. A round trip takes 2 ms between data
+	// centres; an allocator with little processor time may take longer.
 	repeatAfter = 40 * time.Millisecond
-	failAfter   = 120 * time.Millisecond
+	maxSent     = 3
 	// maxAllocators is the number of allocators that are asked for one unit.
 	maxAllocators = 2
 	// suspectTime is the time for which an allocator is not asked that did not answer.
 	suspectTime = 2 * time.Second
-	// unitTTL is the time for which a unit may be used after it was asked for. It bounds the
-	// units that instances hold, and those of a process that was stopped meanwhile.
-	unitTTL = 300 * time.Millisecond
+	// unitTTL is the time for which a unit may be used after it was asked for, also if a request
+	// that did not run has returned it. It bounds the units of one window that are used in the
+	// next, and those of a process that was stopped meanwhile.
+	unitTTL = 200 * time.Millisecond
+	// holderTime is the time for which the allocator is asked that another one named.
+	holderTime = time.Second
+	// maxRedirects is the number of allocators that may name another one in a row.
+	maxRedirects = 2
 	// stockTime is the time for which an instance with many requests asks for units ahead, so
 	// that the number of messages does not grow with its requests.
 	stockTime = 0.1
+	// maxStockShare is the part of the bucket's depth that all instances together ask for ahead.
+	maxStockShare = 0.25
 	// refusalTTL bounds the time for which a refusal holds for further requests.
 	refusalTTL = 50 * time.Millisecond
 	// demandDecay is the time constant, in seconds, of the measured demand.
@@ -143,12 +149,14 @@
 type account struct {
 	name      string
 	workspace uint64
-	// units are in stock until expires, each like unit.
-	units   int
-	unit    Unit
-	expires time.Duration
+	// stock holds the units that were granted or returned and may still be used.
+	stock   []batch
 	waiters []chan Decision
 	asking  *asking
+	// holder is the allocator that has the bucket, as another one said; it is asked until
+	// holderUntil.
+	holder      string
+	holderUntil time.Time
 	// refusal is the last refusal of the allocator, which holds until refusedUntil; decided
 	// is when it was made.
 	refusal      Decision
@@ -157,8 +165,16 @@
 	demand       float64
 	usedAt       time.Time
 	floor        permit.Permits
-	// ranked are the allocators in the order in which they are asked.
+	// ranked are the allocators in the order in which they are asked, instances is the number of
+	// instances of the fleet.
 	allocators, ranked []string
+	instances          int
+}
+
+// batch is a number of units of one grant.
+type batch struct {
+	unit  Unit
+	count int
 }
 
 // asking is a request for units without an answer.
@@ -167,10 +183,11 @@
 	to       string
 	req      *quotapb.UnitRequest
 	sent     time.Duration
-	repeated bool
-	// tried is the number of allocators that were asked before.
-	tried int
-	timer *time.Timer
+	repeated int
+	// tried is the number of allocators that were asked before without an answer, redirects that
+	// of those that named another one.
+	tried, redirects int
+	timer            *time.Timer
 }
 
 // NewClient returns a Client without a table, which caps nothing.
@@ -223,14 +240,11 @@
 	}
 	a := c.account(workspace, now)
 	a.demand += 1 / demandDecay
-	if a.units > 0 && c.opts.BootTime() < a.expires {
-		a.units--
+	if unit, ok := a.use(c.opts.BootTime()); ok {
 		c.count(a, true)
-		unit := a.unit
 		c.mu.Unlock()
 		return Decision{OK: true, Unit: unit, Cap: limit, Source: SourceAllocator, Allocator: unit.Allocator, Age: c.opts.BootTime() - unit.asked}
 	}
-	a.units = 0
 	if now.Before(a.refusedUntil) {
 		d := a.refusal
 		d.Cap, d.Age = limit, now.Sub(a.decided)
@@ -240,7 +254,7 @@
 	}
 	decided := make(chan Decision, 1)
 	a.waiters = append(a.waiters, decided)
-	send := c.askLocked(a, 0)
+	send := c.askLocked(a, 0, 0)
 	c.mu.Unlock()
 	send()
 	select {
@@ -268,8 +282,8 @@
 	}
 }
 
-// Return returns a request that was taken and certainly did not run. The next request of the
-// workspace at this instance uses its unit, if it comes soon.
+// Return returns the unit of a request that certainly did not run. The next request of the
+// workspace at this instance uses it, unless the unit is too old by then.
 func (c *Client) Return(unit Unit) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -278,13 +292,21 @@
 	}
 }
 
+// put adds a unit to the stock.
 func (a *account) put(unit Unit, now time.Duration) {
-	if now >= a.expires {
-		a.units = 0
+	if unit.Allocator != "" && now-unit.asked < unitTTL {
+		a.stock = append(a.stock, batch{unit, 1})
+	}
+}
+
+// use takes a unit out of the stock.
+func (a *account) use(now time.Duration) (Unit, bool) {
+	a.stock = slices.DeleteFunc(a.stock, func(b batch) bool { return b.count == 0 || now-b.unit.asked >= unitTTL })
+	if len(a.stock) == 0 {
+		return Unit{}, false
 	}
-	a.units++
-	a.unit = unit
-	a.expires = now + unitTTL
+	a.stock[0].count--
+	return a.stock[0].unit, true
 }
 
 // account returns the account of a workspace, with its demand as of now.
@@ -334,7 +356,7 @@
 
 // askLocked asks the allocator for units for the requests that wait, unless it is being asked
 // already, and returns the function that sends the message, to be called without the lock.
-func (c *Client) askLocked(a *account, tried int) (send func()) {
+func (c *Client) askLocked(a *account, tried, redirects int) (send func()) {
 	if a.asking != nil || len(a.waiters) == 0 {
 		return func() {}
 	}
@@ -344,9 +366,9 @@
 		return func() {}
 	}
 	c.number++
-	q := &asking{account: a, to: to, sent: c.opts.BootTime(), tried: tried, req: &quotapb.UnitRequest{
+	q := &asking{account: a, to: to, sent: c.opts.BootTime(), tried: tried, redirects: redirects, req: &quotapb.UnitRequest{
 		Number: c.number, Process: c.opts.Process, Workspace: a.workspace,
-		Units: uint32(len(a.waiters) + int(a.demand*stockTime)), Substitute: substitute,
+		Units: uint32(len(a.waiters) + c.aheadLocked(a)), Substitute: substitute,
 	}}
 	a.asking = q
 	c.asked[c.number] = q
@@ -355,16 +377,28 @@
 	return func() { c.opts.Send(q.to, q.req) }
 }
 
+// aheadLocked returns the number of units to ask for beside those for the requests that wait. If the
+// bucket is shallow, units in stock at one instance are missing at the others.
+func (c *Client) aheadLocked(a *account) int {
+	most := maxStockShare * c.limits.depth(c.table.caps[a.workspace]) / float64(max(a.instances, 1))
+	return int(min(a.demand*stockTime, most))
+}
+
 // allocatorLocked returns the allocator of a workspace, or "" if none is known, and whether it
 // is a substitute for another one.
 func (c *Client) allocatorLocked(a *account) (id string, substitute bool) {
-	allocators := c.opts.Fleet().Allocators
+	fleet := c.opts.Fleet()
+	a.instances = fleet.Instances
+	allocators := fleet.Allocators
 	if !slices.Equal(allocators, a.allocators) {
 		a.allocators = allocators
-		a.ranked = membership.Ranked(fmt.Sprintf("quota/%x", a.workspace), allocators)
+		a.ranked = ranked(a.workspace, allocators)
 	}
 	now := time.Now()
-	for n, id := range a.ranked {
+	if a.holder != "" && now.Before(a.holderUntil) && !now.Before(c.suspects[a.holder]) {
+		return a.holder, false
+	}
+	for n, id := range a.ranked[:min(len(a.ranked), maxAllocators)] {
 		if !now.Before(c.suspects[id]) {
 			return id, n > 0
 		}
@@ -380,9 +414,8 @@
 		c.mu.Unlock()
 		return
 	}
-	if !q.repeated {
-		q.repeated = true
-		q.timer = time.AfterFunc(failAfter-repeatAfter, func() { c.expire(q) })
+	if q.repeated++; q.repeated < maxSent {
+		q.timer = time.AfterFunc(repeatAfter, func() { c.expire(q) })
 		c.mu.Unlock()
 		c.opts.Send(q.to, q.req)
 		return
@@ -393,7 +426,7 @@
 	c.forgetLocked(q)
 	send := func() {}
 	if q.tried+1 < maxAllocators {
-		send = c.askLocked(a, q.tried+1)
+		send = c.askLocked(a, q.tried+1, 0)
 	} else {
 		c.unreachedLocked(a)
 	}
@@ -435,10 +468,19 @@
 	c.forgetLocked(q)
 	var send func()
 	a := q.account
-	if c.opts.BootTime()-q.sent >= unitTTL {
+	switch holder := grant.GetHeldBy(); {
+	case c.opts.BootTime()-q.sent >= unitTTL:
 		// The process was stopped meanwhile, or the answer was.
-		send = c.askLocked(a, q.tried)
-	} else {
+		send = c.askLocked(a, q.tried, 0)
+	case holder != "" && q.redirects < maxRedirects:
+		a.holder, a.holderUntil = holder, time.Now().Add(holderTime)
+		send = c.askLocked(a, q.tried, q.redirects+1)
+	case holder != "":
+		// The allocators name each other while the bucket is under way.
+		a.holder = ""
+		c.refuseLocked(a, Decision{Source: SourceAllocator, Allocator: q.to, RetryAfter: minRetryAfter}, time.Now())
+		send = func() {}
+	default:
 		send = c.serveLocked(q, grant, time.Now())
 	}
 	c.mu.Unlock()
@@ -449,25 +491,32 @@
 func (c *Client) serveLocked(q *asking, grant *quotapb.UnitGrant, now time.Time) (send func()) {
 	a := q.account
 	units := int(grant.GetUnits())
-	a.unit = Unit{Workspace: a.name, Allocator: q.to, Bucket: grant.GetBucket(), Number: q.req.GetNumber(), asked: q.sent}
+	unit := Unit{Workspace: a.name, Allocator: q.to, Bucket: grant.GetBucket(), Number: q.req.GetNumber(), asked: q.sent}
 	served := min(units, len(a.waiters))
 	for _, waiter := range a.waiters[:served] {
 		c.count(a, true)
-		waiter <- Decision{OK: true, Unit: a.unit, Source: SourceAllocator, Allocator: q.to, Age: c.opts.BootTime() - q.sent}
+		waiter <- Decision{OK: true, Unit: unit, Source: SourceAllocator, Allocator: q.to, Age: c.opts.BootTime() - q.sent}
 	}
 	a.waiters = a.waiters[served:]
-	a.units, a.expires = units-served, q.sent+unitTTL
+	if units > served {
+		a.stock = append(a.stock, batch{unit, units - served})
+	}
 	if grant.GetRetryAfterMs() == 0 {
 		// Some requests arrived after the message was sent.
-		return c.askLocked(a, 0)
+		return c.askLocked(a, 0, 0)
 	}
 	wait := max(time.Duration(grant.GetRetryAfterMs())*time.Millisecond, minRetryAfter)
-	a.refusal = Decision{Source: SourceAllocator, Allocator: q.to, RetryAfter: wait}
-	a.decided, a.refusedUntil = now, now.Add(min(wait, refusalTTL))
+	c.refuseLocked(a, Decision{Source: SourceAllocator, Allocator: q.to, RetryAfter: wait}, now)
+	return func() {}
+}
+
+// refuseLocked refuses the requests that wait, and those that arrive within refusalTTL.
+func (c *Client) refuseLocked(a *account, refusal Decision, now time.Time) {
+	a.refusal = refusal
+	a.decided, a.refusedUntil = now, now.Add(min(refusal.RetryAfter, refusalTTL))
 	for _, waiter := range a.waiters {
 		c.count(a, false)
-		waiter <- a.refusal
+		waiter <- refusal
 	}
 	a.waiters = nil
-	return func() {}
 }
--- /dev/null
+++ b/quota/handover_test.go
@@ -0,0 +1,152 @@
+package quota
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/pomelolock/pomelolock/quota/quotapb"
+)
+
+// pair is two allocators of a workspace "w" whose messages arrive at once, unless cut is set.
+type pair struct {
+	now        time.Time
+	cut        bool
+	allocators map[string]*Allocator
+	roles      map[string]Role
+}
+
+// newPair returns allocators that have run for longer than a window.
+func newPair(c Cap) *pair {
+	p := &pair{now: time.Now(), allocators: make(map[string]*Allocator), roles: make(map[string]Role)}
+	for n, id := range []string{"a", "b"} {
+		p.start(id, uint32(n), c)
+	}
+	p.wait(2 * window)
+	return p
+}
+
+// start starts a process of an instance.
+func (p *pair) start(id string, process uint32, c Cap) {
+	other := map[string]string{"a": "b", "b": "a"}[id]
+	a := NewAllocator(AllocatorOptions{
+		ID: id, Process: process, Random: rand.New(rand.NewPCG(1, 1)), Logger: slog.New(slog.DiscardHandler),
+		Send: func(_ string, req *quotapb.BucketRequest) {
+			if p.cut {
+				return
+			}
+			if reply := p.allocators[other].ReceiveBucketRequest(id, req, p.roles[other], p.now); reply != nil {
+				p.allocators[id].ReceiveBucketReply(other, reply, p.roles[id], p.now)
+			}
+		},
+	})
+	a.SetLimits(testLimits)
+	a.SetTable(NewTable(1, map[string]Cap{"w": c}))
+	p.allocators[id] = a
+	p.roles[id] = Role{Share: 1, Allocators: []string{"a", "b"}}
+}
+
+// wait lets time pass.
+func (p *pair) wait(d time.Duration) {
+	for ; d > 0; d -= 100 * time.Millisecond {
+		p.now = p.now.Add(min(d, 100*time.Millisecond))
+		for id, a := range p.allocators {
+			a.Tick(p.roles[id], p.now)
+		}
+	}
+}
+
+// ask asks an allocator for units, as often as instances do.
+func (p *pair) ask(id string, units uint32) *quotapb.UnitGrant {
+	req := &quotapb.UnitRequest{Number: rand.Uint64(), Workspace: hash("w"), Units: units}
+	for range maxSent {
+		if grant := p.allocators[id].Receive("i", req, p.roles[id], p.now); grant != nil {
+			return grant
+		}
+		p.now = p.now.Add(repeatAfter)
+	}
+	return &quotapb.UnitGrant{}
+}
+
+// TestAllocatorThatDoesNotKnowThatItIsOneGrantsTheBurstOnce guards against a burst that is granted
+// again by the next allocator, while the one before is stopping.
+func TestAllocatorThatDoesNotKnowThatItIsOneGrantsTheBurstOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPair(Cap{20, 100})
+	g.Expect(p.ask("a", 100).GetUnits()).To(gomega.Equal(uint32(100)))
+	grant := p.ask("b", 100)
+	g.Expect(grant.GetUnits()).To(gomega.BeNumerically("<", 40))
+	g.Expect(p.ask("a", 1).GetHeldBy()).To(gomega.Equal("b"))
+}
+
+// TestLeavingAllocatorHandsItsBucketsOver guards against a workspace that loses its burst because
+// nobody asked for it between the stop of its allocator and the exit.
+func TestLeavingAllocatorHandsItsBucketsOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPair(Cap{20, 100})
+	g.Expect(p.ask("a", 10).GetUnits()).To(gomega.Equal(uint32(10)))
+	p.roles["a"] = Role{Share: 1, Allocators: []string{"b"}}
+	p.wait(time.Second)
+	g.Expect(p.allocators["a"].Stats().HandedOver).To(gomega.Equal(uint64(1)))
+	g.Expect(p.ask("b", 100).GetUnits()).To(gomega.Equal(uint32(100)))
+}
+
+// TestRestartedAllocatorStartsEmpty guards against units of the process before that are granted
+// again, at any burst.
+func TestRestartedAllocatorStartsEmpty(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := Cap{5, 100}
+	p := newPair(c)
+	g.Expect(p.ask("a", 100).GetUnits()).To(gomega.Equal(uint32(100)))
+	p.start("a", 7, c)
+	g.Expect(p.ask("a", 100).GetUnits()).To(gomega.BeNumerically("<=", 1))
+}
+
+// TestAllocatorsThatBothHoldABucketKeepOne guards against two buckets of a workspace after a cut,
+// and against none.
+func TestAllocatorsThatBothHoldABucketKeepOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPair(Cap{20, 100})
+	p.cut = true
+	p.roles = map[string]Role{"a": {Share: 0.5, Allocators: []string{"a"}}, "b": {Share: 0.5, Allocators: []string{"b"}}}
+	p.wait(2 * window)
+	p.ask("a", 50)
+	p.ask("b", 50)
+	p.cut = false
+	p.roles = map[string]Role{"a": {Share: 1, Allocators: []string{"a", "b"}}, "b": {Share: 1, Allocators: []string{"a", "b"}}}
+	p.wait(300 * time.Millisecond)
+	g.Expect(len(p.allocators["a"].buckets) + len(p.allocators["b"].buckets)).To(gomega.Equal(1))
+}
+
+// TestReturnedUnitKeepsItsAge guards against units of one window that are used in the next one,
+// because a request held them for long.
+func TestReturnedUnitKeepsItsAge(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var boot atomic.Int64
+	var client *Client
+	granted := uint32(1)
+	client = NewClient(ClientOptions{
+		Random: rand.New(rand.NewPCG(1, 1)), Fleet: func() Fleet { return Fleet{Instances: 2, Allocators: []string{"a"}} },
+		Send: func(_ string, req *quotapb.UnitRequest) {
+			client.Receive("a", &quotapb.UnitGrant{Number: req.GetNumber(), Units: granted, RetryAfterMs: 1})
+		},
+		BootTime: func() time.Duration { return time.Duration(boot.Load()) }, Logger: slog.New(slog.DiscardHandler),
+	})
+	client.SetLimits(testLimits)
+	client.SetTable(NewTable(1, map[string]Cap{"w": {1, 1}}))
+	first := client.Take(context.Background(), "w")
+	g.Expect(first.OK).To(gomega.BeTrue())
+	granted = 0
+	boot.Store(int64(unitTTL - time.Millisecond))
+	client.Return(first.Unit)
+	second := client.Take(context.Background(), "w")
+	g.Expect(second.Unit).To(gomega.Equal(first.Unit))
+	boot.Store(int64(unitTTL))
+	client.Return(second.Unit)
+	g.Expect(client.Take(context.Background(), "w").OK).To(gomega.BeFalse())
+}
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -11,11 +11,12 @@
 	Slack float64
 }
 
-// Of Slack, depthSlack makes the bucket deeper than the cap's burst: requests of a workspace
-// arrive in clusters. floorExcess and floorSlack go to instances that reach no allocator, as
-// permits. The rest covers substitutes, the time for which requests hold a unit and wait in a
-// queue, and a change of the allocator.
+// Of Excess and Slack, depthExcess and depthSlack make the bucket deeper than the cap's burst:
+// requests of a workspace arrive in clusters. floorExcess and floorSlack go to instances that reach
+// no allocator, as permits. The rest covers substitutes, the units in stock when a window begins,
+// and two allocators that grant at once for a moment.
 const (
+	depthExcess = 0.1
 	depthSlack  = 0.4
 	floorExcess = 0.05
 	floorSlack  = 0.2
@@ -25,7 +26,9 @@
 func (l Limits) excess(c Cap) float64 { return l.Excess * (c.PerSecond*l.Window.Seconds() + c.Burst) }
 
 // depth returns the depth of the token bucket of a workspace.
-func (l Limits) depth(c Cap) float64 { return c.Burst + depthSlack*l.Slack }
+func (l Limits) depth(c Cap) float64 {
+	return c.Burst + depthExcess*l.excess(c) + depthSlack*l.Slack
+}
 
 // floor returns the number of permits a second that all instances get together.
 func (l Limits) floor(c Cap) float64 {
