forward: a request read late in a planned stop is refused if it may outlast it

A request whose last byte came 3.1 to 5 s after SIGTERM was passed on if the usual work fitted, and a server that took longer was broken off at the end of the grace period with a 502, orders too (LOST).

From the time at which the listener closes, a request is passed on only if its deadline lies before the end of the stop; others get 503, which is true, with a short Retry-After. Requests read before are served as they were.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -170,6 +170,9 @@
 	if failed := x.readBody(); failed != nil {
 		return failed
 	}
+	if failed := x.checkStop(); failed != nil {
+		return failed
+	}
 	x.fingerprint = hop.Fingerprint(x.body.buffered, x.in.Method, x.in.Host, x.in.RequestURI)
 	return x.checkQuarantine()
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -132,9 +132,10 @@
 	timeouts *timeoutEstimator
 
 	// stopEnd is the time by which requests have to be answered because of a planned stop; nil
-	// if there is none. ended is closed at the end of the stop.
-	stopEnd atomic.Pointer[time.Time]
-	ended   chan struct{}
+	// if there is none. lateFrom is the time from which a request is refused that may last
+	// longer. ended is closed at the end of the stop.
+	stopEnd, lateFrom atomic.Pointer[time.Time]
+	ended             chan struct{}
 }
 
 // New returns a Forwarder with the given options.
--- a/forward/stop.go
+++ b/forward/stop.go
@@ -22,9 +22,12 @@
 	maxSlowest = time.Second
 )
 
-// Leave begins a planned stop. From then on, requests that can't be answered by end are
-// refused, those that wait now as well as those that arrive later.
-func (f *Forwarder) Leave(end time.Time) {
+// Leave begins a planned stop. From then on, requests that are not expected to be answered by end
+// are refused, those that wait now as well as those that arrive later. Those that are read whole
+// after lateFrom are refused if they may last longer than until end: by then, callers have had the
+// time to go to other instances, and no server at work is left behind for them.
+func (f *Forwarder) Leave(end, lateFrom time.Time) {
+	f.lateFrom.Store(&lateFrom)
 	f.stopEnd.Store(&end)
 	now := time.Now()
 	for _, q := range f.allQueues() {
@@ -68,6 +71,15 @@
 	return ok && now.Add(q.minServiceTime()).After(bound)
 }
 
+// checkStop refuses a request that was read late in a planned stop and may last beyond its end.
+func (x *exchange) checkStop() *outcome.Error {
+	end := x.f.stopEnd.Load()
+	if end == nil || time.Now().Before(*x.f.lateFrom.Load()) || !x.deadline.After(*end) {
+		return nil
+	}
+	return x.tooLong()
+}
+
 // leave refuses the waiting requests that are not expected to be answered by the end of the
 // planned stop.
 func (q *queue) leave(now time.Time) {
--- a/forward/stop_test.go
+++ b/forward/stop_test.go
@@ -47,7 +47,7 @@
 		waiting <- end{resp, body}
 	}()
 	time.Sleep(50 * time.Millisecond)
-	f.forwarder.Leave(began.Add(stopTime))
+	f.forwarder.Leave(began.Add(stopTime), began.Add(stopTime))
 	got := <-waiting
 	g.Expect(time.Since(began)).To(gomega.And(gomega.BeNumerically("<", stopTime), gomega.BeNumerically(">", stopTime/2)))
 	g.Expect(got.resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
@@ -80,7 +80,8 @@
 		}()
 	}
 	g.Eventually(s.arrivals).Should(gomega.Equal(2))
-	f.forwarder.Leave(time.Now().Add(100 * time.Millisecond))
+	end := time.Now().Add(100 * time.Millisecond)
+	f.forwarder.Leave(end, end)
 	g.Consistently(status, "300ms").ShouldNot(gomega.Receive())
 	release <- struct{}{}
 	g.Eventually(status).Should(gomega.Receive(gomega.Equal(http.StatusOK)))
@@ -96,13 +97,13 @@
 	g := gomega.NewWithT(t)
 	s := startServer(t, "s1", ok)
 	stopping, serving := newFixture(t, s), newFixture(t, s)
-	stopping.forwarder.Leave(time.Now())
+	stopping.forwarder.Leave(time.Now(), time.Now())
 	f := cutOff(t, stopping.asPeer(t, "stopping"), serving.asPeer(t, "serving"))
 	for range 10 {
 		resp, _ := f.call(t, http.MethodPost, "/order/1", "x")
 		g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
 	}
-	f.forwarder.Leave(time.Now())
+	f.forwarder.Leave(time.Now(), time.Now())
 	arrivals := s.arrivals()
 	resp, body := f.call(t, http.MethodPost, "/order/2", "x")
 	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -35,10 +35,11 @@
 	d.leaving.Store(true)
 	d.callers.Leave()
 	d.delegates.Leave()
-	d.forwarder.Leave(end)
+	lag := min(balancerLag, grace/2)
+	d.forwarder.Leave(end, began.Add(lag))
 	d.exchange.Leave()
 	d.exchange.Flush()
-	time.Sleep(min(balancerLag, grace/2))
+	time.Sleep(time.Until(began.Add(lag)))
 	err := d.shutdown(end)
 	if err == nil {
 		return
--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,6 +74,9 @@
 	behaviours
 )
 
+// workHeader is the header of a request that takes the given number of milliseconds.
+const workHeader = "Work-Ms"
+
 // crashPath is the path of a request that crashes every server that runs it.
 const crashPath = "/look/killer"
 
@@ -268,8 +272,12 @@
 	defer func() { <-b.slots }()
 	end := b.journal.begin(id, b.id)
 	defer end()
+	work := b.work()
+	if ms, err := strconv.Atoi(r.Header.Get(workHeader)); err == nil {
+		work = time.Duration(ms) * time.Millisecond
+	}
 	select {
-	case <-time.After(b.work()):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		return
 	}
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -37,6 +37,8 @@
 	mu       sync.Mutex
 	fault    fault
 	conns    map[net.Conn]bool
+	// refuses reports whether a connection is refused; nil if none is.
+	refuses func(conn net.Conn) bool
 }
 
 func newLink(ip, target string) (*link, error) {
@@ -57,6 +59,15 @@
 	return l.fault
 }
 
+// refuse sets which connections are refused, and resets those that are open.
+func (l *link) refuse(refuses func(conn net.Conn) bool) {
+	l.setFault(faultReset)
+	l.mu.Lock()
+	l.refuses = refuses
+	l.mu.Unlock()
+	l.setFault(faultNone)
+}
+
 // setFault changes the fault. When a blocking fault is cleared, all open connections
 // are reset.
 func (l *link) setFault(f fault) {
@@ -77,7 +88,10 @@
 		if err != nil {
 			return
 		}
-		if l.currentFault() == faultReset {
+		l.mu.Lock()
+		refuses := l.refuses
+		l.mu.Unlock()
+		if l.currentFault() == faultReset || refuses != nil && refuses(conn) {
 			_ = conn.(*net.TCPConn).SetLinger(0)
 			conn.Close()
 			continue
