--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -22,7 +22,7 @@
 	takeoverTime  = 1500 * time.Millisecond
 	// substituteShare is the part of a cap that is granted while the allocator itself may go on
 	// granting: to instances that don't reach it, and before it has handed its bucket over.
-	substituteShare = 0.05
+	substituteShare = 0.03
 	// openTime is the time for which requests for units wait for the answers of the other
 	// allocators. They are repeated later than that.
 	openTime = 30 * time.Millisecond
