--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -22,6 +22,9 @@
 // allocators, while the table has caps.
 const quotaInterval = 100 * time.Millisecond
 
+// meetingTime is the time after which a process has met the instances of its fleet.
+const meetingTime = 10 * time.Second
+
 // quotas caps the requests of workspaces. It implements [forward.Quota].
 type quotas struct {
 	client    *quota.Client
@@ -158,7 +161,7 @@
 
 // quotaFleet describes the fleet to the client.
 func (d *Daemon) quotaFleet() quota.Fleet {
-	return quota.Fleet{Instances: d.sharers(), Allocators: d.quotas.allocatorIDs()}
+	return quota.Fleet{Instances: d.sharers(), Allocators: d.quotas.allocatorIDs(), Heard: d.quotas.knownShare()}
 }
 
 // heardShare returns the part of the fleet that this instance hears. One that knows nobody may
@@ -177,6 +180,15 @@
 	q.heard = share
 }
 
+// knownShare returns the part of the fleet that this instance hears, or 0 if it may not have met all
+// instances yet.
+func (q *quotas) knownShare() float64 {
+	if q.now().Sub(q.began) < meetingTime {
+		return 0
+	}
+	return q.role().Share
+}
+
 // role describes this instance as an allocator.
 func (q *quotas) role() quota.Role {
 	q.fleetMu.Lock()
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -40,6 +40,10 @@
 	answerTTL = 500 * time.Millisecond
 	// refusedDecay is the time constant, in seconds, of the number of units refused lately.
 	refusedDecay = 0.5
+	// reportTTL is the time for which the reports of instances count, reportWeight the weight
+	// of one of them in the mean.
+	reportTTL    = 2 * time.Second
+	reportWeight = 0.2
 	// maxRetryAfter bounds the time after which refused callers are told to return.
 	maxRetryAfter = 3 * time.Second
 )
@@ -89,8 +93,12 @@
 	turned, called time.Time
 	// running is the time since which the process runs without a pause.
 	running time.Time
-	// share and allocators are those of the role, others the allocators lately known.
+	// share is that of the role, or less if the instances that ask hear less of the fleet;
+	// reported is the mean of what they hear, as of reportedAt. allocators are those of the role,
+	// others the allocators lately known.
 	share      float64
+	reported   float64
+	reportedAt time.Time
 	allocators []string
 	others     map[string]*other
 	// outbox holds messages that are sent once the lock is free.
@@ -160,6 +168,7 @@
 func (a *Allocator) Receive(from string, req *quotapb.UnitRequest, role Role, now time.Time) *quotapb.UnitGrant {
 	a.mu.Lock()
 	defer a.send()
+	a.report(req.GetHeardShare(), now)
 	a.observe(role, now)
 	q := question{from: from, process: req.GetProcess(), number: req.GetNumber()}
 	for _, answers := range []map[question]*quotapb.UnitGrant{a.answers, a.older} {
@@ -175,6 +184,19 @@
 	return grant
 }
 
+// report records what an instance hears of the fleet. A process that has started while its side was
+// cut off knows of the others only by what the instances on its side say.
+func (a *Allocator) report(heard float64, now time.Time) {
+	if heard <= 0 {
+		return
+	}
+	if now.Sub(a.reportedAt) >= reportTTL {
+		a.reported = heard
+	}
+	a.reported += reportWeight * (heard - a.reported)
+	a.reportedAt = now
+}
+
 // Tick records that the process runs, and repeats what others have not answered. It has to be
 // called several times in maxPause.
 func (a *Allocator) Tick(role Role, now time.Time) {
@@ -211,6 +233,9 @@
 	paused := now.Sub(a.called)
 	stopped := !a.called.IsZero() && paused > maxPause
 	a.called, a.share = now, role.Share
+	if now.Sub(a.reportedAt) < reportTTL {
+		a.share = min(a.share, a.reported)
+	}
 	if a.running.IsZero() || stopped {
 		a.running = now
 	}
--- a/quota/client.go
+++ b/quota/client.go
@@ -68,6 +68,8 @@
 	Instances int
 	// Allocators are the IDs of the instances that can be allocators.
 	Allocators []string
+	// Heard is the part of the fleet that this instance hears; 0 if it is not known yet.
+	Heard float64
 }
 
 // ClientOptions configure a [Client]. All are required.
@@ -166,9 +168,10 @@
 	usedAt       time.Time
 	floor        permit.Permits
 	// ranked are the allocators in the order in which they are asked, instances is the number of
-	// instances of the fleet.
+	// instances of the fleet, heard the part of them that this instance hears.
 	allocators, ranked []string
 	instances          int
+	heard              float64
 }
 
 // batch is a number of units of one grant.
@@ -368,7 +371,7 @@
 	c.number++
 	q := &asking{account: a, to: to, sent: c.opts.BootTime(), tried: tried, redirects: redirects, req: &quotapb.UnitRequest{
 		Number: c.number, Process: c.opts.Process, Workspace: a.workspace,
-		Units: uint32(len(a.waiters) + c.aheadLocked(a)), Substitute: substitute,
+		Units: uint32(len(a.waiters) + c.aheadLocked(a)), Substitute: substitute, HeardShare: a.heard,
 	}}
 	a.asking = q
 	c.asked[c.number] = q
@@ -388,7 +391,7 @@
 // is a substitute for another one.
 func (c *Client) allocatorLocked(a *account) (id string, substitute bool) {
 	fleet := c.opts.Fleet()
-	a.instances = fleet.Instances
+	a.instances, a.heard = fleet.Instances, fleet.Heard
 	allocators := fleet.Allocators
 	if !slices.Equal(allocators, a.allocators) {
 		a.allocators = allocators
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -204,7 +204,10 @@
 			i.allocators = append(i.allocators, id)
 		}
 	}
+	i.share, i.met = 1, false
 	i.restart()
+	started := i.started
+	m.after(1500*time.Millisecond, func() { i.met = i.met || i.started == started && i.side == 0 })
 }
 
 // cut splits the fleet for a time. Each instance notices in its own time whom it no longer hears.
@@ -226,7 +229,10 @@
 				heard++
 			}
 		}
-		i.share = float64(heard) / float64(len(m.instances))
+		// A process that has started in the cut does not know of the others.
+		if i.met {
+			i.share = float64(heard) / float64(len(m.instances))
+		}
 		for _, id := range m.allocatorIDs {
 			other := m.find(id)
 			if here := other.side == i.side && !other.down && !other.leaving; here != slices.Contains(i.allocators, id) {
