--- a/quota/client.go
+++ b/quota/client.go
@@ -463,6 +463,9 @@
 // Receive handles the answer of an allocator.
 func (c *Client) Receive(from string, grant *quotapb.UnitGrant) {
 	c.mu.Lock()
+	// An answer that is late shows that the allocator is there, and that this process may have
+	// been slow to read it.
+	delete(c.suspects, from)
 	q := c.asked[grant.GetNumber()]
 	if q == nil || grant.GetProcess() != c.opts.Process || q.to != from {
 		c.mu.Unlock()
--- a/quota/handover_test.go
+++ b/quota/handover_test.go
@@ -150,3 +150,29 @@
 	client.Return(second.Unit)
 	g.Expect(client.Take(context.Background(), "w").OK).To(gomega.BeFalse())
 }
+
+// TestLateAnswerEndsTheSuspicion guards against instances that ask in place of an allocator that is
+// there for seconds, because they were slow to read its answer.
+func TestLateAnswerEndsTheSuspicion(t *testing.T) {
+	run(t, func(g *gomega.WithT) {
+		var asked []string
+		client := NewClient(ClientOptions{
+			Random: rand.New(rand.NewPCG(1, 1)), Fleet: func() Fleet { return Fleet{Instances: 2, Allocators: []string{"a", "b"}} },
+			Send:     func(to string, _ *quotapb.UnitRequest) { asked = append(asked, to) },
+			BootTime: func() time.Duration { return time.Since(time.Time{}) }, Logger: slog.New(slog.DiscardHandler),
+		})
+		client.SetLimits(testLimits)
+		client.SetTable(NewTable(1, map[string]Cap{"w": {1, 1}}))
+		g.Expect(client.Take(context.Background(), "w").OK).To(gomega.BeFalse())
+		first := asked[0]
+		g.Expect(asked[len(asked)-1]).NotTo(gomega.Equal(first))
+		client.Receive(first, &quotapb.UnitGrant{Number: 1})
+		time.Sleep(refusalTTL)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		client.Take(ctx, "w")
+		time.Sleep(time.Second)
+		g.Expect(asked).To(gomega.HaveLen(3 * maxSent))
+		g.Expect(asked[2*maxSent]).To(gomega.Equal(first))
+	})
+}
