quota: a level that is only assumed is never handed over, and no wait for an instance long gone

Two new allocators that asked each other could each take the other's assumed level for its own, and a process that was stopped for longer than a window had inquiries to an allocator that it had forgotten, and ended with a nil pointer (TestAllocatorGoneForLongerThanAWindowIsForgotten failed so).

--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -154,6 +154,11 @@
 			delete(a.buckets, key)
 		}
 	}
+	for workspace := range a.handovers {
+		if _, ok := t.caps[workspace]; !ok {
+			delete(a.handovers, workspace)
+		}
+	}
 }
 
 // Stats returns the counters.
@@ -299,23 +304,22 @@
 // forget ends the wait for an allocator that has been gone for takeoverTime. It is kept in mind for
 // the window in which it may have granted units.
 func (a *Allocator) forget(id string, now time.Time) {
-	if now.Sub(a.others[id].goneAt) > a.limits.Window {
-		delete(a.others, id)
-		return
-	}
-	if a.others[id].forgotten {
-		return
-	}
-	a.others[id].forgotten = true
-	for key, b := range a.buckets {
-		if b.inquiries[id] != nil {
-			c := a.table.caps[key.workspace]
-			a.advance(key, b, c, now)
-			delete(b.inquiries, id)
-			b.unclean = true
-			a.settle(b, c, now)
+	o := a.others[id]
+	if !o.forgotten {
+		o.forgotten = true
+		for key, b := range a.buckets {
+			if b.inquiries[id] != nil {
+				c := a.table.caps[key.workspace]
+				a.advance(key, b, c, now)
+				delete(b.inquiries, id)
+				b.unclean = true
+				a.settle(b, c, now)
+			}
 		}
 	}
+	if now.Sub(o.goneAt) > a.limits.Window {
+		delete(a.others, id)
+	}
 }
 
 // meet records an allocator that has sent a message. It may not be known as one yet.
@@ -369,7 +373,7 @@
 		return grant
 	}
 	a.stats.Refused += uint64(missing)
-	rate, _ := a.rates(key, b, c, now)
+	rate, _ := a.rates(key, b, c)
 	grant.RetryAfterMs = milliseconds(a.retryAfter(b, rate))
 	b.refused += missing
 	return grant
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -48,16 +48,18 @@
 type handover struct {
 	to string
 	at time.Time
-	// process is that of the new holder, number its request; missing is what the bucket lacked.
+	// process is that of the new holder, number its request; missing is what the bucket lacked,
+	// unless its level was only assumed.
 	process uint32
 	number  uint64
 	missing float64
+	assumed bool
 	// grantedAt is when this instance last granted a unit.
 	grantedAt time.Time
 }
 
 // rates returns the rate at which a bucket fills now, in units a second, and its depth.
-func (a *Allocator) rates(key bucketKey, b *bucket, c Cap, now time.Time) (rate, depth float64) {
+func (a *Allocator) rates(key bucketKey, b *bucket, c Cap) (rate, depth float64) {
 	rate, depth = c.PerSecond*a.share, a.limits.depth(c)*a.share
 	if key.substitute {
 		return rate * substituteShare, max(depth*substituteShare, 1)
@@ -80,7 +82,7 @@
 
 // advance fills the bucket for the time since it was last used.
 func (a *Allocator) advance(key bucketKey, b *bucket, c Cap, now time.Time) {
-	rate, depth := a.rates(key, b, c, now)
+	rate, depth := a.rates(key, b, c)
 	elapsed := max(now.Sub(b.at).Seconds(), 0)
 	b.level = min(b.level+rate*elapsed, depth)
 	b.refused *= math.Exp(-elapsed / refusedDecay)
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -148,7 +148,7 @@
 
 // heardShare returns the share that the instance reports. The fleet's lock is held.
 func (i *instance) heardShare() float64 {
-	if time.Since(i.started) < 10*time.Second && i.started != i.f.began {
+	if time.Since(i.started) < 10*time.Second && !i.started.Equal(i.f.began) {
 		return 0
 	}
 	return i.share
--- a/quota/handover.go
+++ b/quota/handover.go
@@ -63,7 +63,7 @@
 		h := a.handovers[key.workspace]
 		if h != nil && h.to == from && h.process == req.GetProcess() && (h.number == req.GetNumber() || h.number == 0) {
 			h.number = req.GetNumber()
-			reply.HandedOver, reply.Missing = true, h.missing
+			reply.HandedOver, reply.Missing = !h.assumed, h.missing
 			return reply
 		}
 		reply.Clean = a.clean(key, now)
@@ -115,7 +115,7 @@
 func (a *Allocator) handOver(reply *quotapb.BucketReply, to string, key bucketKey, b *bucket, c Cap, now time.Time) {
 	a.advance(key, b, c, now)
 	reply.HandedOver, reply.Missing = !b.assumed, a.missing(b, c)
-	a.giveUp(&handover{to: to, at: now, process: reply.Process, number: reply.Number, missing: reply.Missing, grantedAt: b.grantedAt}, key, b)
+	a.giveUp(&handover{to: to, at: now, process: reply.Process, number: reply.Number, missing: reply.Missing, assumed: b.assumed, grantedAt: b.grantedAt}, key, b)
 }
 
 func (a *Allocator) giveUp(h *handover, key bucketKey, b *bucket) {
@@ -123,7 +123,7 @@
 	a.handovers[key.workspace] = h
 	a.stats.HandedOver++
 	a.opts.Logger.Info("bucket handed over", "workspace_hash", fmt.Sprintf("%x", key.workspace), "bucket", fmt.Sprintf("%08x", b.id), "to", h.to,
-		"missing", h.missing, "assumed", b.assumed, "granted", b.granted, "held", h.at.Sub(b.openedAt))
+		"missing", h.missing, "assumed", h.assumed, "granted", b.granted, "held", h.at.Sub(b.openedAt))
 }
 
 // ReceiveBucketReply handles the answer of another allocator.
@@ -143,11 +143,7 @@
 	c := a.table.caps[key.workspace]
 	a.advance(key, b, c, now)
 	if reply.GetKept() {
-		missing := a.missing(b, c)
-		if b.assumed {
-			missing = b.granted
-		}
-		a.giveUp(&handover{to: from, at: now, process: reply.GetHolder(), missing: missing, grantedAt: b.grantedAt}, key, b)
+		a.giveUp(&handover{to: from, at: now, process: reply.GetHolder(), missing: a.missing(b, c), assumed: b.assumed, grantedAt: b.grantedAt}, key, b)
 		return
 	}
 	delete(b.inquiries, from)
--- a/quota/handover_test.go
+++ b/quota/handover_test.go
@@ -123,6 +123,36 @@
 	g.Expect(len(p.allocators["a"].buckets) + len(p.allocators["b"].buckets)).To(gomega.Equal(1))
 }
 
+// TestAllocatorsThatOpenABucketAtOnceStartEmpty guards against a bucket that is full because each of
+// two new allocators tells the other one that it has granted nothing.
+func TestAllocatorsThatOpenABucketAtOnceStartEmpty(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := Cap{5, 100}
+	p := newPair(c)
+	p.start("a", 7, c)
+	p.start("b", 8, c)
+	p.cut = true
+	g.Expect(p.ask("a", 100).GetUnits()).To(gomega.BeZero())
+	g.Expect(p.ask("b", 100).GetUnits()).To(gomega.BeZero())
+	p.cut = false
+	p.wait(300 * time.Millisecond)
+	g.Expect(p.ask("a", 100).GetUnits() + p.ask("b", 100).GetUnits()).To(gomega.BeNumerically("<=", 3))
+	g.Expect(len(p.allocators["a"].buckets) + len(p.allocators["b"].buckets)).To(gomega.Equal(1))
+}
+
+// TestAllocatorGoneForLongerThanAWindowIsForgotten guards against a bucket that waits for an
+// instance of which nothing is known any more, after a long stop of the process.
+func TestAllocatorGoneForLongerThanAWindowIsForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPair(Cap{20, 100})
+	p.cut = true
+	p.ask("a", 1)
+	p.roles["a"] = Role{Share: 1, Allocators: []string{"a"}}
+	p.wait(100 * time.Millisecond)
+	p.now = p.now.Add(3 * window)
+	g.Expect(p.ask("a", 1).GetUnits()).To(gomega.Equal(uint32(1)))
+}
+
 // TestReturnedUnitKeepsItsAge guards against units of one window that are used in the next one,
 // because a request held them for long.
 func TestReturnedUnitKeepsItsAge(t *testing.T) {
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -207,7 +207,7 @@
 	i.share, i.met = 1, false
 	i.restart()
 	started := i.started
-	m.after(1500*time.Millisecond, func() { i.met = i.met || i.started == started && i.side == 0 })
+	m.after(1500*time.Millisecond, func() { i.met = i.met || i.started.Equal(started) && i.side == 0 })
 }
 
 // cut splits the fleet for a time. Each instance notices in its own time whom it no longer hears.
