--- a/forward/stop.go
+++ b/forward/stop.go
@@ -24,8 +24,8 @@
 
 // Leave begins a planned stop. From then on, requests that are not expected to be answered by end
 // are refused, those that wait now as well as those that arrive later. Those that are read whole
-// after lateFrom are refused if they may last longer than until end: by then, callers have had the
-// time to go to other instances, and no server at work is left behind for them.
+// after lateFrom, such as slow uploads, are refused if their deadline is after end: the usual time
+// of the service doesn't exclude that a server still works on one then.
 func (f *Forwarder) Leave(end, lateFrom time.Time) {
 	f.lateFrom.Store(&lateFrom)
 	f.stopEnd.Store(&end)
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -69,6 +69,7 @@
 
 type peer struct {
 	*gossip.Exchange
+	conn     *gossiptest.Conn
 	board    *readings.Board
 	backlogs *admission.Backlogs
 	view     *view
@@ -90,7 +91,7 @@
 			if !seed.IsValid() {
 				seed = conn.Address()
 			}
-			p := &peer{board: readings.NewBoard(), backlogs: admission.NewBacklogs(), view: &view{version: 1}}
+			p := &peer{conn: conn, board: readings.NewBoard(), backlogs: admission.NewBacklogs(), view: &view{version: 1}}
 			capacity := uint32(160)
 			if i >= size-3 {
 				capacity = 800
@@ -167,6 +168,23 @@
 	})
 }
 
+// TestRelayThatIsCutOffHearsLessBeforeOthersGiveItUp guards against an allocator of caps that goes on
+// granting for its side of a cut as for the whole fleet, while the others have a new one.
+func TestRelayThatIsCutOffHearsLessBeforeOthersGiveItUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		fleet := startFleet(t, gossiptest.NewNetwork(), 45, 30)
+		time.Sleep(4 * time.Second)
+		relay, other := fleet[0][44], fleet[0][43]
+		g.Expect(relay.HeardShare()).To(gomega.BeNumerically(">", 0.95))
+		relay.conn.Cut(true)
+		for slices.Contains(other.StrongRelays(), relay.ID()) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		g.Expect(relay.HeardShare()).To(gomega.BeNumerically("<", 0.6))
+	})
+}
+
 // serving returns the peers without the given ones.
 func serving(peers []*peer, except ...*peer) []*peer {
 	return slices.DeleteFunc(slices.Clone(peers), func(p *peer) bool { return slices.Contains(except, p) })
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -2,9 +2,10 @@
 // caller carries its messages.
 //
 // One instance is the allocator of a workspace and keeps its token bucket. The others ask it for
-// units when requests arrive, one message for those that arrive together. [Client] is the part of
-// an instance that asks, [Allocator] the part that grants. docs/design/usage-caps.md states why
-// the sum of all units stays within the cap while instances fail.
+// units when requests arrive, one message for those that arrive together. If the allocator changes,
+// the bucket is handed over to the next one. [Client] is the part of an instance that asks,
+// [Allocator] the part that grants. docs/design/usage-caps.md states why the sum of all units stays
+// within the cap while instances fail.
 package quota
 
 import "hash/fnv"
