--- a/quota/handover_test.go
+++ b/quota/handover_test.go
@@ -140,6 +140,25 @@
 	g.Expect(len(p.allocators["a"].buckets) + len(p.allocators["b"].buckets)).To(gomega.Equal(1))
 }
 
+// TestAssumedLevelIsNeverHandedOver guards against a level that no allocator has told and that is
+// handed over as known, when the request for the bucket is repeated.
+func TestAssumedLevelIsNeverHandedOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := Cap{5, 100}
+	p := newPair(c)
+	last := ranked(hash("w"), []string{"a", "b"})[1]
+	p.start(last, 7, c)
+	p.cut = true
+	p.ask(last, 1)
+	other := map[string]string{"a": "b", "b": "a"}[last]
+	req := &quotapb.BucketRequest{Number: 1, Process: 9, Workspace: hash("w")}
+	for range 2 {
+		reply := p.allocators[last].ReceiveBucketRequest(other, req, p.roles[last], p.now)
+		g.Expect(reply.GetKept()).To(gomega.BeFalse())
+		g.Expect(reply.GetHandedOver()).To(gomega.BeFalse())
+	}
+}
+
 // TestAllocatorGoneForLongerThanAWindowIsForgotten guards against a bucket that waits for an
 // instance of which nothing is known any more, after a long stop of the process.
 func TestAllocatorGoneForLongerThanAWindowIsForgotten(t *testing.T) {
@@ -153,6 +172,18 @@
 	g.Expect(p.ask("a", 1).GetUnits()).To(gomega.Equal(uint32(1)))
 }
 
+// TestAllocatorGoesByWhatThoseWhoAskItHear guards against an allocator that has started in a cut and
+// grants for its side as for the whole fleet.
+func TestAllocatorGoesByWhatThoseWhoAskItHear(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPair(Cap{20, 100})
+	req := &quotapb.UnitRequest{Number: 1, Workspace: hash("w"), Units: 100, HeardShare: 0.25}
+	p.allocators["a"].Receive("i", req, p.roles["a"], p.now)
+	p.now = p.now.Add(repeatAfter)
+	grant := p.allocators["a"].Receive("i", req, p.roles["a"], p.now)
+	g.Expect(grant.GetUnits()).To(gomega.BeNumerically("<=", 0.25*testLimits.depth(Cap{20, 100})))
+}
+
 // TestReturnedUnitKeepsItsAge guards against units of one window that are used in the next one,
 // because a request held them for long.
 func TestReturnedUnitKeepsItsAge(t *testing.T) {
