--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -47,6 +47,8 @@
 	rest     io.ReadCloser
 	// length is the length of the body, or -1 if unknown.
 	length int64
+	// via is the connection that it came on.
+	via connUse
 	// cancel ends the attempt that rest is read from.
 	cancel context.CancelFunc
 }
@@ -60,10 +62,38 @@
 	}
 }
 
+// connUse is one use of a connection, for logs. The zero value stands for none.
+type connUse struct {
+	conn  uint64
+	use   int
+	early bool
+	// written is the time at which the first byte of the request was written.
+	written time.Time
+}
+
+func useOf(conn *serverconn.Conn) connUse {
+	return connUse{conn: conn.Number, use: conn.Uses, early: conn.Early, written: conn.Written()}
+}
+
+// attrs returns the number of the connection, how often it had been used by then, whether
+// the response began before the whole request was written, and when that was begun.
+func (u connUse) attrs() []slog.Attr {
+	if u.use == 0 {
+		return nil
+	}
+	attrs := []slog.Attr{slog.Uint64("conn", u.conn), slog.Int("use", u.use), slog.Bool("early", u.early)}
+	if !u.written.IsZero() {
+		attrs = append(attrs, slog.Time("written", u.written))
+	}
+	return attrs
+}
+
 // result is the result of an attempt.
 type result struct {
 	server directory.Server
-	resp   *response
+	// via is the connection that the request was sent on.
+	via  connUse
+	resp *response
 	// failed is set if the response is a server error on a repeatable request.
 	failed bool
 	// notRun is set if the request certainly did not run.
@@ -125,7 +155,7 @@
 	if err != nil {
 		return a.sendFailed(ctx, conn, err)
 	}
-	return a.classify(ctx, resp)
+	return a.classify(ctx, conn, resp)
 }
 
 // connect returns a connection to the server. The server may have dropped an idle
@@ -246,11 +276,13 @@
 func (x *exchange) matches(conn *serverconn.Conn, server string) func(*http.Response) bool {
 	return func(resp *http.Response) bool {
 		id := x.f.opts.Protocol.Response(resp).RequestID
-		if id == x.caller.ID || id == "" && resp.StatusCode >= http.StatusBadRequest && !conn.Reused {
+		if id == x.caller.ID || id == "" && resp.StatusCode >= http.StatusBadRequest && !conn.Reused() {
 			return true
 		}
-		x.log("response to another request", slog.String("server", server), slog.String("its_request", id),
-			slog.Int("status", resp.StatusCode), slog.Duration("rested", conn.IdleTime))
+		x.log("response to another request", append([]slog.Attr{
+			slog.String("server", server), slog.String("its_request", id),
+			slog.Int("status", resp.StatusCode), slog.Duration("rested", conn.IdleTime),
+		}, useOf(conn).attrs()...)...)
 		return false
 	}
 }
@@ -258,12 +290,12 @@
 // sendFailed returns the result of an attempt without any response.
 func (a *attempt) sendFailed(ctx context.Context, conn *serverconn.Conn, err error) result {
 	unsent := serverconn.Unsent(err)
-	r := result{server: a.reservation.server, notRun: unsent, unsent: unsent, err: err}
+	r := result{server: a.reservation.server, via: useOf(conn), notRun: unsent, unsent: unsent, err: err}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return r
 	}
 	r.connLost = !r.unsent && ctx.Err() == nil
-	if ctx.Err() != nil && conn.Reused {
+	if ctx.Err() != nil && conn.Reused() {
 		// The server may have dropped its connections without a reset.
 		a.x.f.opts.Pool.Invalidate(a.reservation.server.Address)
 	}
@@ -280,7 +312,7 @@
 }
 
 // classify reads a response and decides whether it can be passed on.
-func (a *attempt) classify(ctx context.Context, resp *http.Response) result {
+func (a *attempt) classify(ctx context.Context, conn *serverconn.Conn, resp *http.Response) result {
 	info := a.x.f.opts.Protocol.Response(resp)
 	now := time.Now()
 	a.x.f.opts.Board.Answered(now)
@@ -289,7 +321,7 @@
 		a.x.f.opts.Board.AnsweredTo(a.reservation.server.ID, a.reservation.reservedAt, now)
 		a.x.f.opts.OnNotice(a.reservation.server, info.Notice, false)
 	}
-	r := result{server: a.reservation.server}
+	r := result{server: a.reservation.server, via: useOf(conn)}
 	switch {
 	case info.NotRun, info.Misdirected:
 		serverconn.Discard(resp)
@@ -316,6 +348,7 @@
 		}
 		return a.fail(r, err)
 	}
+	out.via = r.via
 	r.resp = out
 	serverError := out.status >= http.StatusInternalServerError
 	if !serverError {
--- a/forward/delegate.go
+++ b/forward/delegate.go
@@ -140,6 +140,7 @@
 		by: x.f.opts.ID, attempts: attempts, timeout: left, elapsed: time.Since(x.firstSentAt), table: tableVersion,
 	}.write(out.Header)
 	resp, err := conn.RoundTrip(ctx, out, x.matches(conn, peer.ID))
+	r.via = useOf(conn)
 	if err != nil {
 		r.err = err
 		r.unsent = serverconn.Unsent(err)
@@ -152,7 +153,9 @@
 		r.notRun = failed.Outcome == outcome.NotRun
 		return r
 	}
-	r.resp, r.err = bufferBody(peer.ID, resp)
+	if r.resp, r.err = bufferBody(peer.ID, resp); r.resp != nil {
+		r.resp.via = r.via
+	}
 	return r
 }
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -461,8 +461,10 @@
 	if r.peer != "" {
 		to = slog.String("peer", r.peer)
 	}
-	x.log("attempt failed", to, slog.Bool("sent", !r.unsent), slog.Bool("not_run", r.notRun),
-		slog.Duration("left", time.Until(x.deadline)), slog.Any("error", r.err))
+	x.log("attempt failed", append([]slog.Attr{
+		to, slog.Bool("sent", !r.unsent), slog.Bool("not_run", r.notRun),
+		slog.Duration("left", time.Until(x.deadline)), slog.Any("error", r.err),
+	}, r.via.attrs()...)...)
 }
 
 // refusal returns the error for a request that no server can take now.
--- a/forward/write.go
+++ b/forward/write.go
@@ -34,8 +34,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.f.opts.Observer.Served(x.service.Name, took)
-	x.log("served", append(x.timing(), slog.String("server", resp.server), slog.Int("status", resp.status),
-		slog.Any("tried", x.reservations), slog.Duration("took", took))...)
+	attrs := append(x.timing(), slog.String("server", resp.server), slog.Int("status", resp.status),
+		slog.Any("tried", x.reservations), slog.Duration("took", took))
+	x.log("served", append(attrs, resp.via.attrs()...)...)
 }
 
 // copyBody writes the buffered part and then streams the rest.
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -253,7 +253,7 @@
 	resp, err := conn.Check(ctx, target.Path, func(resp *http.Response) bool { return IsCheck(c.opts.Checker, resp) })
 	if err != nil {
 		c.opts.Logger.Debug("status check failed", "server", target.Server, "error", err)
-		if ctx.Err() != nil && conn.Reused {
+		if ctx.Err() != nil && conn.Reused() {
 			c.opts.Pool.Invalidate(target.Address)
 		}
 		return timestamped(reading)
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -84,10 +84,16 @@
 	address string
 	limit   *hop.HeadReader
 	reader  *bufio.Reader
-	// Reused reports whether the connection has carried a request before. IdleTime
-	// is how long it was idle before it was taken from the pool.
-	Reused    bool
-	IdleTime  time.Duration
+	// Number identifies the connection in the process. Uses counts how
+	// often it was taken from the pool, for a request or a status check, including the
+	// present use. IdleTime is how long it was idle before.
+	Number   uint64
+	Uses     int
+	IdleTime time.Duration
+	// Early reports whether the response of the present use began before the whole request
+	// was written.
+	Early     bool
+	written   atomic.Int64
 	idleSince time.Time
 	// expires is the time from which an idle connection must not be reused, because
 	// the server may close it.
@@ -111,6 +117,9 @@
 	return s
 }
 
+// lastNumber is the number of the connection that was opened last.
+var lastNumber atomic.Uint64
+
 // Get returns an idle connection to the address or opens a new one. limit is the limit
 // of connections to the address; 0 selects the default. Get fails with [FullError] or
 // [DialError].
@@ -139,12 +148,26 @@
 		c.Close()
 		return false
 	}
-	c.Reused = true
+	c.Uses++
+	c.Early = false
+	c.written.Store(0)
 	c.IdleTime = now.Sub(c.idleSince)
 	c.pool.Reused.Add(1)
 	return true
 }
 
+// Reused reports whether the connection has carried a request or a status check before.
+func (c *Conn) Reused() bool { return c.Uses > 1 }
+
+// Written returns the time immediately before the first byte of the present use was written,
+// the zero time if none was.
+func (c *Conn) Written() time.Time {
+	if at := c.written.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
 // IdleAddresses returns the addresses to which there are idle connections.
 func (p *Pool) IdleAddresses() map[string]bool {
 	p.mu.Lock()
@@ -197,7 +220,10 @@
 	}
 	p.Opened.Add(1)
 	limit := hop.NewHeadReader(conn)
-	return &Conn{raw: conn, pool: p, address: address, limit: limit, reader: bufio.NewReaderSize(limit, bufferSize), opened: time.Now()}, nil
+	return &Conn{
+		Number: lastNumber.Add(1), Uses: 1,
+		raw: conn, pool: p, address: address, limit: limit, reader: bufio.NewReaderSize(limit, bufferSize), opened: time.Now(),
+	}, nil
 }
 
 // release counts a connection to the address as closed.
--- a/serverconn/roundtrip.go
+++ b/serverconn/roundtrip.go
@@ -49,14 +49,19 @@
 	return errors.As(err, &sendErr) && sendErr.Unsent
 }
 
-// countingWriter counts the bytes written to the connection.
+// countingWriter counts the bytes written to the connection and records when the first were.
 type countingWriter struct {
 	w io.Writer
 	n atomic.Int64
+	// first is the time of the first write, in Unix nanoseconds.
+	first *atomic.Int64
 }
 
 // Write implements [io.Writer].
 func (c *countingWriter) Write(p []byte) (int, error) {
+	if c.first.Load() == 0 {
+		c.first.Store(time.Now().UnixNano())
+	}
 	n, err := c.w.Write(p)
 	c.n.Add(int64(n))
 	return n, err
@@ -78,7 +83,7 @@
 		}
 		return nil, &SendError{Unsent: unsent, Err: err}
 	}
-	out := &countingWriter{w: c.raw}
+	out := &countingWriter{w: c.raw, first: &c.written}
 	written := make(chan error, 1)
 	if req.ContentLength > maxInlineBody {
 		go func() { written <- req.Write(out) }()
@@ -93,6 +98,7 @@
 	if err != nil {
 		return fail(false, err)
 	}
+	c.Early = len(written) == 0
 	resp.Body = &responseBody{ReadCloser: resp.Body, conn: c, resp: resp, written: written, stop: stop}
 	return resp, nil
 }
