serverconn, forward: a connection carries each request ID at most once

Callers got "not run" for orders that ran, and orders ran twice. A server may write a refusal once more while its request is under way again on the same connection: from the caller, through another entry of the server, or through a peer. The copy has the ID of the request, so it was taken as proof for the attempt that the connection carried. A proof belongs to an attempt, which is a connection and an ID: Pool.GetFor returns a connection that has not carried the ID, and a new one for a request without an ID. docs/design/outcomes.md lists every place that takes a proof.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -167,7 +167,7 @@
 		if err := a.checkEvacuated(ctx); err != nil {
 			return nil, err
 		}
-		conn, err := x.f.opts.Pool.Get(ctx, a.reservation.server.Address, x.f.opts.ConnLimit(x.service))
+		conn, err := x.f.opts.Pool.GetFor(ctx, a.reservation.server.Address, x.f.opts.ConnLimit(x.service), x.caller.ID)
 		if err != nil || x.route.Repeatable || conn.IdleTime < maxUncheckedIdle || x.service.HealthPath == "" {
 			return conn, err
 		}
--- a/forward/delegate.go
+++ b/forward/delegate.go
@@ -124,7 +124,7 @@
 // again, by a table that is no older than the given version.
 func (x *exchange) delegate(ctx context.Context, peer Peer, attempts int, tableVersion uint64) result {
 	r := result{peer: peer.ID}
-	conn, err := x.f.opts.PeerPool.Get(ctx, peer.Address, 0)
+	conn, err := x.f.opts.PeerPool.GetFor(ctx, peer.Address, 0, x.caller.ID)
 	if err != nil {
 		r.notRun, r.unsent, r.err = true, true, err
 		return r
--- a/serverconn/check.go
+++ b/serverconn/check.go
@@ -12,6 +12,7 @@
 // with [SendError].
 func (c *Conn) Check(ctx context.Context, path string, isCheck func(*http.Response) bool) (*http.Response, error) {
 	c.pool.Checks.Add(1)
+	c.request = 0
 	req := &http.Request{
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: c.address, Path: path},
 		Host: c.address, Header: http.Header{"User-Agent": {""}}, ProtoMajor: 1, ProtoMinor: 1,
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/internal/hop"
+	"github.com/pomelolock/pomelolock/internal/idset"
 )
 
 const (
@@ -34,6 +35,9 @@
 const (
 	// defaultPerServer is the default limit of connections to one server.
 	defaultPerServer = 64
+	// maxRequests is the number of requests after which a connection is not used again. It bounds
+	// the memory for their IDs to 8 KiB a connection.
+	maxRequests = 1024
 )
 
 // FullError reports that the limit of connections to a server is reached and all of
@@ -100,6 +104,10 @@
 	expires time.Time
 	opened  time.Time
 	closed  bool
+	// carried holds hashes of the IDs of the requests that were sent on the connection,
+	// request that of the request for which it was taken from the pool, 0 for a status check.
+	carried idset.Set
+	request idset.Hash
 }
 
 // NewPool returns an empty pool.
@@ -117,18 +125,44 @@
 	return s
 }
 
+// Get returns an idle connection to the address for a status check, or opens a new one. limit
+// is the limit of connections to the address; 0 selects the default. Get fails with [FullError]
+// or [DialError].
+func (p *Pool) Get(ctx context.Context, address string, limit int) (*Conn, error) {
+	return p.get(ctx, address, limit, func(*Conn) bool { return true })
+}
+
+// GetFor is like Get for a request with the given ID. A connection carries each ID at most
+// once: a server may write a response once more, and on a connection that has carried the ID
+// before, its copy could not be told from the response to the present attempt. For the same
+// reason a request without an ID gets a new connection.
+func (p *Pool) GetFor(ctx context.Context, address string, limit int, id string) (*Conn, error) {
+	hash := idset.HashOf(id)
+	c, err := p.get(ctx, address, limit, func(c *Conn) bool { return id != "" && !c.carried.Contains(hash) })
+	if err == nil {
+		c.request = hash
+	}
+	return c, err
+}
+
+// carry records the request for which the connection was taken from the pool.
+func (c *Conn) carry() {
+	if c.request != 0 {
+		c.carried.Add(c.request)
+	}
+}
+
 // lastNumber is the number of the connection that was opened last.
 var lastNumber atomic.Uint64
 
-// Get returns an idle connection to the address or opens a new one. limit is the limit
-// of connections to the address; 0 selects the default. Get fails with [FullError] or
-// [DialError].
-func (p *Pool) Get(ctx context.Context, address string, limit int) (*Conn, error) {
+// get returns an idle connection to the address for which fits returns true, or opens a new
+// one.
+func (p *Pool) get(ctx context.Context, address string, limit int, fits func(*Conn) bool) (*Conn, error) {
 	if limit <= 0 {
 		limit = defaultPerServer
 	}
 	for {
-		c, open := p.takeIdle(address, limit)
+		c, open := p.takeIdle(address, limit, fits)
 		if c == nil && !open {
 			return nil, &FullError{Address: address}
 		}
@@ -149,6 +183,7 @@
 		return false
 	}
 	c.Uses++
+	c.request = 0
 	c.Early = false
 	c.written.Store(0)
 	c.IdleTime = now.Sub(c.idleSince)
@@ -189,21 +224,30 @@
 	return s != nil && len(s.idle) > 0
 }
 
-// takeIdle returns the idle connection that was used last. If there is none, it reports
-// whether a new connection may be opened, and counts it as open.
-func (p *Pool) takeIdle(address string, limit int) (c *Conn, open bool) {
+// takeIdle returns that of the idle connections for which fits returns true which was used
+// last. If there is none, it reports whether a new connection may be opened, and counts it as
+// open. At the limit it closes an idle connection for that.
+func (p *Pool) takeIdle(address string, limit int, fits func(*Conn) bool) (c *Conn, open bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.serverLocked(address)
-	if n := len(s.idle); n > 0 {
-		c = s.idle[n-1]
-		s.idle = s.idle[:n-1]
-		return c, false
+	for i, idle := range slices.Backward(s.idle) {
+		if fits(idle) {
+			s.idle = slices.Delete(s.idle, i, i+1)
+			return idle, false
+		}
 	}
-	if s.open >= limit {
+	switch {
+	case s.open < limit:
+		s.open++
+	case len(s.idle) > 0:
+		// The new connection takes the place of the closed one.
+		s.idle[0].closed = true
+		s.idle[0].raw.Close()
+		s.idle = slices.Delete(s.idle, 0, 1)
+	default:
 		return nil, false
 	}
-	s.open++
 	return nil, true
 }
 
@@ -243,7 +287,7 @@
 	c.expires = c.idleSince.Add(idle)
 	p.mu.Lock()
 	s := p.serverLocked(c.address)
-	keep := !c.opened.Before(s.validSince)
+	keep := !c.opened.Before(s.validSince) && c.carried.Len() < maxRequests
 	if keep {
 		s.idle = append(s.idle, c)
 	}
--- a/serverconn/pool_test.go
+++ b/serverconn/pool_test.go
@@ -192,7 +192,7 @@
 	resp, err := conn.RoundTrip(t.Context(), request(http.MethodPost, strings.Repeat("x", size)), withID("1"))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	Discard(resp)
-	_, open := pool.takeIdle(address, 1)
+	_, open := pool.takeIdle(address, 1, func(*Conn) bool { return true })
 	g.Expect(open).To(gomega.BeTrue(), "the connection was closed, not reused")
 }
 
@@ -225,6 +225,89 @@
 	pool := NewPool()
 	g.Expect(do(t, pool, address, "1")).To(gomega.Equal("one"))
 	pool.Sweep(time.Now(), func(string) bool { return false })
-	c, _ := pool.takeIdle(address, 1)
+	c, _ := pool.takeIdle(address, 1, func(*Conn) bool { return true })
 	g.Expect(c).To(gomega.BeNil())
 }
+
+// carry sends a request with the given ID and returns the connection that it used.
+func carry(t *testing.T, pool *Pool, address string, limit int, id string) *Conn {
+	t.Helper()
+	conn, err := pool.GetFor(t.Context(), address, limit, id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := conn.RoundTrip(t.Context(), request(http.MethodGet, ""), withID(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	Discard(resp)
+	return conn
+}
+
+// echo responds to any number of requests.
+func echo(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
+// TestConnectionCarriesARequestIDOnce guards against a response to an earlier attempt that can't
+// be told from that to the present one, and against connections that are opened without need.
+func TestConnectionCarriesARequestIDOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address, pool := backend(t, echo), NewPool()
+	first := carry(t, pool, address, 0, "a")
+	g.Expect(carry(t, pool, address, 0, "b")).To(gomega.BeIdenticalTo(first))
+	second := carry(t, pool, address, 0, "a")
+	g.Expect(second).NotTo(gomega.BeIdenticalTo(first))
+	g.Expect(carry(t, pool, address, 0, "b")).To(gomega.BeIdenticalTo(second))
+	g.Expect(pool.Opened.Load()).To(gomega.Equal(uint64(2)))
+	for range 2 {
+		g.Expect(carry(t, pool, address, 0, "").Uses).To(gomega.Equal(1), "a response without an ID can't be told from others")
+	}
+}
+
+// TestStatusCheckIsNoAttempt guards against a request that finds no connection because a status
+// check went before it on the one that it was given.
+func TestStatusCheckIsNoAttempt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address, pool := backend(t, echo), NewPool()
+	conn, err := pool.GetFor(t.Context(), address, 0, "a")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = conn.Check(t.Context(), "/health", withID(""))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(carry(t, pool, address, 0, "a")).To(gomega.BeIdenticalTo(conn))
+}
+
+// TestRepeatedRequestFindsAConnectionAtTheLimit guards against a request that is refused because
+// all connections to a server have carried its ID.
+func TestRepeatedRequestFindsAConnectionAtTheLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address, pool := backend(t, echo), NewPool()
+	first := carry(t, pool, address, 1, "a")
+	second := carry(t, pool, address, 1, "a")
+	g.Expect(second).NotTo(gomega.BeIdenticalTo(first))
+	busy, err := pool.GetFor(t.Context(), address, 1, "b")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(busy).To(gomega.BeIdenticalTo(second))
+	_, err = pool.GetFor(t.Context(), address, 1, "a")
+	g.Expect(err).To(gomega.BeAssignableToTypeOf(&FullError{}))
+	busy.Close()
+	g.Expect(carry(t, pool, address, 1, "a").Uses).To(gomega.Equal(1))
+}
+
+// TestConnectionEndsAfterMaxRequests guards against memory that grows with the age of a
+// connection.
+func TestConnectionEndsAfterMaxRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address, pool := backend(t, echo), NewPool()
+	for n := range maxRequests {
+		g.Expect(carry(t, pool, address, 0, fmt.Sprint(n)).Uses).To(gomega.Equal(n + 1))
+	}
+	g.Expect(carry(t, pool, address, 0, "next").Uses).To(gomega.Equal(1))
+}
--- a/serverconn/roundtrip.go
+++ b/serverconn/roundtrip.go
@@ -74,6 +74,7 @@
 // the body of the response, which returns the connection to the pool if the body was
 // read completely.
 func (c *Conn) RoundTrip(ctx context.Context, req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
+	c.carry()
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
 	fail := func(unsent bool, err error) (*http.Response, error) {
 		stop()
