serverconn: a copy of a response is framed as the request that it belongs to

The copy that is passed over need not belong to the present request. Around HEAD it was framed by the wrong method: a body was expected where none follows, or bytes of a body were read as a response, so that text in a body could pass for a refusal. Responses are framed without the request; after HEAD, a response to another request ends the connection without proof.

--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -108,6 +108,8 @@
 	// request that of the request for which it was taken from the pool, 0 for a status check.
 	carried idset.Set
 	request idset.Hash
+	// carriedHead is set if one of the requests was HEAD.
+	carriedHead bool
 }
 
 // NewPool returns an empty pool.
--- a/serverconn/roundtrip.go
+++ b/serverconn/roundtrip.go
@@ -95,19 +95,25 @@
 		}
 		written <- err
 	}
-	resp, err := c.readResponse(req, matches)
+	resp, err := c.readResponse(matches)
 	if err != nil {
 		return fail(false, err)
 	}
+	if req.Method == http.MethodHead {
+		c.carriedHead = true
+		resp.Body = http.NoBody
+	}
 	c.Early = len(written) == 0
 	resp.Body = &responseBody{ReadCloser: resp.Body, conn: c, resp: resp, written: written, stop: stop}
 	return resp, nil
 }
 
-// readResponse reads responses until one matches the request.
-func (c *Conn) readResponse(req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
+// readResponse reads responses until one matches the request. If an earlier request was HEAD, it
+// fails with the first one that doesn't: where that ends is not known, and bytes of a body must not be
+// read as a response.
+func (c *Conn) readResponse(matches func(*http.Response) bool) (*http.Response, error) {
 	for range maxResponses {
-		resp, err := c.readHead(req)
+		resp, err := c.readHead()
 		if err != nil {
 			return nil, err
 		}
@@ -117,6 +123,9 @@
 		if matches(resp) {
 			return resp, nil
 		}
+		if c.carriedHead {
+			break
+		}
 		if _, err := io.CopyN(io.Discard, resp.Body, maxForeignBytes); !errors.Is(err, io.EOF) {
 			if err == nil {
 				err = &ForeignError{Address: c.address}
@@ -127,12 +136,12 @@
 	return nil, &ForeignError{Address: c.address}
 }
 
-// readHead reads the status line and the headers of a response. It fails with
-// [hop.HeadSizeError] if they exceed maxHeadBytes.
-func (c *Conn) readHead(req *http.Request) (*http.Response, error) {
+// readHead reads the status line and the headers of a response. The body is framed as if the
+// request was not HEAD. It fails with [hop.HeadSizeError] if the head exceeds maxHeadBytes.
+func (c *Conn) readHead() (*http.Response, error) {
 	c.limit.Limit(maxHeadBytes)
 	defer c.limit.Unlimit()
-	return http.ReadResponse(c.reader, req)
+	return http.ReadResponse(c.reader, nil)
 }
 
 // responseBody returns the connection to the pool when it is closed after its last byte
