forward: a promise of a peer covers the attempts of that peer only

A caller could get 408, which promises "not run", for a request that a server may have run before it was delegated: the peer had not read the delegated request and answered 408 without an outcome. And the header by which peers mark their own errors, sent by a server, was taken for that of the peer. A peer's response that is neither an outcome nor that of a server now proves nothing, and the header is removed from responses of servers.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -348,6 +348,7 @@
 		}
 		return a.fail(r, err)
 	}
+	removePeerError(out.header)
 	out.via = r.via
 	r.resp = out
 	serverError := out.status >= http.StatusInternalServerError
--- a/forward/delegate.go
+++ b/forward/delegate.go
@@ -153,6 +153,12 @@
 		r.notRun = failed.Outcome == outcome.NotRun
 		return r
 	}
+	if claimsNotRun(resp.StatusCode) || x.f.opts.Protocol.Response(resp).RequestID != x.caller.ID {
+		// The peer has not read the request, or broke off reading it.
+		serverconn.Discard(resp)
+		r.err = &ResponseError{Server: peer.ID, Status: resp.StatusCode, Reason: "response of the peer is neither an outcome nor that of a server"}
+		return r
+	}
 	if r.resp, r.err = bufferBody(peer.ID, resp); r.resp != nil {
 		r.resp.via = r.via
 	}
@@ -176,6 +182,14 @@
 	return failed
 }
 
+// removePeerError removes the headers of [writePeerError] from the response of a server, which a
+// delegating instance would otherwise take for an error of this one.
+func removePeerError(header http.Header) {
+	for _, name := range []string{outcome.HeaderOutcome, headerCode, headerRetryAfterMS} {
+		header.Del(name)
+	}
+}
+
 // writePeerError sets the headers that tell the delegating instance of an error.
 func writePeerError(header http.Header, failed *outcome.Error) {
 	header.Set(outcome.HeaderOutcome, string(failed.Outcome))
