proxy: in a fleet of its own, a refusal ends its connection and is proof for its attempt only

Here net/http chooses the connection, and may hand it out again before the attempt before has seen its response. Each connection counts its attempts; a refusal is proof only for the first, or with the request's ID if all earlier ones ended with their own responses, which were no refusals. A connection that has carried the ID is not used for it again; a streamed body, which can't be sent again, stays on it, and the response ends it.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -67,7 +67,7 @@
 func (a *attempt) run(ctx context.Context) (*response, *failure) {
 	server := a.permit.Server
 	a.start = time.Now()
-	httpResp, err := a.x.p.transports.get(server).RoundTrip(a.request(a.sent.trace(ctx), server))
+	httpResp, err := a.roundTrip(ctx, server)
 	if err != nil {
 		return nil, a.sendFailed(ctx, err)
 	}
@@ -77,6 +77,24 @@
 	return a.readResponse(ctx, httpResp)
 }
 
+// roundTrip sends the request on a connection that has not carried its ID before: the server may write
+// the response to an earlier request once more, and with the same ID that could not be told from the
+// response to this one. A streamed body can't be sent again, so its first connection is kept; a later
+// refusal there is no proof.
+func (a *attempt) roundTrip(ctx context.Context, server table.Server) (*http.Response, error) {
+	a.sent.id, a.sent.onlyOnce = a.x.id, a.x.body.resendable()
+	for {
+		// Each repetition closes a connection, and a new one has carried nothing.
+		httpResp, err := a.x.p.transports.get(server).RoundTrip(a.request(a.sent.trace(ctx), server))
+		if !a.sent.refusedConn() {
+			return httpResp, err
+		}
+		if err == nil {
+			_ = httpResp.Body.Close()
+		}
+	}
+}
+
 func (a *attempt) request(ctx context.Context, server table.Server) *http.Request {
 	in := a.x.in
 	out := (&http.Request{
@@ -138,11 +156,12 @@
 // checkResponse returns the reason why the response can't be used, if any.
 func (a *attempt) checkResponse(httpResp *http.Response) error {
 	server := a.permit.Server.Name
+	refused := httpResp.StatusCode == http.StatusServiceUnavailable && httpResp.Header.Get(outcome.HeaderNotRun) == "true"
 	responseID := httpResp.Header.Get(outcome.HeaderRequestID)
-	if a.x.service.ChecksMark && responseID != a.x.id {
+	if !a.hasID(httpResp) && (a.x.service.ChecksMark || refused && responseID != "") {
 		return &RequestIDMismatchError{Server: server, Want: a.x.id, Got: responseID}
 	}
-	if httpResp.StatusCode == http.StatusServiceUnavailable && httpResp.Header.Get(outcome.HeaderNotRun) == "true" {
+	if refused {
 		return &RefusedError{Server: server, Status: httpResp.StatusCode}
 	}
 	if unframed(httpResp) {
@@ -151,6 +170,11 @@
 	return nil
 }
 
+// hasID reports whether a response bears the ID of the request.
+func (a *attempt) hasID(httpResp *http.Response) bool {
+	return httpResp.Header.Get(outcome.HeaderRequestID) == a.x.id
+}
+
 // unframed reports whether the body's end is marked only by the close of the
 // connection.
 func unframed(httpResp *http.Response) bool {
@@ -164,14 +188,19 @@
 func (a *attempt) rejectResponse(httpResp *http.Response, err error) *failure {
 	var refused *RefusedError
 	var mismatch *RequestIDMismatchError
-	f := &failure{server: a.permit.Server.Name, err: err, notRun: errors.As(err, &refused)}
+	f := &failure{server: a.permit.Server.Name, err: err}
+	switch {
+	case errors.As(err, &refused):
+		f.notRun = a.sent.confirmRefusal(a.hasID(httpResp))
+	case errors.As(err, &mismatch):
+		a.sent.endUse()
+	}
 	class := loadbalancer.ClassFailed
 	if f.notRun {
 		class = loadbalancer.ClassRefused
 	}
 	load := parseLoad(httpResp.Header)
-	// A small body is read to its end so that the connection can be reused;
-	// closing a body before its end closes the connection.
+	// Whether the server still works on the request shows at the end of a small body.
 	_, copyErr := io.CopyN(io.Discard, httpResp.Body, discardLimit)
 	running := !errors.Is(copyErr, io.EOF) || errors.As(err, &mismatch)
 	_ = httpResp.Body.Close()
@@ -205,6 +234,9 @@
 		return a.stream(resp, httpResp, load, reserved), nil
 	}
 	_ = httpResp.Body.Close()
+	if a.hasID(httpResp) {
+		a.sent.confirmAnswer()
+	}
 	a.release(classOf(httpResp.StatusCode), load, false)
 	resp.end = func(error) { a.x.p.memory.release(reserved) }
 	return a.checkStatus(resp)
@@ -264,6 +296,8 @@
 		class = loadbalancer.ClassFailed
 	case err != nil:
 		class = loadbalancer.ClassCancelled
+	case a.hasID(httpResp):
+		a.sent.confirmAnswer()
 	}
 	a.release(class, load, err != nil)
 }
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -147,6 +147,36 @@
 	beds.checkReleased(t)
 }
 
+// TestRefusalOfAnEarlierAttemptIsNoProof guards against a request that is answered "not run" while a
+// server runs it: the server wrote an earlier refusal once more, on the connection that carries the
+// request now. Without the request's ID in responses, it may be the refusal of any request.
+func TestRefusalOfAnEarlierAttemptIsNoProof(t *testing.T) {
+	for _, echoesID := range []bool{true, false} {
+		for _, body := range outcomeBodies {
+			for _, ids := range [][]string{{"same", "same"}, {"first", "second"}} {
+				t.Run(fmt.Sprintf("echoes ID %v, body %q, %v", echoesID, body, ids), func(t *testing.T) {
+					g := gomega.NewWithT(t)
+					script := []fault{faultCopyRefusal, faultCopyRefusal}
+					if ids[0] != ids[1] {
+						script[1] = faultNone
+					}
+					bed := newTestbed(t, func(doc *table.Document) { doc.Services[0].ChecksMark = echoesID }, func() fault {
+						next := script[0]
+						script = script[1:]
+						return next
+					})
+					got := bed.send(g, http.MethodPost, "/order", ids[0], "", body)
+					g.Expect(got.outcome).To(gomega.Equal(string(outcome.NotRun)))
+					got = bed.send(g, http.MethodPost, "/order", ids[1], "", body)
+					g.Expect(bed.runs(ids[1])).To(gomega.Equal(1))
+					g.Expect(got.outcome).To(gomega.Equal(string(outcome.Ran)))
+					g.Expect(got.status).To(gomega.Equal(http.StatusOK))
+				})
+			}
+		}
+	}
+}
+
 // checkReleased checks that the buffer memory of all bodies is released.
 func (b *outcomeBeds) checkReleased(t *testing.T) {
 	for _, bed := range []*testbed{b.open, b.closed} {
--- a/proxy/scripted_test.go
+++ b/proxy/scripted_test.go
@@ -31,6 +31,9 @@
 	faultCloseOnAccept
 	faultCloseAfterFirstByte
 	faultRefuseNotRun
+	// faultCopyRefusal refuses a request once. On the connection of a refusal, the server writes
+	// that once more before it runs the next request.
+	faultCopyRefusal
 	faultCloseAfterRun
 	faultCloseMidResponse
 	faultCloseMidLongResponse
@@ -49,8 +52,11 @@
 	listener net.Listener
 	script   func() fault
 
-	mu  sync.Mutex
-	ran map[string]int
+	mu      sync.Mutex
+	ran     map[string]int
+	refused map[string]bool
+	// copies holds the refusals on open connections.
+	copies map[net.Conn]string
 }
 
 func startServer(t testing.TB, name string, script func() fault) *scriptedServer {
@@ -58,7 +64,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &scriptedServer{name: name, listener: listener, script: script, ran: make(map[string]int)}
+	s := &scriptedServer{name: name, listener: listener, script: script, ran: make(map[string]int), refused: make(map[string]bool), copies: make(map[net.Conn]string)}
 	go s.accept()
 	t.Cleanup(func() { listener.Close() })
 	return s
@@ -106,17 +112,31 @@
 		return false
 	}
 	id := req.Header.Get(outcome.HeaderRequestID)
-	if f == faultRefuseNotRun {
-		fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\n%s: true\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
-			outcome.HeaderNotRun, outcome.HeaderRequestID, id)
+	refusal := fmt.Sprintf("HTTP/1.1 503 Busy\r\n%s: true\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+		outcome.HeaderNotRun, outcome.HeaderRequestID, id)
+	if f == faultRefuseNotRun || f == faultCopyRefusal && s.refuseOnce(conn, id, refusal) {
+		_, _ = io.WriteString(conn, refusal)
 		return true
 	}
 	s.mu.Lock()
 	s.ran[id]++
+	_, _ = io.WriteString(conn, s.copies[conn])
 	s.mu.Unlock()
 	return respond(conn, id, f)
 }
 
+// refuseOnce reports whether the request has not been refused before, and records the refusal.
+func (s *scriptedServer) refuseOnce(conn net.Conn, id, refusal string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refused[id] {
+		return false
+	}
+	s.refused[id] = true
+	s.copies[conn] = refusal
+	return true
+}
+
 func respond(conn net.Conn, id string, f fault) bool {
 	text := responseText + id
 	status := "200 OK"
