--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -1,7 +1,10 @@
 package soak
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +18,8 @@
 	mu sync.Mutex
 	// runs lists, by request ID or by crashPath, the servers that ran the request.
 	runs map[string][]string
+	// refused holds the requests that a server has refused, by request ID and server.
+	refused map[string]bool
 	// spans holds when servers worked on requests, by request ID.
 	spans map[string][]*span
 }
@@ -57,6 +62,22 @@
 	return false
 }
 
+// refuseOnce reports whether the server has not refused the request before, and records that it
+// does.
+func (j *journal) refuseOnce(id, server string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.refused == nil {
+		j.refused = make(map[string]bool)
+	}
+	key := id + " " + server
+	if j.refused[key] {
+		return false
+	}
+	j.refused[key] = true
+	return true
+}
+
 func (j *journal) count(id string) int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -87,6 +108,11 @@
 	registerInterval = 500 * time.Millisecond
 	// serverLimit is the number of requests a second that a limited server takes.
 	serverLimit = 3.0
+	// copyOneIn is the number of responses of which a server that copies writes one once more,
+	// between leastCopyDelay and mostCopyDelay later.
+	copyOneIn      = 4
+	leastCopyDelay = 5 * time.Millisecond
+	mostCopyDelay  = 500 * time.Millisecond
 )
 
 // mostReached returns the largest number of requests and status checks in any limitSpan, from
@@ -122,6 +148,8 @@
 	zone          string
 	// reachedTotal counts requests and status checks.
 	reachedTotal atomic.Int64
+	// alias is the ID of a second entry with the address of this one; "" if there is none.
+	alias string
 	// limited is set while the server names serverLimit; reached holds the times of the
 	// requests and status checks that it got since.
 	limited atomic.Bool
@@ -135,6 +163,8 @@
 	// backendSlots requests at a time, queues as many and rejects others.
 	work  func() time.Duration
 	slots chan struct{}
+	// copies is set while the server writes one of copyOneIn responses once more.
+	copies atomic.Bool
 }
 
 func startBackend(id, service, zone string, s *store, j *journal, work func() time.Duration, replace func()) (*backend, error) {
@@ -149,7 +179,9 @@
 	if b.link, err = newLink("127.0.0.1", listener.Addr().String()); err != nil {
 		return nil, err
 	}
-	b.server = &http.Server{Handler: b, ReadHeaderTimeout: time.Minute}
+	b.server = &http.Server{Handler: b, ReadHeaderTimeout: time.Minute, ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, refusalsKey{}, &refusals{conn: conn, texts: make(map[string]string)})
+	}}
 	go func() { _ = b.server.Serve(listener) }()
 	go b.registerPeriodically()
 	return b, nil
@@ -214,7 +246,7 @@
 	}
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
-	if expected := r.Header.Get("Expect-Instance"); expected != b.id {
+	if expected := r.Header.Get("Expect-Instance"); expected != b.id && (b.alias == "" || expected != b.alias) {
 		w.Header().Set("Instance-Id", b.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -222,11 +254,13 @@
 	b.arrivals.Add(1)
 	fails := len(id) > 0 && id[len(id)-1]%3 == 0
 	behaviour := b.behaviour.Load()
-	if fails && behaviour == behaveRefuse {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+	refusals := r.Context().Value(refusalsKey{}).(*refusals)
+	if fails && behaviour == behaveRefuse && b.journal.refuseOnce(id, b.id) {
+		refusals.refuse(w, id)
+		b.copyLater(r, refusals.texts[id])
 		return
 	}
+	refusals.copy(id)
 	if b.work != nil {
 		b.serveQueued(w, r, id)
 		return
@@ -246,14 +280,53 @@
 	case fails && (behaviour == behaveReset || behaviour == behaveLoseResponse):
 		panic(http.ErrAbortHandler)
 	case fails && behaviour == behaveError:
-		w.Header().Set("Upstream-Signature", "sig-"+id)
-		w.WriteHeader(http.StatusInternalServerError)
+		b.answer(w, r, id, http.StatusInternalServerError)
 		return
 	}
+	b.answer(w, r, id, http.StatusOK)
+}
+
+// answer writes a response, and a copy of it later if the server copies.
+func (b *backend) answer(w http.ResponseWriter, r *http.Request, id string, status int) {
+	text := id + " " + r.URL.Path
 	w.Header().Set("Upstream-Signature", "sig-"+id)
-	fmt.Fprintf(w, "%s %s", id, r.URL.Path)
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text)
+	b.copyLater(r, fmt.Sprintf("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nUpstream-Signature: sig-%s\r\nContent-Length: %d\r\n\r\n%s", status, id, id, len(text), text))
 }
 
+// copyLater writes a response once more on its connection, whatever is under way there by then, if
+// the server copies.
+func (b *backend) copyLater(r *http.Request, text string) {
+	if !b.copies.Load() || rand.IntN(copyOneIn) > 0 {
+		return
+	}
+	conn := r.Context().Value(refusalsKey{}).(*refusals).conn
+	time.AfterFunc(leastCopyDelay+rand.N(mostCopyDelay-leastCopyDelay), func() { _, _ = io.WriteString(conn, text) })
+}
+
+// refusalsKey is the key of the refusals on a connection in the context of its requests.
+type refusalsKey struct{}
+
+// refusals holds the refusals that a server wrote on a connection, by request ID. HTTP/1.1 has
+// one request at a time on a connection.
+type refusals struct {
+	conn  net.Conn
+	texts map[string]string
+}
+
+// refuse refuses a request with a status that follows from its ID.
+func (c *refusals) refuse(w http.ResponseWriter, id string) {
+	statuses := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusBadRequest}
+	status := statuses[int(id[len(id)-1])/3%len(statuses)]
+	c.texts[id] = fmt.Sprintf("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, id)
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(status)
+}
+
+// copy writes the refusal of a request once more if the request was refused on the connection.
+func (c *refusals) copy(id string) { _, _ = io.WriteString(c.conn, c.texts[id]) }
+
 // serveQueued runs a request for the time that work returns, on one of the slots. It rejects
 // the request if the queue is full, and ends if the caller leaves.
 func (b *backend) serveQueued(w http.ResponseWriter, r *http.Request, id string) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,6 +34,7 @@
 	daemons            = 5
 	backends           = 6
 	clients            = 24
+	repeatingClients   = 4
 	faultDuration      = 8 * time.Second
 	settleDuration     = 6 * time.Second
 	propagationTimeout = 2 * time.Second
@@ -166,6 +167,9 @@
 	for n := range clients {
 		wg.Go(func() { s.client(ctx, n) })
 	}
+	for n := range repeatingClients {
+		wg.Go(func() { s.repeatingClient(ctx, n) })
+	}
 	s.injectFaults(ctx)
 	wg.Wait()
 	cancel()
@@ -222,6 +226,32 @@
 	}
 }
 
+// repeatingClient sends orders on keep-alive connections until ctx ends, and again with the same ID
+// while they are refused. It records the last result; each one before is compared with the runs by
+// then.
+func (s *soak) repeatingClient(ctx context.Context, n int) {
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	for ctx.Err() == nil {
+		d := s.daemons[(n+int(s.sequence.Load()))%len(s.daemons)]
+		id := fmt.Sprintf("q%d", s.sequence.Add(1))
+		var status int
+		for range orderTries {
+			status = s.sendOrder(transport, d, id, n%2 == 0)
+			if !promisesNotRun(status) {
+				break
+			}
+			if s.journal.count(id) > 0 {
+				s.t.Errorf("order %s got status %d but ran", id, status)
+			}
+		}
+		s.mu.Lock()
+		s.results = append(s.results, callResult{id: id, status: status})
+		s.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // request sends one request, checks that a 200 response is complete and belongs to it,
 // and records the result.
 func (s *soak) request(transport *http.Transport, d *daemon, idempotent bool) int {
@@ -240,6 +270,15 @@
 	return status
 }
 
+// promisesNotRun reports whether a status promises that the request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // send sends a request and returns the status and body of the response, or status 0
 // if there is no complete response.
 func (s *soak) send(transport *http.Transport, d *daemon, method, path, id string) (int, string) {
@@ -326,11 +365,10 @@
 		if !result.idempotent && runs > 1 {
 			s.t.Errorf("non-idempotent request %s ran %d times: %v", result.id, runs, s.journal.runs[result.id])
 		}
+		if promisesNotRun(result.status) && runs > 0 {
+			s.t.Errorf("request %s got status %d but ran", result.id, result.status)
+		}
 		switch result.status {
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-			if runs > 0 {
-				s.t.Errorf("request %s got status %d but ran", result.id, result.status)
-			}
 		case http.StatusNotFound:
 			s.t.Errorf("request %s got 404 although every table has its route", result.id)
 		case http.StatusOK:
