serverconn: a request body of unknown length is written while the response is read

A caller sent more than 1 MiB in chunks, the server refused at once and read no further, and the caller got 504 at its deadline in place of the refusal. A body was written beside reading the response only if its announced length was above 2 KiB. One of unknown length is now written like a long one.

--- a/serverconn/pool_test.go
+++ b/serverconn/pool_test.go
@@ -196,6 +196,30 @@
 	g.Expect(open).To(gomega.BeTrue(), "the connection was closed, not reused")
 }
 
+// TestRequestBodyOfUnknownLengthIsWrittenWhileTheResponseIsRead guards against a response that is
+// not seen because the server reads no further while the body is still being written.
+func TestRequestBodyOfUnknownLengthIsWrittenWhileTheResponseIsRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	done := make(chan struct{})
+	defer close(done)
+	address := backend(t, func(conn net.Conn) {
+		defer conn.Close()
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, okResponse("1", "no"))
+		<-done
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	conn, err := NewPool().Get(ctx, address, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	req := request(http.MethodPost, strings.Repeat("x", 8<<20))
+	req.ContentLength = -1
+	resp, err := conn.RoundTrip(ctx, req, withID("1"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(conn.Early).To(gomega.BeTrue())
+	Discard(resp)
+}
+
 func TestContextEndClosesConnection(t *testing.T) {
 	g := gomega.NewWithT(t)
 	closed := make(chan struct{})
--- a/serverconn/roundtrip.go
+++ b/serverconn/roundtrip.go
@@ -11,8 +11,8 @@
 
 const (
 	// maxInlineBody is the size in bytes up to which a request body is written
-	// before the response is read. Longer bodies are written concurrently, because
-	// a server may respond before it has read them.
+	// before the response is read. Longer bodies and those of unknown length are written
+	// concurrently, because a server may respond before it has read them.
 	maxInlineBody = 2 << 10
 	// maxResponses bounds the responses read for one request, including those to
 	// other requests and interim ones.
@@ -86,7 +86,7 @@
 	}
 	out := &countingWriter{w: c.raw, first: &c.written}
 	written := make(chan error, 1)
-	if req.ContentLength > maxInlineBody {
+	if req.ContentLength > maxInlineBody || unknownLength(req) {
 		go func() { written <- req.Write(out) }()
 	} else {
 		err := req.Write(out)
@@ -108,6 +108,11 @@
 	return resp, nil
 }
 
+// unknownLength reports whether the request has a body whose length is not known.
+func unknownLength(req *http.Request) bool {
+	return req.ContentLength <= 0 && req.Body != nil && req.Body != http.NoBody
+}
+
 // readResponse reads responses until one matches the request. If an earlier request was HEAD, it
 // fails with the first one that doesn't: where that ends is not known, and bytes of a body must not be
 // read as a response.
--- a/serverconn/streamed_test.go
+++ b/serverconn/streamed_test.go
@@ -1,10 +1,15 @@
 package serverconn
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 )
@@ -12,6 +17,31 @@
 // chunked hides the type of a reader, so that its content is sent in chunks.
 type chunked struct{ io.Reader }
 
+// TestEarlyResponseToALongBodyInChunks guards against a refusal that is lost, and a caller that waits
+// until the deadline for it: the server answers before it has read a long body without a length, and
+// the request is written to its end before the response is read.
+func TestEarlyResponseToALongBodyInChunks(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const size = 16 << 20
+	address := backend(t, func(conn net.Conn) {
+		defer conn.Close()
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 X\r\nRequest-Id: 1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(3 * time.Second)
+	})
+	pool := NewPool()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	conn, err := pool.GetFor(ctx, address, 0, "1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	req := request(http.MethodPost, "")
+	req.Body, req.ContentLength = io.NopCloser(chunked{strings.NewReader(strings.Repeat("x", size))}), -1
+	resp, err := conn.RoundTrip(ctx, req, withID("1"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(resp.Header.Get("Not-Executed")).To(gomega.Equal("1"))
+	Discard(resp)
+}
+
 // TestCopyWithABodyBeforeTheResponseToHead guards against a HEAD request whose response is lost: the
 // body of the copy that is passed over is taken for the next response.
 func TestCopyWithABodyBeforeTheResponseToHead(t *testing.T) {
