memory, forward: one account of the memory that grows with load

A body of up to 1 MiB was read into memory before its request was queued, and the queue was bounded by the estimated wait alone. All that grows with load is now charged to one account, whose limit follows from limits.memory_mb (docs/design/memory.md). Bodies are read in chunks that are charged first; without room, the upload that ranks last of those that no server has got is refused with 503 and Retry-After.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -13,7 +12,6 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/directory"
-	"github.com/pomelolock/pomelolock/internal/hop"
 	"github.com/pomelolock/pomelolock/outcome"
 	"github.com/pomelolock/pomelolock/readings"
 	"github.com/pomelolock/pomelolock/serverconn"
@@ -49,6 +47,8 @@
 	length int64
 	// via is the connection that it came on.
 	via connUse
+	// charged is the memory that is charged for the buffered part.
+	charged int64
 	// cancel ends the attempt that rest is read from.
 	cancel context.CancelFunc
 }
@@ -340,7 +340,7 @@
 		_ = resp.Body.Close()
 		return a.fail(r, a.responseError(resp, "response is not signed or has a content encoding"))
 	}
-	out, err := bufferBody(a.reservation.server.ID, resp)
+	out, err := a.x.bufferBody(a.reservation.server.ID, resp)
 	if err != nil {
 		if errors.Is(ctx.Err(), context.Canceled) {
 			r.err = err
@@ -399,24 +399,3 @@
 	}
 	a.x.f.opts.Board.Observe(readings.Reading{Server: readings.KeyOf(a.reservation.server.ID), Report: *report, At: time.Now(), HasReport: true})
 }
-
-// bufferBody buffers the body of a response up to maxBufferedResponse.
-func bufferBody(server string, resp *http.Response) (*response, error) {
-	out := &response{server: server, status: resp.StatusCode, header: hop.EndToEnd(resp.Header), length: resp.ContentLength}
-	var buf bytes.Buffer
-	if 0 < resp.ContentLength && resp.ContentLength <= maxBufferedResponse {
-		buf.Grow(int(resp.ContentLength) + bytes.MinRead)
-	}
-	n, err := buf.ReadFrom(io.LimitReader(resp.Body, maxBufferedResponse+1))
-	if err != nil {
-		_ = resp.Body.Close()
-		return nil, err
-	}
-	out.buffered = buf.Bytes()
-	if n > maxBufferedResponse {
-		out.rest = resp.Body
-		return out, nil
-	}
-	_ = resp.Body.Close()
-	return out, nil
-}
--- a/forward/body.go
+++ b/forward/body.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/pomelolock/pomelolock/memory"
 )
 
 const (
@@ -15,19 +17,23 @@
 	// maxBufferedResponse is the size in bytes up to which a response body is
 	// buffered, so that a truncated response is not passed on to the caller.
 	maxBufferedResponse = 256 << 10
+	// minBodyBuffer is the initial size in bytes of the buffer for a response body of unknown
+	// length.
+	minBodyBuffer = 4 << 10
 )
 
 // requestBody is the body of a caller's request: buffered completely, or a
 // buffered prefix and a stream of the rest.
 type requestBody struct {
-	buffered []byte
-	rest     io.Reader
-	length   int64
+	chunks [][]byte
+	rest   io.Reader
+	length int64
 }
 
 // readBody buffers the body up to maxBufferedRequest. It fails if that takes longer
-// than the deadline or the body is longer than limit bytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (*requestBody, error) {
+// than the deadline, the body is longer than limit bytes, or the memory of upload is taken
+// away. upload is nil if the memory of the body is charged already.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time, upload *memory.Upload) (*requestBody, error) {
 	b := &requestBody{length: r.ContentLength}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return b, nil
@@ -36,14 +42,18 @@
 	_ = rc.SetReadDeadline(deadline)
 	// A read deadline that expires later would look like a disconnected caller.
 	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	if upload != nil {
+		defer endReadOnEviction(rc, upload)()
+	}
 	limited := http.MaxBytesReader(w, r.Body, limit)
-	buffered, err := io.ReadAll(io.LimitReader(limited, maxBufferedRequest))
+	reader := chargedReader{upload: upload, r: limited, left: r.ContentLength}
+	chunks, size, whole, err := reader.readChunks(maxBufferedRequest)
 	if err != nil {
 		return nil, err
 	}
-	b.buffered = buffered
-	if len(buffered) < maxBufferedRequest {
-		b.length = int64(len(buffered))
+	b.chunks = chunks
+	if whole {
+		b.length = int64(size)
 		return b, nil
 	}
 	b.rest = limited
@@ -57,12 +67,19 @@
 func (b *requestBody) attach(out *http.Request) {
 	out.ContentLength = b.length
 	switch {
-	case b.rest != nil:
-		out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(b.buffered), b.rest))
-	case len(b.buffered) > 0:
-		out.Body = io.NopCloser(bytes.NewReader(b.buffered))
-	default:
+	case b.rest == nil && len(b.chunks) == 0:
 		out.ContentLength = 0
 		out.Body = http.NoBody
+	case b.rest == nil && len(b.chunks) == 1:
+		out.Body = io.NopCloser(bytes.NewReader(b.chunks[0]))
+	default:
+		parts := make([]io.Reader, 0, len(b.chunks)+1)
+		for _, chunk := range b.chunks {
+			parts = append(parts, bytes.NewReader(chunk))
+		}
+		if b.rest != nil {
+			parts = append(parts, b.rest)
+		}
+		out.Body = io.NopCloser(io.MultiReader(parts...))
 	}
 }
--- a/forward/delegate.go
+++ b/forward/delegate.go
@@ -159,7 +159,7 @@
 		r.err = &ResponseError{Server: peer.ID, Status: resp.StatusCode, Reason: "response of the peer is neither an outcome nor that of a server"}
 		return r
 	}
-	if r.resp, r.err = bufferBody(peer.ID, resp); r.resp != nil {
+	if r.resp, r.err = x.bufferBody(peer.ID, resp); r.resp != nil {
 		r.resp.via = r.via
 	}
 	return r
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -74,6 +74,8 @@
 	// did not let it through.
 	identity identity
 	denied   *outcome.Error
+	// held is the memory that the request holds.
+	held held
 	// fingerprint identifies the content of the request.
 	fingerprint [32]byte
 
@@ -98,6 +100,7 @@
 }
 
 func (x *exchange) serve() {
+	defer x.held.release()
 	if failed := x.admit(); failed != nil {
 		x.writeError(failed)
 		return
@@ -173,7 +176,7 @@
 	if failed := x.checkStop(); failed != nil {
 		return failed
 	}
-	x.fingerprint = hop.Fingerprint(x.body.buffered, x.in.Method, x.in.Host, x.in.RequestURI)
+	x.fingerprint = hop.Fingerprint(x.body.chunks, x.in.Method, x.in.Host, x.in.RequestURI)
 	return x.checkQuarantine()
 }
 
@@ -226,17 +229,26 @@
 	if limit <= 0 {
 		limit = x.service.MaxBodyBytes
 	}
-	body, err := readBody(x.w, x.in, limit, x.deadline)
+	if x.in.ContentLength > limit {
+		return tooLarge(&http.MaxBytesError{Limit: limit})
+	}
+	if err := x.chargeRequest(); err != nil {
+		return x.noMemory(err)
+	}
+	if err := x.chargeUpload(); err != nil {
+		return x.noMemory(err)
+	}
+	body, err := readBody(x.w, x.in, limit, x.deadline, x.held.upload)
 	x.body = body
 	var large *http.MaxBytesError
-	switch {
+	switch full := x.held.upload.Full(); {
+	case full != nil:
+		return x.noMemory(full)
 	case err == nil:
+		x.held.upload.Read()
 		return nil
 	case errors.As(err, &large):
-		return &outcome.Error{
-			Outcome: outcome.NotRun, Status: http.StatusRequestEntityTooLarge, Code: outcome.CodeBodyTooLarge,
-			Detail: "the body is too long", Err: err,
-		}
+		return tooLarge(err)
 	case time.Now().After(x.deadline):
 		return &outcome.Error{
 			Outcome: outcome.NotRun, Status: http.StatusRequestTimeout, Code: outcome.CodeDeadline,
@@ -249,6 +261,13 @@
 	}
 }
 
+func tooLarge(err error) *outcome.Error {
+	return &outcome.Error{
+		Outcome: outcome.NotRun, Status: http.StatusRequestEntityTooLarge, Code: outcome.CodeBodyTooLarge,
+		Detail: "the body is too long", Err: err,
+	}
+}
+
 // tryServers sends the request to servers until one returns a usable response or no
 // further attempt is allowed.
 func (x *exchange) tryServers(ctx context.Context) (*response, *outcome.Error) {
@@ -257,7 +276,7 @@
 	running := 0
 	delegate := func(unreached int) bool {
 		peer, ok := x.delegatee(unreached)
-		if !ok {
+		if !ok || x.held.upload.Keep() != nil {
 			return false
 		}
 		attempts := max(x.maxAttempts()-x.sent, 1)
@@ -289,6 +308,10 @@
 			}
 			return failed
 		}
+		if err := x.held.upload.Keep(); err != nil {
+			reservation.release()
+			return x.noMemory(err)
+		}
 		x.tried = append(x.tried, reservation.server.ID)
 		x.reservations = append(x.reservations, reservation)
 		x.sent++
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -23,6 +23,7 @@
 	"github.com/pomelolock/pomelolock/admission"
 	"github.com/pomelolock/pomelolock/directory"
 	"github.com/pomelolock/pomelolock/forward"
+	"github.com/pomelolock/pomelolock/memory"
 	"github.com/pomelolock/pomelolock/platform"
 	"github.com/pomelolock/pomelolock/readings"
 	"github.com/pomelolock/pomelolock/retrybudget"
@@ -160,6 +161,8 @@
 	// tableAge is the age of the table in force, in nanoseconds.
 	tableAge atomic.Int64
 	logs     logBuffer
+	// memory is the account of what requests hold. All of it has to be returned in the end.
+	memory *memory.Account
 }
 
 // newFixture starts a forwarder whose startup is complete. Requests to /look/ and
@@ -220,7 +223,7 @@
 		instances: instances, current: table.NewCurrent(), quota: &fakeQuota{},
 		directory: directory.New(), board: readings.NewBoard(), quarantine: &fakeQuarantine{}, viewReady: make(chan struct{}), loadsReady: make(chan struct{}),
 		budget: retrybudget.New(retrybudget.Limits{Ratio: 5, Burst: 100}, 1), pool: serverconn.NewPool(),
-		awaitCurrent: func() {},
+		awaitCurrent: func() {}, memory: memory.NewAccount(testMemory),
 	}
 	var changes []directory.Change
 	for i, s := range servers {
@@ -267,8 +270,12 @@
 				f.directory.Leave(server.ID, server.Born)
 			}
 		},
+		Memory: f.memory,
 	})
 	go func() { _ = f.forwarder.Run(t.Context()) }()
+	t.Cleanup(func() {
+		gomega.NewWithT(t).Eventually(f.memory.Total, "5s").Should(gomega.BeZero(), "memory that no request holds")
+	})
 	front := httptest.NewServer(f.forwarder)
 	t.Cleanup(front.Close)
 	f.url = front.URL
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -13,13 +13,14 @@
 
 	"github.com/pomelolock/pomelolock/admission"
 	"github.com/pomelolock/pomelolock/directory"
+	"github.com/pomelolock/pomelolock/memory"
 	"github.com/pomelolock/pomelolock/readings"
 	"github.com/pomelolock/pomelolock/retrybudget"
 	"github.com/pomelolock/pomelolock/serverconn"
 	"github.com/pomelolock/pomelolock/table"
 )
 
-// Options configures a [Forwarder]. All fields but Quota and Locality are required.
+// Options configures a [Forwarder]. All fields but Quota, Locality and Memory are required.
 type Options struct {
 	Protocol  Protocol
 	Current   *table.Current
@@ -74,6 +75,8 @@
 	// Locality decides which requests go to other data centres; nil selects
 	// [placement.DefaultRemotePenalty] for all servers there.
 	Locality *Locality
+	// Memory is the account of the memory that requests hold; nil selects one without a limit.
+	Memory *memory.Account
 }
 
 // Quarantine refuses requests that crash servers. Requests are identified by their
@@ -141,6 +144,9 @@
 // New returns a Forwarder with the given options.
 func New(opts Options) *Forwarder {
 	opts.Board.ShareLimits(opts.Instances)
+	if opts.Memory == nil {
+		opts.Memory = memory.NewAccount(0)
+	}
 	return &Forwarder{
 		opts: opts, queues: make(map[string]*queue), timeouts: newTimeoutEstimator(), ended: make(chan struct{}),
 	}
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -218,6 +218,9 @@
 			return reservation{}, x.deadlineExceeded()
 		}
 		return reservation{}, x.refusal(outcome.CodeOverload, "no room in time")
+	case <-x.held.upload.Evicted():
+		q.remove(w)
+		return reservation{}, x.noMemory(x.held.upload.Full())
 	case <-q.f.ended:
 		q.remove(w)
 		return reservation{}, w.noRoom()
--- a/forward/write.go
+++ b/forward/write.go
@@ -39,7 +39,8 @@
 	x.log("served", append(attrs, resp.via.attrs()...)...)
 }
 
-// copyBody writes the buffered part and then streams the rest.
+// copyBody writes the buffered part, which it releases, and then streams the rest. A caller that
+// reads slowly may take until the deadline of the request.
 func (x *exchange) copyBody(rc *http.ResponseController, resp *response) error {
 	if len(resp.buffered) > 0 && x.in.Method != http.MethodHead {
 		if _, err := x.w.Write(resp.buffered); err != nil {
@@ -49,6 +50,8 @@
 	if resp.rest == nil {
 		return nil
 	}
+	resp.buffered = nil
+	x.held.releaseResponses()
 	buf := make([]byte, 32<<10)
 	for {
 		n, readErr := resp.rest.Read(buf)
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/pomelolock/pomelolock/gossip"
 	"github.com/pomelolock/pomelolock/internal/listen"
 	"github.com/pomelolock/pomelolock/membership"
+	"github.com/pomelolock/pomelolock/memory"
 	"github.com/pomelolock/pomelolock/metrics"
 	"github.com/pomelolock/pomelolock/readings"
 	"github.com/pomelolock/pomelolock/retrybudget"
@@ -127,8 +128,11 @@
 	quotas    *quotas
 	forwarder *forward.Forwarder
 	observer  *observer
-	metrics   *metrics.Registry
-	delays    delays
+	// memory is the account of the memory that grows with the load.
+	memory *memory.Account
+
+	metrics *metrics.Registry
+	delays  delays
 
 	callers *callerconn.Server
 	// delegates serves the connections of peers that delegate requests to this instance.
@@ -163,7 +167,7 @@
 	set := opts.Settings
 	debug.SetGCPercent(gcPercent)
 	if set.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(set.MemoryMB<<20) * memoryShare))
+		debug.SetMemoryLimit(softMemoryLimit(set.MemoryMB))
 	}
 	peer, err := netip.ParseAddrPort(set.Peer)
 	if err != nil {
@@ -180,6 +184,7 @@
 		pool:       serverconn.NewPool(),
 		peerPool:   serverconn.NewPool(),
 		observer:   newObserver(),
+		memory:     memory.NewAccount(loadMemory(set.MemoryMB)),
 		proof:      storeclock.New(opts.BootTime),
 		hangup:     catchHangup(),
 		viewReady:  make(chan struct{}),
@@ -188,6 +193,7 @@
 	if opts.DialServer != nil {
 		d.pool.Dial = opts.DialServer
 	}
+	d.pool.Dial, d.peerPool.Dial = dialCharged(d.memory, d.pool.Dial), dialCharged(d.memory, d.peerPool.Dial)
 	d.pool.OnDial = func(address string, ok bool) { d.board.Connected(address, ok, time.Now()) }
 	d.directory.OnReturned = d.serversReturned
 	d.settings.Store(set)
@@ -279,6 +285,7 @@
 			Delay:     func(dataCentre string) time.Duration { return d.delays.beyond(d.self.DataCentre, dataCentre) },
 			BytePrice: func() float64 { return d.settings.Load().RemoteBytePrice },
 		},
+		Memory: d.memory,
 	})
 }
 
@@ -432,8 +439,8 @@
 
 func (d *Daemon) tasks() []task {
 	tasks := []task{
-		{"callers", func(context.Context) error { return d.callers.Serve(d.callerListener) }},
-		{"peers", func(context.Context) error { return d.delegates.Serve(d.peerListener) }},
+		{"callers", func(context.Context) error { return d.callers.Serve(&chargedListener{d.callerListener, d.memory}) }},
+		{"peers", func(context.Context) error { return d.delegates.Serve(&chargedListener{d.peerListener, d.memory}) }},
 		{"readiness", func(context.Context) error { return listen.Serve(d.readyServer, d.readyListener) }},
 		{"gossip", d.exchange.Run},
 		{"feed", d.feed.Run},
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/pomelolock/pomelolock/memory"
 	"github.com/pomelolock/pomelolock/metrics"
 	"github.com/pomelolock/pomelolock/quota"
 )
@@ -121,6 +122,9 @@
 			return err
 		}
 	}
+	if err := d.wireMemoryMetrics(); err != nil {
+		return err
+	}
 	for _, g := range []struct {
 		name, help string
 		read       func() float64
@@ -149,6 +153,29 @@
 	return nil
 }
 
+// wireMemoryMetrics registers the metrics of the account of the memory that grows with the load.
+func (d *Daemon) wireMemoryMetrics() error {
+	for _, use := range memory.AllUses() {
+		help := "Bytes charged for " + use.String() + "."
+		if err := d.metrics.Gauge("memory_"+use.String()+"_bytes", help, func() float64 { return float64(d.memory.Used(use)) }); err != nil {
+			return err
+		}
+	}
+	if err := d.metrics.Gauge("memory_peak_bytes", "Most bytes charged at once when an upload was charged.", func() float64 { return float64(d.memory.Peak()) }); err != nil {
+		return err
+	}
+	if err := d.metrics.Gauge("memory_limit_bytes", "Bytes that may be charged; 0 if there is no limit.", func() float64 { return float64(d.memory.Limit()) }); err != nil {
+		return err
+	}
+	return d.metrics.Counters("memory_rejected_total", "Requests refused, and responses not buffered, for lack of memory.", "cause", func() []metrics.Sample {
+		var samples []metrics.Sample
+		for _, cause := range memory.AllCauses() {
+			samples = append(samples, metrics.Sample{Label: cause.String(), Value: d.memory.Rejected(cause)})
+		}
+		return samples
+	})
+}
+
 func (d *Daemon) tableVersion() uint64 {
 	if snapshot := d.current.Load(); snapshot != nil {
 		return snapshot.Version()
--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -163,6 +163,10 @@
 	// backendSlots requests at a time, queues as many and rejects others.
 	work  func() time.Duration
 	slots chan struct{}
+	// readsBodies is set if the server reads the whole body of a request before it runs it.
+	readsBodies atomic.Bool
+	// pace bounds the rate at which the server, with work, reads bodies; nil if nothing does.
+	pace atomic.Pointer[pace]
 	// copies is set while the server writes one of copyOneIn responses once more.
 	copies atomic.Bool
 }
@@ -327,11 +331,39 @@
 // copy writes the refusal of a request once more if the request was refused on the connection.
 func (c *refusals) copy(id string) { _, _ = io.WriteString(c.conn, c.texts[id]) }
 
+// pace is a writer that takes a number of bytes a second.
+type pace struct {
+	bytesPerSecond float64
+	mu             sync.Mutex
+	next           time.Time
+}
+
+// Write implements [io.Writer].
+func (p *pace) Write(data []byte) (int, error) {
+	if p == nil {
+		return len(data), nil
+	}
+	p.mu.Lock()
+	if now := time.Now(); p.next.Before(now) {
+		p.next = now
+	}
+	p.next = p.next.Add(time.Duration(float64(len(data)) / p.bytesPerSecond * float64(time.Second)))
+	next := p.next
+	p.mu.Unlock()
+	time.Sleep(time.Until(next))
+	return len(data), nil
+}
+
 // serveQueued runs a request for the time that work returns, on one of the slots. It rejects
 // the request if the queue is full, and ends if the caller leaves.
 func (b *backend) serveQueued(w http.ResponseWriter, r *http.Request, id string) {
 	running := b.running.Add(1)
 	defer b.running.Add(-1)
+	if b.readsBodies.Load() {
+		if _, err := io.Copy(b.pace.Load(), r.Body); err != nil {
+			return
+		}
+	}
 	if running > 2*backendSlots {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/soak/daemon_test.go
+++ b/internal/soak/daemon_test.go
@@ -45,7 +45,7 @@
 front = "%[2]s:%[4]d"
 ready = "%[2]s:%[5]d"
 [limits]
-memory_mb = 284
+memory_mb = %[7]d
 cpu_share = 0.32
 cores = 1
 link_mbps = 1000.0
@@ -73,7 +73,7 @@
 
 // newDaemon writes the settings of a daemon. The address depends on the process ID of
 // the test, so that concurrent runs don't collide on the fixed port of the metrics.
-func newDaemon(t *testing.T, binary string, n int, s *store) *daemon {
+func newDaemon(t *testing.T, binary string, n int, s *store, memoryMB int) *daemon {
 	t.Helper()
 	pid := os.Getpid()
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, 2+n)
@@ -86,7 +86,7 @@
 		t: t, binary: binary, store: l, settings: filepath.Join(t.TempDir(), "boot.toml"),
 		caller: fmt.Sprintf("%s:%d", ip, front), ready: fmt.Sprintf("%s:%d", ip, ready),
 	}
-	text := fmt.Sprintf(settingsFormat, n, ip, freePort(t, ip), front, ready, l.address())
+	text := fmt.Sprintf(settingsFormat, n, ip, freePort(t, ip), front, ready, l.address(), memoryMB)
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -83,6 +83,10 @@
 	// timeout is that of the routes, work that of the servers.
 	timeout string
 	work    func() time.Duration
+	// readsBodies is set if the servers read the whole body of a request before they run it.
+	readsBodies bool
+	// memoryMB is the memory that the settings of the daemons allow.
+	memoryMB int
 }
 
 func TestSoak(t *testing.T) {
@@ -120,6 +124,7 @@
 	}
 	s := &soak{
 		t: t, rng: random, store: newStore(), log: log, journal: &journal{runs: make(map[string][]string)}, timeout: timeout,
+		memoryMB: memoryMB,
 	}
 	t.Cleanup(func() {
 		for _, d := range s.daemons {
@@ -145,7 +150,7 @@
 // startDaemons starts the given number of daemons.
 func (s *soak) startDaemons(binary string, count int) {
 	for n := range count {
-		d := newDaemon(s.t, binary, n, s.store)
+		d := newDaemon(s.t, binary, n, s.store, s.memoryMB)
 		d.start(s.log)
 		s.daemons = append(s.daemons, d)
 	}
@@ -206,6 +211,7 @@
 		s.t.Error(err)
 		return
 	}
+	b.readsBodies.Store(s.readsBodies)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if n < len(s.backends) {
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -18,7 +18,7 @@
 // buffered part of the body. Requests with equal fingerprints count as the
 // same.
 func (x *exchange) computeFingerprint() [32]byte {
-	return hop.Fingerprint(x.body.buffered, x.route.Service, x.in.Method, x.in.URL.RequestURI())
+	return hop.Fingerprint([][]byte{x.body.buffered}, x.route.Service, x.in.Method, x.in.URL.RequestURI())
 }
 
 // checkKey validates the idempotency key and requires one for non-repeatable
