callerconn: a refused caller that still sends is read from for up to 5 s

The refusal of an upload could be lost: the connection was closed 0.5 s after it, and closing one with unread bytes resets it, while the caller still sent the rest of its body. The wait now goes on while bytes arrive, for 5 s at most, and for 0.5 s once the server stops. What is read is not kept. Test: TestRefusalReachesACallerThatStillSends.

--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pomelolock/pomelolock/internal/hop"
@@ -19,8 +20,11 @@
 const (
 	bufferSize = 4 << 10
 	// lingerTimeout is how long to wait for the caller to close the connection
-	// after the last response.
+	// after the last response and the last bytes that it has sent.
 	lingerTimeout = 500 * time.Millisecond
+	// maxLinger bounds the wait for a caller that goes on sending the body of a request that was
+	// refused.
+	maxLinger = 5 * time.Second
 	// arrivedTimeout is how long a draining connection waits for a request whose bytes may
 	// have arrived without having been read.
 	arrivedTimeout = 20 * time.Millisecond
@@ -53,6 +57,8 @@
 	awaiting bool
 	// last is the response to the newest request.
 	last *response
+	// discarded counts the bytes that the caller sent after the last request.
+	discarded byteCounter
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
@@ -104,7 +110,7 @@
 	go func() {
 		defer close(callerClosed)
 		// Discards further requests and waits for the caller to close the connection.
-		if _, err := io.Copy(io.Discard, c.reader); !errors.Is(err, os.ErrDeadlineExceeded) {
+		if _, err := io.Copy(&c.discarded, c.reader); !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.cancel()
 		}
 	}()
@@ -114,12 +120,40 @@
 	if half, ok := c.raw.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
-	<-callerClosed
+	c.linger(callerClosed)
 	c.raw.Close()
 	c.cancel()
 }
 
+// linger waits until the caller has closed the connection. It waits longer for a caller that
+// still sends, unless the server stops.
+func (c *conn) linger(callerClosed <-chan struct{}) {
+	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+	end := time.Now().Add(maxLinger)
+	ticker := time.NewTicker(lingerTimeout / 4)
+	defer ticker.Stop()
+	for discarded := c.discarded.Load(); ; {
+		select {
+		case <-callerClosed:
+			return
+		case now := <-ticker.C:
+			if n := c.discarded.Load(); n != discarded && now.Before(end) && !c.server.stopping.Load() {
+				discarded = n
+				_ = c.raw.SetReadDeadline(now.Add(lingerTimeout))
+			}
+		}
+	}
+}
+
+// byteCounter counts the bytes that are written to it.
+type byteCounter struct{ atomic.Int64 }
+
+// Write implements [io.Writer].
+func (b *byteCounter) Write(p []byte) (int, error) {
+	b.Add(int64(len(p)))
+	return len(p), nil
+}
+
 // awaitRequest waits for the first byte of the next request. It returns false if the
 // connection has to be closed or was closed by the caller.
 func (c *conn) awaitRequest() bool {
--- a/callerconn/server_test.go
+++ b/callerconn/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -361,3 +362,19 @@
 	_, _, err := read(t, reader)
 	g.Expect(err).To(gomega.HaveOccurred())
 }
+
+// TestRefusalReachesACallerThatStillSends guards against a refusal that is lost because the
+// connection is reset while the caller sends the rest of its body.
+func TestRefusalReachesACallerThatStillSends(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, conn, reader := start(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	const parts, part = 40, 10_000
+	send(t, conn, fmt.Sprintf("PUT /a HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", parts*part))
+	for range parts {
+		time.Sleep(2 * lingerTimeout / parts)
+		send(t, conn, strings.Repeat("x", part))
+	}
+	resp, _, err := read(t, reader)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+}
