memory: the memory of a burst is returned to the system once the load has fallen

The heap is now collected and returned once the load has been at most 1/16 of it for 5 s, not more often than each 10 s.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -130,6 +130,8 @@
 	observer  *observer
 	// memory is the account of the memory that grows with the load.
 	memory *memory.Account
+	// memoryReturns is how often memory was returned to the system after a burst.
+	memoryReturns atomic.Uint64
 
 	metrics *metrics.Registry
 	delays  delays
@@ -453,6 +455,7 @@
 		{"links", d.watchLinks},
 		{"cold servers", d.watchColdServers},
 		{"sweep", d.sweep},
+		{"memory", d.returnMemory},
 		{"settings", d.followSettings},
 	}
 	if d.metricsListener != nil {
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/pomelolock/pomelolock/memory"
 )
@@ -22,6 +23,8 @@
 	// peer, and of one to a server: buffers and the stack of the goroutine that reads it.
 	callerConnBytes = 16 << 10
 	serverConnBytes = 12 << 10
+	// scavengeInterval is the time between two looks at whether memory is to be returned.
+	scavengeInterval = time.Second
 )
 
 // softMemoryLimit returns the soft memory limit of the runtime in bytes.
@@ -87,3 +90,19 @@
 	c.release()
 	return c.TCPConn.Close()
 }
+
+// returnMemory returns the memory of a burst to the system once the load has fallen.
+func (d *Daemon) returnMemory(ctx context.Context) error {
+	scavenger := memory.NewScavenger(gcPercent)
+	for sleep(ctx, scavengeInterval) {
+		began := time.Now()
+		r, returned := scavenger.Check(d.memory.Load(), began)
+		if !returned {
+			continue
+		}
+		d.memoryReturns.Add(1)
+		d.logger.Info("memory returned", "held_before", r.Before.Held, "held_after", r.After.Held, "reachable", r.After.Live,
+			"load", r.Before.Load, "calm", r.Calm, "took", time.Since(began))
+	}
+	return nil
+}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -167,6 +167,9 @@
 	if err := d.metrics.Gauge("memory_limit_bytes", "Bytes that may be charged; 0 if there is no limit.", func() float64 { return float64(d.memory.Limit()) }); err != nil {
 		return err
 	}
+	if err := d.metrics.Counter("memory_returns_total", "Times that memory was returned to the system after a burst.", d.memoryReturns.Load); err != nil {
+		return err
+	}
 	return d.metrics.Counters("memory_rejected_total", "Requests refused, and responses not buffered, for lack of memory.", "cause", func() []metrics.Sample {
 		var samples []metrics.Sample
 		for _, cause := range memory.AllCauses() {
