forward: responses that are not passed on are closed

After a hedged request with two responses over 256 KiB, and after a retry of a server error that long, one connection to a server stayed open and counted against the limit of 64 until the process exited; then requests and status checks to that server failed. Nobody read the result of the attempt that lost, and the kept error was dropped when another result replaced it. Both places are in one function and mended together; the memory of such a response is returned, too.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -117,6 +117,15 @@
 	err     error
 }
 
+// closeResponse closes the response, if there is one, because it is not passed on.
+func (r *result) closeResponse(h *held) {
+	if r.resp != nil {
+		r.resp.close()
+		h.returnResponse(r.resp.charged)
+		r.resp = nil
+	}
+}
+
 // ResponseError reports a response that can't be passed on to the caller.
 type ResponseError struct {
 	Server string
--- a/forward/charges_test.go
+++ b/forward/charges_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -43,3 +44,37 @@
 	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
 	g.Expect(resp.Close).To(gomega.BeFalse())
 }
+
+// The memory of a server error that a retry has replaced must be returned with it: the request needs
+// it for the response that is passed on.
+func TestReplacedResponseReturnsItsMemory(t *testing.T) {
+	g := gomega.NewWithT(t)
+	body := strings.Repeat("x", 200_000)
+	retried, proceed := make(chan struct{}), make(chan struct{})
+	first := true
+	handle := func(conn net.Conn, req *http.Request) {
+		if first {
+			first = false
+			respond(conn, req, http.StatusInternalServerError, body, signed)
+			return
+		}
+		close(retried)
+		<-proceed
+		ok(conn, req)
+	}
+	f := newFixture(t, startServer(t, "s1", handle), startServer(t, "s2", handle))
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.call(t, http.MethodGet, "/look/1", "")
+	}()
+	select {
+	case <-retried:
+	case <-time.After(time.Second):
+		t.Fatal("no retry")
+	}
+	used := f.memory.Used(memory.Responses)
+	close(proceed)
+	<-ended
+	g.Expect(used).To(gomega.BeZero())
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -320,12 +320,21 @@
 		go func() { results <- a.run(ctx) }()
 		return nil
 	}
+	// last is the newest result without a usable response. If it has a response, that is passed
+	// on unless another attempt gives a better result.
+	var last result
 	finish := func(resp *response, failed *outcome.Error) (*response, *outcome.Error) {
+		if last.resp != resp {
+			last.closeResponse(&x.held)
+		}
 		if resp == nil || resp.rest == nil {
 			cancel()
 		} else {
 			resp.cancel = cancel
 		}
+		if running > 0 {
+			go closeResponses(results, running, &x.held)
+		}
 		return resp, failed
 	}
 	if failed := launch(); failed != nil {
@@ -333,7 +342,6 @@
 	}
 	hedge := x.hedgeTimer()
 	defer hedge.Stop()
-	var last result
 	for {
 		select {
 		case r := <-results:
@@ -345,9 +353,11 @@
 				return finish(r.resp, nil)
 			}
 			x.recordFailure(r)
+			last.closeResponse(&x.held)
 			last = r
 			if x.mayRetry(r) {
 				if launch() == nil {
+					last.closeResponse(&x.held)
 					if !r.evacuated {
 						x.f.retries.Add(1)
 					}
@@ -378,6 +388,15 @@
 	}
 }
 
+// closeResponses closes the responses of the given number of attempts that have not ended yet.
+// They are not passed on, and one longer than its buffered part keeps its connection until then.
+func closeResponses(results <-chan result, running int, h *held) {
+	for range running {
+		r := <-results
+		r.closeResponse(h)
+	}
+}
+
 func (x *exchange) maxAttempts() int {
 	attempts := defaultAttempts
 	if x.route.Attempts > 0 {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -156,6 +156,8 @@
 	quota   *fakeQuota
 	// instances is the size of the fleet that the forwarder knows of.
 	instances int
+	// connections is the limit of connections to a server, 0 for the default.
+	connections int
 	// peers are those to which it can delegate requests.
 	peers []forward.Peer
 	// tableAge is the age of the table in force, in nanoseconds.
@@ -253,7 +255,7 @@
 	f.forwarder = forward.New(forward.Options{
 		Protocol: platform.Headers{}, Current: f.current, Quota: f.quota, Directory: f.directory, Board: f.board,
 		Budget: f.budget, Pool: f.pool, Backlogs: admission.NewBacklogs(),
-		ConnLimit: func(*table.Service) int { return 0 }, Instances: func() int { return f.instances }, DataCentre: "a",
+		ConnLimit: func(*table.Service) int { return f.connections }, Instances: func() int { return f.instances }, DataCentre: "a",
 		WarmUp: func() readings.WarmUpLimits { return readings.WarmUpLimits{Excess: 1.5, Slack: 8} },
 		ID:     "entry", Peer: f.pickPeer, PeerPool: serverconn.NewPool(),
 		Log: slog.New(slog.NewTextHandler(&f.logs, nil)), Observer: &observer{}, Quarantine: f.quarantine, ViewReady: f.viewReady, LoadsReady: f.loadsReady,
