callerconn: a request body is not read any longer once its handler has returned

A server answered before it had read a body over 1 MiB. The goroutine that wrote the request still read the caller's connection, while callerconn discarded from the same reader: a server could get other bytes in place of the rest, and a panic in the shared buffer would have ended the process. callerconn now interrupts the read, waits until it has returned, and lets further ones fail; a body that was not read whole closes the connection.

--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -324,6 +324,9 @@
 		if err, _ := aborted.(error); aborted != nil && !errors.Is(err, http.ErrAbortHandler) {
 			c.server.opts.Logger.Error("handler panicked", "error", aborted)
 		}
+		if resp.body != nil {
+			resp.body.end()
+		}
 		resp.finish(aborted != nil)
 		c.server.inFlight.Add(-1)
 		<-c.slots
@@ -342,12 +345,7 @@
 		return true
 	case <-resp.done:
 	}
-	select {
-	case <-resp.body.fullyRead:
-		return true
-	default:
-		return false
-	}
+	return !resp.body.unread()
 }
 
 // closesAfter reports whether the connection has to be closed after the response. If so,
--- a/callerconn/response.go
+++ b/callerconn/response.go
@@ -37,40 +37,98 @@
 	headStarted bool
 }
 
-// requestBody signals when the body of a request has been read completely.
+// requestBody is the body of a request. It signals when it has been read completely, and is no
+// longer read once its handler has returned: the connection is then read for other purposes.
 type requestBody struct {
-	io.ReadCloser
 	resp      *response
-	once      sync.Once
 	fullyRead chan struct{}
+	// ended is closed when the handler has returned.
+	ended chan struct{}
+
+	// reading is held during a read and guards the fields below.
+	reading sync.Mutex
+	source  io.Reader
 	// expectContinue is set while the caller waits for a 100 Continue response
 	// before it sends the body.
 	expectContinue bool
+
+	// mu is held while fullyRead is closed, and while a deadline is set that is for the body
+	// only.
+	mu sync.Mutex
 }
 
-// Read implements [io.Reader].
+// Read implements [io.Reader]. It fails with [http.ErrBodyReadAfterClose] once the handler has
+// returned.
 func (b *requestBody) Read(p []byte) (int, error) {
+	b.reading.Lock()
+	defer b.reading.Unlock()
 	if b.expectContinue {
 		b.expectContinue = false
-		<-b.resp.turn
+		select {
+		case <-b.resp.turn:
+		case <-b.ended:
+			return 0, http.ErrBodyReadAfterClose
+		}
 		if _, err := io.WriteString(b.resp.conn.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return 0, err
 		}
 	}
-	n, err := b.ReadCloser.Read(p)
+	n, err := b.source.Read(p)
 	if err == io.EOF {
-		b.once.Do(func() { close(b.fullyRead) })
+		b.markRead()
 	}
 	return n, err
 }
 
+// Close implements [io.Closer]. It reads nothing: a connection with an unread body is closed after
+// the response.
+func (b *requestBody) Close() error { return nil }
+
+func (b *requestBody) markRead() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.unread() {
+		close(b.fullyRead)
+	}
+}
+
+// unread reports whether the body has not been read completely.
+func (b *requestBody) unread() bool {
+	select {
+	case <-b.fullyRead:
+		return false
+	default:
+		return true
+	}
+}
+
+// end interrupts a read in progress, waits until it has returned and makes further ones fail.
+func (b *requestBody) end() {
+	close(b.ended)
+	b.mu.Lock()
+	if b.unread() {
+		_ = b.resp.conn.raw.SetReadDeadline(past)
+	}
+	b.mu.Unlock()
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	b.expectContinue = false
+	b.source = endedBody{}
+}
+
+// endedBody is the source of a body whose handler has returned.
+type endedBody struct{}
+
+// Read implements [io.Reader].
+func (endedBody) Read([]byte) (int, error) { return 0, http.ErrBodyReadAfterClose }
+
 func newResponse(c *conn, req *http.Request, turn <-chan struct{}) *response {
 	resp := &response{conn: c, turn: turn, done: make(chan struct{}), header: make(http.Header), remaining: -1}
 	resp.req = req.WithContext(c.ctx)
 	resp.req.RemoteAddr = c.raw.RemoteAddr().String()
 	if req.Body != nil && req.Body != http.NoBody && req.ContentLength != 0 {
 		resp.body = &requestBody{
-			ReadCloser: req.Body, resp: resp, fullyRead: make(chan struct{}),
+			source: req.Body, resp: resp, fullyRead: make(chan struct{}), ended: make(chan struct{}),
 			expectContinue: req.Header.Get("Expect") == "100-continue",
 		}
 		resp.req.Body = resp.body
@@ -117,15 +175,7 @@
 
 // unreadBody reports whether the body of the request has not been read completely.
 func (r *response) unreadBody() bool {
-	if r.body == nil {
-		return false
-	}
-	select {
-	case <-r.body.fullyRead:
-		return false
-	default:
-		return true
-	}
+	return r.body != nil && r.body.unread()
 }
 
 // frame decides how the end of the response body is marked (length, chunked encoding or
--- a/callerconn/server_test.go
+++ b/callerconn/server_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -363,6 +364,88 @@
 	g.Expect(err).To(gomega.HaveOccurred())
 }
 
+// TestRequestBodyIsNotReadAfterItsHandler guards against a goroutine of a handler that reads from
+// the connection beside the one that closes it: it would take bytes out of the middle of the rest.
+// What the caller sends after the response must not be taken for a request either.
+func TestRequestBodyIsNotReadAfterItsHandler(t *testing.T) {
+	const part = 64 << 10
+	for name, head := range map[string]string{
+		"with a length": "Content-Length: 1048576\r\n\r\n",
+		"in chunks":     "Transfer-Encoding: chunked\r\n\r\n100000\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var handled atomic.Int64
+			reading := make(chan struct{})
+			type outcome struct {
+				read []byte
+				err  error
+			}
+			ended := make(chan outcome, 1)
+			_, conn, reader := start(t, func(w http.ResponseWriter, r *http.Request) {
+				handled.Add(1)
+				go func() {
+					data := make([]byte, part)
+					n, err := io.ReadFull(r.Body, data)
+					close(reading)
+					if err == nil {
+						var rest []byte
+						rest, err = io.ReadAll(r.Body)
+						data = append(data[:n], rest...)
+					}
+					ended <- outcome{data, err}
+				}()
+				<-reading
+				// The goroutine is blocked in a read most of the time by now.
+				time.Sleep(20 * time.Millisecond)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			send(t, conn, "PUT / HTTP/1.1\r\nHost: x\r\n"+head+strings.Repeat("x", part))
+			resp, _, err := read(t, reader)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(resp.Close).To(gomega.BeTrue())
+			for range 20 {
+				if _, err := io.WriteString(conn, get("/rest")); err != nil {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			var got outcome
+			g.Eventually(ended).Should(gomega.Receive(&got))
+			g.Expect(got.err).To(gomega.HaveOccurred())
+			g.Expect(len(got.read)).To(gomega.Equal(part), "bytes sent after the response")
+			g.Expect(handled.Load()).To(gomega.Equal(int64(1)))
+		})
+	}
+}
+
+// TestRequestBodyThatWasReadLeavesTheNextRequestWhole guards against a deadline that ends the
+// reading of a body and meets the next request, whose head arrives while the handler returns.
+func TestRequestBodyThatWasReadLeavesTheNextRequestWhole(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, conn, reader := start(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if len(body) > 0 {
+			// The head of the next request is being read by now.
+			time.Sleep(30 * time.Millisecond)
+		}
+		_, _ = io.WriteString(w, r.URL.Path+string(body))
+	})
+	for range 3 {
+		begin, end, _ := strings.Cut(get("/b"), "Host")
+		send(t, conn, "PUT /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"+begin)
+		_, body, err := read(t, reader)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal("/aabc"))
+		time.Sleep(10 * time.Millisecond)
+		send(t, conn, "Host"+end)
+		resp, body, err := read(t, reader)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
+		g.Expect(body).To(gomega.Equal("/b"))
+	}
+}
+
 // TestRefusalReachesACallerThatStillSends guards against a refusal that is lost because the
 // connection is reset while the caller sends the rest of its body.
 func TestRefusalReachesACallerThatStillSends(t *testing.T) {
--- a/forward/streamed_test.go
+++ b/forward/streamed_test.go
@@ -105,3 +105,54 @@
 		})
 	}
 }
+
+// TestRequestBodyEndsWithItsExchange guards against a request body that is read from the caller's
+// connection after its exchange has ended: under the race detector, and by what the server gets.
+func TestRequestBodyEndsWithItsExchange(t *testing.T) {
+	const length = 4 << 20
+	line := func(i int) string { return fmt.Sprintf("%015d\n", i) }
+	for name, announced := range map[string]int{"with a length": length, "in chunks": -1} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			received := make(chan string, 1)
+			f := newFixture(t, startRawServer(t, "s1", func(conn net.Conn) {
+				reader := bufio.NewReader(conn)
+				req, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				// The instance is about to read the streamed part when it gets the refusal.
+				begin := make([]byte, 1<<20+16<<10)
+				n, _ := io.ReadFull(req.Body, begin)
+				respond(conn, req, http.StatusServiceUnavailable, "", "Not-Executed: 1")
+				rest, _ := io.ReadAll(req.Body)
+				received <- string(begin[:n]) + string(rest)
+			}))
+			conn, reader := f.dialCaller(t)
+			sendHead(t, conn, announced, 1500*time.Millisecond)
+			go func() {
+				for i := range length / len(line(0)) {
+					text := line(i)
+					if announced < 0 {
+						text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+					}
+					if _, err := io.WriteString(conn, text); err != nil {
+						return
+					}
+				}
+			}()
+			resp, err := http.ReadResponse(reader, nil)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+			g.Expect(resp.Close).To(gomega.BeTrue())
+			var got string
+			g.Eventually(received, 3*time.Second).Should(gomega.Receive(&got))
+			g.Expect(len(got)).To(gomega.BeNumerically("<", length))
+			for i := range len(got) / len(line(0)) {
+				if want := line(i); got[i*len(want):(i+1)*len(want)] != want {
+					t.Fatalf("line %d of the body is %q", i, got[i*len(want):(i+1)*len(want)])
+				}
+			}
+		})
+	}
+}
