callerconn: a handler's read deadline has no effect once the body has been read

A caller sent a request with a body and then nothing, and its connection was kept for good. When the last byte of a body is read, the wait for the next request sets the idle deadline; forward then cleared the deadline of the body, and the idle deadline with it.

--- a/callerconn/response.go
+++ b/callerconn/response.go
@@ -139,12 +139,18 @@
 // Header implements [http.ResponseWriter].
 func (r *response) Header() http.Header { return r.header }
 
-// SetReadDeadline sets the deadline for reading the body of the request. It has no
-// effect without a body.
+// SetReadDeadline sets the deadline for reading the body of the request. It has no effect
+// without a body and once the body has been read completely: the deadline of the connection is
+// then that of the wait for the next request.
 func (r *response) SetReadDeadline(t time.Time) error {
 	if r.body == nil {
 		return nil
 	}
+	r.body.mu.Lock()
+	defer r.body.mu.Unlock()
+	if !r.body.unread() {
+		return nil
+	}
 	return r.conn.raw.SetReadDeadline(t)
 }
 
--- a/callerconn/server_test.go
+++ b/callerconn/server_test.go
@@ -446,6 +446,33 @@
 	}
 }
 
+// TestIdleConnectionIsClosedAfterARequestBody guards against idle connections that are kept for
+// good because the handler clears the deadline of the body when the wait for the next request has
+// begun.
+func TestIdleConnectionIsClosedAfterARequestBody(t *testing.T) {
+	for name, request := range map[string]string{
+		"with a length": "PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody",
+		"in chunks":     "PUT / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			_, conn, reader := start(t, func(w http.ResponseWriter, r *http.Request) {
+				rc := http.NewResponseController(w)
+				_ = rc.SetReadDeadline(time.Now().Add(time.Hour))
+				_, _ = io.ReadAll(r.Body)
+				// The connection waits for the next request by now.
+				time.Sleep(20 * time.Millisecond)
+				_ = rc.SetReadDeadline(time.Time{})
+			})
+			send(t, conn, request)
+			_, _, err := read(t, reader)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = reader.ReadByte()
+			g.Expect(err).To(gomega.Equal(io.EOF))
+		})
+	}
+}
+
 // TestRefusalReachesACallerThatStillSends guards against a refusal that is lost because the
 // connection is reset while the caller sends the rest of its body.
 func TestRefusalReachesACallerThatStillSends(t *testing.T) {
