callerconn, forward: requests behind a response that may break off are held back

Requests that arrive behind it are held back until it has ended, with their time from their arrival, and the caller's close is noticed meanwhile.

The tests of bodies and of requests that are held back run under the race detector in `make test`.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,11 @@
 # they don't starve each other.
 PROCESS_TESTS := ./internal/cli ./internal/fleet ./internal/scenario ./internal/soak
 
+# Tests of callers' connections that several goroutines read: bodies that an attempt sends, and
+# requests that are held back. They run under the race detector, too.
+RACE_TESTS := Body|HeldBack
+RACE_PACKAGES := ./callerconn ./serverconn ./forward
+
 # Tests with a known fault: run, printed and not judged. An entry names a test, or
 # one of its subtests as TEST/SUBTEST; the other subtests are judged.
 RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | sed 's,/,$$/^,g; s,.*,^&$$,' | paste -sd '|')
@@ -23,6 +28,7 @@
 
 test: fmt lint
 	go test $(SKIP_RED) $$(go list ./... | grep -v -E 'internal/(cli|fleet|scenario|soak)$$')
+	go test $(SKIP_RED) -race -run '$(RACE_TESTS)' $(RACE_PACKAGES)
 	go test $(SKIP_RED) -count=1 -p 1 $(PROCESS_TESTS)
 	@if [ -n "$(RED)" ]; then echo "known red, not judged:"; cat KNOWN-RED.txt; \
 		go test -run '$(RED)' $(RED_PACKAGES) || true; fi
--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -57,6 +57,8 @@
 	awaiting bool
 	// last is the response to the newest request.
 	last *response
+	// streams is the number of incomplete responses that may break off.
+	streams int
 	// discarded counts the bytes that the caller sent after the last request.
 	discarded byteCounter
 }
@@ -85,8 +87,9 @@
 			c.rejectRequest(err, turn)
 			break
 		}
+		arrivedAt := time.Now()
 		c.slots <- struct{}{}
-		resp, ok := c.begin(req, turn)
+		resp, ok := c.begin(req, arrivedAt, turn)
 		if !ok {
 			break
 		}
@@ -303,20 +306,63 @@
 }
 
 // begin registers the request as in flight. It returns false if the connection is
-// closing.
-func (c *conn) begin(req *http.Request, turn <-chan struct{}) (*response, bool) {
+// closing. It waits while a preceding response may break off: the connection would be closed,
+// and the request would get no response.
+func (c *conn) begin(req *http.Request, arrivedAt time.Time, turn <-chan struct{}) (*response, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.streams > 0 {
+		c.mu.Unlock()
+		c.awaitTurn(turn)
+		c.mu.Lock()
+	}
 	if c.closing {
 		return nil, false
 	}
 	resp := newResponse(c, req, turn)
+	resp.arrivedAt = arrivedAt
 	c.pending++
 	c.last = resp
 	c.server.inFlight.Add(1)
 	return resp, true
 }
 
+// awaitTurn waits until turn is closed, for example because the preceding responses have been written.
+// Meanwhile it reads ahead to the size of the buffer, so that in-flight requests are cancelled if the
+// caller closes the connection.
+func (c *conn) awaitTurn(turn <-chan struct{}) {
+	c.readUntil(turn, func() error {
+		for {
+			if _, err := c.reader.Peek(c.reader.Buffered() + 1); err != nil {
+				return err
+			}
+		}
+	})
+}
+
+// readUntil calls read, which reads from the connection until it fails, and interrupts it when event
+// is closed. If the caller closes the connection first, the in-flight requests are cancelled.
+func (c *conn) readUntil(event <-chan struct{}, read func() error) {
+	select {
+	case <-event:
+		return
+	default:
+	}
+	// The deadline that ended a wait for a request may still be set.
+	_ = c.raw.SetReadDeadline(time.Time{})
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		if err := read(); !errors.Is(err, bufio.ErrBufferFull) && !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.cancel()
+		}
+	}()
+	<-event
+	_ = c.raw.SetReadDeadline(past)
+	<-stopped
+	_ = c.raw.SetReadDeadline(time.Time{})
+}
+
 // handle runs the handler and completes the response.
 func (c *conn) handle(resp *response) {
 	defer func() {
--- a/callerconn/response.go
+++ b/callerconn/response.go
@@ -32,9 +32,11 @@
 	noBody    bool
 	close     bool
 	err       error
-	// headStarted is set once the status and the headers are being written. The mutex of conn
-	// guards it.
-	headStarted bool
+	// headStarted is set once the status and the headers are being written, streaming once the
+	// response may break off. The mutex of conn guards them.
+	headStarted, streaming bool
+
+	arrivedAt time.Time
 }
 
 // requestBody is the body of a request. It signals when it has been read completely, and is no
@@ -154,6 +156,23 @@
 	return r.conn.raw.SetReadDeadline(t)
 }
 
+// ArrivedAt returns the time at which the head of the request had been read. The handler may be
+// called later.
+func (r *response) ArrivedAt() time.Time { return r.arrivedAt }
+
+// BeginStream is for a handler to call before it writes a response that may break off, which closes
+// the connection. Requests that arrive behind it are held back until the response has ended.
+// BeginStream reports whether one is being handled already.
+func (r *response) BeginStream() (behind bool) {
+	r.conn.mu.Lock()
+	defer r.conn.mu.Unlock()
+	if !r.streaming {
+		r.streaming = true
+		r.conn.streams++
+	}
+	return r.conn.last != r
+}
+
 // SetWriteDeadline sets the write deadline of the connection. It must be called only
 // after the preceding responses have been written.
 func (r *response) SetWriteDeadline(t time.Time) error { return r.conn.raw.SetWriteDeadline(t) }
@@ -244,6 +263,9 @@
 	defer func() {
 		r.conn.mu.Lock()
 		r.conn.pending--
+		if r.streaming {
+			r.conn.streams--
+		}
 		r.conn.mu.Unlock()
 		close(r.done)
 	}()
--- a/callerconn/server_test.go
+++ b/callerconn/server_test.go
@@ -473,6 +473,63 @@
 	}
 }
 
+// TestRequestBehindAStreamIsHeldBack guards against requests that are handled although the response
+// in front of them can still break off, and against a time limit that begins only when they are
+// handled.
+func TestRequestBehindAStreamIsHeldBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	release := make(chan struct{})
+	handled := make(chan time.Duration, 1)
+	_, conn, reader := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			g.Expect(w.(*response).BeginStream()).To(gomega.BeFalse())
+			_, _ = io.WriteString(w, strings.Repeat("x", 2*bufferSize))
+			<-release
+			return
+		}
+		handled <- time.Since(w.(*response).ArrivedAt())
+		body, _ := io.ReadAll(r.Body)
+		_, _ = io.WriteString(w, r.URL.Path+string(body))
+	})
+	send(t, conn, get("/1"))
+	first, err := http.ReadResponse(reader, nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	send(t, conn, "PUT /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"+get("/3"))
+	g.Consistently(handled, 100*time.Millisecond).ShouldNot(gomega.Receive())
+	close(release)
+	_, err = io.ReadAll(first.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var waited time.Duration
+	g.Eventually(handled).Should(gomega.Receive(&waited))
+	g.Expect(waited).To(gomega.BeNumerically(">=", 90*time.Millisecond))
+	for _, want := range []string{"/2body", "/3"} {
+		_, body, err := read(t, reader)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal(want))
+	}
+}
+
+// TestDisconnectIsNoticedWhileARequestIsHeldBack guards against requests that run on for a caller
+// that has closed the connection.
+func TestDisconnectIsNoticedWhileARequestIsHeldBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ended := make(chan struct{})
+	begun := make(chan struct{})
+	_, conn, _ := start(t, func(w http.ResponseWriter, r *http.Request) {
+		w.(*response).BeginStream()
+		close(begun)
+		<-r.Context().Done()
+		close(ended)
+		panic(http.ErrAbortHandler)
+	})
+	send(t, conn, get("/1"))
+	g.Eventually(begun).Should(gomega.BeClosed())
+	send(t, conn, get("/2")+get("/3"))
+	time.Sleep(20 * time.Millisecond)
+	conn.Close()
+	g.Eventually(ended).Should(gomega.BeClosed())
+}
+
 // TestRefusalReachesACallerThatStillSends guards against a refusal that is lost because the
 // connection is reset while the caller sends the rest of its body.
 func TestRefusalReachesACallerThatStillSends(t *testing.T) {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -42,7 +42,9 @@
 	status   int
 	header   http.Header
 	buffered []byte
-	rest     io.ReadCloser
+	// more is what was buffered behind buffered because of pipelined requests.
+	more []byte
+	rest io.ReadCloser
 	// length is the length of the body, or -1 if unknown.
 	length int64
 	// via is the connection that it came on.
--- a/forward/body.go
+++ b/forward/body.go
@@ -17,6 +17,9 @@
 	// maxBufferedResponse is the size in bytes up to which a response body is
 	// buffered, so that a truncated response is not passed on to the caller.
 	maxBufferedResponse = 256 << 10
+	// maxBufferedPipelined is the size in bytes up to which a response body is buffered if
+	// pipelined requests behind it have been passed on, which would be lost with it.
+	maxBufferedPipelined = 1 << 20
 	// minBodyBuffer is the initial size in bytes of the buffer for a response body of unknown
 	// length.
 	minBodyBuffer = 4 << 10
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -173,6 +173,10 @@
 	if failed := x.readBody(); failed != nil {
 		return failed
 	}
+	if !time.Now().Before(x.deadline) {
+		// It was held back behind a response to the same caller.
+		return x.refusal(outcome.CodeDeadline, "the time of the request passed before it could be sent")
+	}
 	if failed := x.checkStop(); failed != nil {
 		return failed
 	}
@@ -382,8 +386,7 @@
 		case <-ctx.Done():
 			return finish(nil, x.deadlineExceeded())
 		case <-x.f.ended:
-			x.log("cut by the stop", append(x.timing(), slog.Any("tried", x.reservations), slog.Any("peers", x.peers))...)
-			return finish(nil, x.stopped())
+			return finish(nil, x.cutByStop())
 		}
 	}
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -228,6 +228,9 @@
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	x := &exchange{f: f, w: w, in: r, receivedAt: time.Now(), caller: f.opts.Protocol.Caller(r.Header), delegation: d}
+	if p, ok := w.(pipelined); ok {
+		x.receivedAt = p.ArrivedAt()
+	}
 	if d != nil {
 		x.caller.Timeout = d.timeout
 	}
--- a/forward/stop.go
+++ b/forward/stop.go
@@ -124,8 +124,9 @@
 	return failed
 }
 
-// stopped returns the error for a request that still runs at the end of a planned stop.
-func (x *exchange) stopped() *outcome.Error {
+// cutByStop logs a request that still runs at the end of a planned stop, and returns its error.
+func (x *exchange) cutByStop() *outcome.Error {
+	x.log("cut by the stop", append(x.timing(), slog.Any("tried", x.reservations), slog.Any("peers", x.peers))...)
 	return &outcome.Error{
 		Outcome: outcome.Unknown, Status: http.StatusBadGateway, Code: outcome.CodeStopping,
 		Detail: "the instance stopped before a server answered",
