callerconn: no request behind one of HTTP/1.0 is served before its response

A request ran although its caller could count it as not read: it was sent behind one of HTTP/1.0, whose response closes the connection if its body has no length. Such a response now holds back the requests behind it, like a stream; a caller of HTTP/1.0 that leaves cancels its request meanwhile.

--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -94,6 +94,11 @@
 			break
 		}
 		turn = resp.done
+		if !req.ProtoAtLeast(1, 1) {
+			// The response may have to close the connection, since HTTP/1.0 has no chunked
+			// encoding. A request behind it would count as not read then.
+			resp.BeginStream()
+		}
 		go c.handle(resp)
 		if !c.awaitBody(resp) || req.Close {
 			break
--- a/forward/held_test.go
+++ b/forward/held_test.go
@@ -11,6 +11,22 @@
 	"github.com/onsi/gomega"
 )
 
+// A caller of HTTP/1.0 that has left must not keep its request at a server until the deadline.
+func TestRequestOfAnHTTP10CallerThatLeftIsCancelled(t *testing.T) {
+	g := gomega.NewWithT(t)
+	begun := make(chan struct{}, 4)
+	f := newFixture(t, startServer(t, "s1", func(conn net.Conn, _ *http.Request) {
+		begun <- struct{}{}
+		_, _ = io.Copy(io.Discard, conn)
+	}))
+	conn, _ := f.dialCaller(t)
+	_, err := fmt.Fprintf(conn, "GET /order/1 HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\nRequest-Id: r%d\r\nDeadline-Ms: 8000\r\n\r\n", sequence.Add(1))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Eventually(begun).Should(gomega.Receive())
+	conn.Close()
+	g.Eventually(func() int64 { return f.forwarder.Stats().InFlight }, 1*time.Second).Should(gomega.BeZero())
+}
+
 // A request that was held back behind a long response beyond its deadline was not sent to any server,
 // so its caller must be told that it did not run.
 func TestHeldRequestWhoseTimeHasPassedIsRefusedAsNotRun(t *testing.T) {
