callerconn: a reset no longer destroys the response to a request with Connection: close

A caller that sent on behind its last request could lose the part of the response that it had not read: the end of the response ended the discarding of what it sends, and closing a connection with unread bytes resets it. The read is now not interrupted once the connection is only discarded from.

TestBytesBehindAClosingRequestAreDiscarded failed in all five cases before.

--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -51,6 +51,8 @@
 	pending int
 	// closing is set when no further requests are accepted.
 	closing bool
+	// finishing is set when the connection is read only to discard what follows the last request.
+	finishing bool
 	// draining is set when the connection closes as soon as no request is in flight.
 	draining bool
 	// awaiting is set while the reading goroutine waits for the first byte of a request.
@@ -111,9 +113,9 @@
 // the in-flight requests are cancelled.
 func (c *conn) finish(turn <-chan struct{}) {
 	c.mu.Lock()
-	c.closing = true
-	c.mu.Unlock()
+	c.closing, c.finishing = true, true
 	_ = c.raw.SetReadDeadline(time.Time{})
+	c.mu.Unlock()
 	callerClosed := make(chan struct{})
 	go func() {
 		defer close(callerClosed)
--- a/callerconn/response.go
+++ b/callerconn/response.go
@@ -313,11 +313,13 @@
 func (c *conn) stop(complete bool) {
 	c.mu.Lock()
 	c.closing = true
+	if complete && !c.finishing {
+		// The reading goroutine closes the connection once all responses are written. If it discards
+		// already, an end of that would leave bytes unread, and closing would reset the connection.
+		_ = c.raw.SetReadDeadline(past)
+	}
 	c.mu.Unlock()
 	if complete {
-		// The reading goroutine closes the connection once all responses are
-		// written.
-		_ = c.raw.SetReadDeadline(past)
 		return
 	}
 	c.raw.Close()
