callerconn: what follows the last request of a draining connection cancels no request

A connection that drains discards what follows through the limit for the head of a request, and the error at the end of that limit was taken for the caller's close, which cancels the requests in flight. The limit now ends before the rest is discarded.

--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -116,6 +116,8 @@
 	c.closing, c.finishing = true, true
 	_ = c.raw.SetReadDeadline(time.Time{})
 	c.mu.Unlock()
+	// What follows is no head, and an error of the limit would be taken for the caller's close.
+	c.limit.Unlimit()
 	callerClosed := make(chan struct{})
 	go func() {
 		defer close(callerClosed)
--- a/callerconn/leave_test.go
+++ b/callerconn/leave_test.go
@@ -1,7 +1,10 @@
 package callerconn
 
 import (
+	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -36,3 +39,78 @@
 	conn.Close()
 	return ended
 }
+
+// awaitConn waits until the only connection is in the given state.
+func awaitConn(g *gomega.WithT, s *Server, state func(c *conn) bool) {
+	g.Eventually(func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.conns {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return state(c)
+		}
+		return false
+	}).Should(gomega.BeTrue())
+}
+
+// finishing reports whether the connection discards what follows the last request.
+func finishing(c *conn) bool { return c.finishing }
+
+// awaitingNext reports whether the connection waits for another request while one is in flight.
+func awaitingNext(c *conn) bool { return c.awaiting && c.pending == 1 }
+
+// postBehind is a request with more bytes than the head of a request may have.
+var postBehind = fmt.Sprintf("POST /behind HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", 2*headerBytes, strings.Repeat("x", 2*headerBytes))
+
+// A request at a server at work must not be cancelled because its caller sends more behind it than the
+// head of a request may have, while the connection drains.
+func TestShutdownDiscardsWhatFollowsTheLastRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	begun, release := make(chan struct{}), make(chan struct{})
+	s, conn, reader := start(t, func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		select {
+		case <-r.Context().Done():
+		case <-release:
+			_, _ = io.WriteString(w, "whole")
+		}
+	})
+	send(t, conn, get("/last"))
+	g.Eventually(begun).Should(gomega.BeClosed())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Shutdown(t.Context()) }()
+	awaitConn(g, s, finishing)
+	send(t, conn, postBehind)
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	resp, body, err := read(t, reader)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal("whole"))
+	g.Expect(resp.Close).To(gomega.BeTrue())
+	conn.Close()
+	g.Eventually(ended, 2*time.Second).Should(gomega.Receive(gomega.BeNil()))
+}
+
+// The last response of a stop must not be destroyed by a reset because its caller, which has not read all
+// of it, sends more behind its request than the head of a request may have.
+func TestLastResponseOfAStopSurvivesWhatFollows(t *testing.T) {
+	g := gomega.NewWithT(t)
+	release := make(chan struct{})
+	text := strings.Repeat("y", 1<<20)
+	s, conn, reader := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, text)
+	})
+	s.Leave()
+	send(t, conn, get("/last"))
+	// The connection waits for the next request when the response is written.
+	awaitConn(g, s, awaitingNext)
+	close(release)
+	awaitConn(g, s, finishing)
+	send(t, conn, postBehind)
+	time.Sleep(50 * time.Millisecond)
+	_, body, err := read(t, reader)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.HaveLen(len(text)))
+}
