callerconn: a caller's close cancels its requests wherever the connection is read

Servers worked until the deadline for callers that had left: the close was not noticed while a head behind a request was incomplete, malformed or late, while a body was read, while 32 requests of the connection were handled, and behind a begun response of a draining connection. The connection is now read, or read ahead to the size of its buffer, in all of these, and a body whose connection ended cancels.

Open: a caller that has filled the buffer of 4 KiB behind a waiting request is noticed late.

--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -90,7 +90,7 @@
 			break
 		}
 		arrivedAt := time.Now()
-		c.slots <- struct{}{}
+		c.takeSlot()
 		resp, ok := c.begin(req, arrivedAt, turn)
 		if !ok {
 			break
@@ -170,9 +170,7 @@
 // connection has to be closed or was closed by the caller.
 func (c *conn) awaitRequest() bool {
 	idleSince := time.Now()
-	// The bytes of the next request that are already buffered count towards its
-	// limit.
-	c.limit.Limit(c.server.opts.Limits().HeaderBytes - int64(c.reader.Buffered()))
+	c.limitHead()
 	for {
 		limit := withSlack(c.server.opts.Limits().IdleTimeout)
 		draining, ok := c.beginAwait(idleSince.Add(limit))
@@ -200,6 +198,12 @@
 	}
 }
 
+// limitHead limits the bytes that may be read for the head of the next request. Those that are already
+// buffered count towards the limit.
+func (c *conn) limitHead() {
+	c.limit.Limit(c.server.opts.Limits().HeaderBytes - int64(c.reader.Buffered()))
+}
+
 // beginAwait sets the read deadline for the wait for a request and reports whether the
 // connection is draining instead. It returns false if no further requests are accepted.
 func (c *conn) beginAwait(deadline time.Time) (draining, ok bool) {
@@ -233,7 +237,10 @@
 	last := c.last
 	c.mu.Unlock()
 	if last != nil {
-		<-last.done
+		// More than a head may be read ahead, which must not be taken for the end of the connection.
+		c.limit.Unlimit()
+		c.awaitTurn(last.done)
+		c.limitHead()
 	}
 	c.mu.Lock()
 	closing := c.closing
@@ -276,7 +283,11 @@
 // rejectRequest responds to a request whose headers can't be read, unless the connection
 // was closed.
 func (c *conn) rejectRequest(err error, turn <-chan struct{}) {
-	<-turn
+	// No further request is read, so that what follows can be discarded.
+	c.readUntil(turn, func() error {
+		_, err := io.Copy(io.Discard, c.reader)
+		return err
+	})
 	c.mu.Lock()
 	closing := c.closing
 	c.mu.Unlock()
@@ -336,6 +347,21 @@
 	return resp, true
 }
 
+// takeSlot waits until fewer than maxPipelined requests of the connection are being handled.
+func (c *conn) takeSlot() {
+	select {
+	case c.slots <- struct{}{}:
+		return
+	default:
+	}
+	taken := make(chan struct{})
+	go func() {
+		defer close(taken)
+		c.slots <- struct{}{}
+	}()
+	c.awaitTurn(taken)
+}
+
 // awaitTurn waits until turn is closed, for example because the preceding responses have been written.
 // Meanwhile it reads ahead to the size of the buffer, so that in-flight requests are cancelled if the
 // caller closes the connection.
--- a/callerconn/response.go
+++ b/callerconn/response.go
@@ -1,8 +1,10 @@
 package callerconn
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httputil"
 	"strconv"
@@ -76,12 +78,23 @@
 		}
 	}
 	n, err := b.source.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		b.markRead()
+	case connEnded(err):
+		// Nobody else reads the connection, and the requests in front wait for their responses, too.
+		b.resp.conn.cancel()
 	}
 	return n, err
 }
 
+// connEnded reports whether an error of reading a body means that the caller has closed the connection.
+// Other errors are those of deadlines and of malformed bodies.
+func connEnded(err error) bool {
+	var failed *net.OpError
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &failed) && !failed.Timeout()
+}
+
 // Close implements [io.Closer]. It reads nothing: a connection with an unread body is closed after
 // the response.
 func (b *requestBody) Close() error { return nil }
