callerconn: the write deadline of a pipelined response begins with its turn

A complete response could be lost, and its connection cut, because its write deadline of 15 s ran while the response in front of it was awaited. The deadline is now kept, and moved by the time of that wait: nothing is written meanwhile.

--- a/callerconn/leave_test.go
+++ b/callerconn/leave_test.go
@@ -40,6 +40,28 @@
 	return ended
 }
 
+// A handler that sets a write deadline before its response, as forward does, has to be bounded by it
+// also if a response in front of it is still being written. Otherwise a caller that reads nothing
+// keeps the handler, and all memory charged to it, for good.
+func TestWriteDeadlineBehindAnotherResponseIsKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	begun, ended := make(chan struct{}), make(chan error, 1)
+	_, conn, _ := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/a" {
+			<-begun
+			time.Sleep(100 * time.Millisecond)
+			return
+		}
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(400 * time.Millisecond))
+		close(begun)
+		w.WriteHeader(http.StatusOK)
+		_, err := w.Write(make([]byte, 32<<20))
+		ended <- err
+	})
+	go func() { _, _ = io.WriteString(conn, get("/a")+get("/b")) }()
+	g.Eventually(ended, 3*time.Second).Should(gomega.Receive(gomega.HaveOccurred()))
+}
+
 // awaitConn waits until the only connection is in the given state.
 func awaitConn(g *gomega.WithT, s *Server, state func(c *conn) bool) {
 	g.Eventually(func() bool {
--- a/callerconn/response.go
+++ b/callerconn/response.go
@@ -37,6 +37,9 @@
 	// headStarted is set once the status and the headers are being written, streaming once the
 	// response may break off. The mutex of conn guards them.
 	headStarted, streaming bool
+	// writeDeadline is set if the handler set it before the preceding responses were written, at
+	// writeDeadlineSet.
+	writeDeadline, writeDeadlineSet time.Time
 
 	arrivedAt time.Time
 }
@@ -186,9 +189,18 @@
 	return r.conn.last != r
 }
 
-// SetWriteDeadline sets the write deadline of the connection. It must be called only
-// after the preceding responses have been written.
-func (r *response) SetWriteDeadline(t time.Time) error { return r.conn.raw.SetWriteDeadline(t) }
+// SetWriteDeadline sets the write deadline of the response, which takes effect once the preceding
+// responses have been written. It is moved by the time that the response waits for them: nothing is
+// written meanwhile, and a response whose deadline passed would be lost with the connection.
+func (r *response) SetWriteDeadline(t time.Time) error {
+	select {
+	case <-r.turn:
+		return r.conn.raw.SetWriteDeadline(t)
+	default:
+		r.writeDeadline, r.writeDeadlineSet = t, time.Now()
+		return nil
+	}
+}
 
 // WriteHeader implements [http.ResponseWriter]. It waits until the preceding responses
 // have been written.
@@ -198,6 +210,9 @@
 	}
 	r.status = status
 	<-r.turn
+	if !r.writeDeadline.IsZero() {
+		_ = r.conn.raw.SetWriteDeadline(r.writeDeadline.Add(time.Since(r.writeDeadlineSet)))
+	}
 	closeRequested := r.req.Close || r.header.Get("Connection") == "close" || r.unreadBody()
 	r.close = r.conn.closesAfter(r, closeRequested)
 	r.frame()
