forward: a request is logged and counted as delegated once it is sent to a peer

An operator who followed a request to a peer found nothing there: `delegated` was logged, and counted in the metric, before a connection to the peer was open, and also for an upload that was refused for memory. It is now written immediately before the request is.

--- a/forward/delegate.go
+++ b/forward/delegate.go
@@ -105,24 +105,20 @@
 
 // delegatee returns the peer to which the request is delegated, or false if this instance
 // tries the servers itself. The request is delegated after it has failed to reach the given
-// number of servers, or if the links to all are lost.
-func (x *exchange) delegatee(unreached int) (Peer, bool) {
+// number of servers, or if the links to all are lost. why is the reason, for the log.
+func (x *exchange) delegatee(unreached int) (peer Peer, why []slog.Attr, ok bool) {
 	lost := x.f.opts.Board.LinksLost()
 	if x.delegation != nil || len(x.peers) >= maxPeers || !lost && x.unreached < unreached || !x.keepsKey() {
-		return Peer{}, false
+		return Peer{}, nil, false
 	}
-	peer, ok := x.f.opts.Peer(x.peers)
-	if !ok {
-		return Peer{}, false
-	}
-	x.log("delegated", slog.String("peer", peer.ID), slog.Bool("links_lost", lost), slog.Int("unreached", x.unreached),
-		slog.Any("tried", x.reservations), slog.Duration("left", time.Until(x.deadline)))
-	return peer, true
+	peer, ok = x.f.opts.Peer(x.peers)
+	return peer, []slog.Attr{slog.Bool("links_lost", lost), slog.Int("unreached", x.unreached), slog.Any("tried", x.reservations)}, ok
 }
 
 // delegate sends the request to a peer and reads the response. The peer judges the key
-// again, by a table that is no older than the given version.
-func (x *exchange) delegate(ctx context.Context, peer Peer, attempts int, tableVersion uint64) result {
+// again, by a table that is no older than the given version. The request is logged and counted as
+// delegated once it is about to be written on a connection to the peer.
+func (x *exchange) delegate(ctx context.Context, peer Peer, why []slog.Attr, attempts int, tableVersion uint64) result {
 	r := result{peer: peer.ID}
 	conn, err := x.f.opts.PeerPool.GetFor(ctx, peer.Address, 0, x.caller.ID)
 	if err != nil {
@@ -139,6 +135,8 @@
 	delegation{
 		by: x.f.opts.ID, attempts: attempts, timeout: left, elapsed: time.Since(x.firstSentAt), table: tableVersion,
 	}.write(out.Header)
+	x.f.delegated.Add(1)
+	x.log("delegated", append(append([]slog.Attr{slog.String("peer", peer.ID)}, why...), slog.Duration("left", left))...)
 	resp, err := conn.RoundTrip(ctx, out, x.matches(conn, peer.ID))
 	r.via = useOf(conn)
 	if err != nil {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -279,17 +279,16 @@
 	results := make(chan result, x.maxAttempts()+maxUnreachable+maxPeers)
 	running := 0
 	delegate := func(unreached int) bool {
-		peer, ok := x.delegatee(unreached)
+		peer, why, ok := x.delegatee(unreached)
 		if !ok || x.held.upload.Keep() != nil {
 			return false
 		}
 		attempts := max(x.maxAttempts()-x.sent, 1)
 		x.peers = append(x.peers, peer.ID)
-		x.f.delegated.Add(1)
 		x.sent++
 		running++
 		version := max(x.tableVersion(), x.identity.table)
-		go func() { results <- x.delegate(ctx, peer, attempts, version) }()
+		go func() { results <- x.delegate(ctx, peer, why, attempts, version) }()
 		return true
 	}
 	launch := func() *outcome.Error {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -104,7 +104,7 @@
 type Stats struct {
 	// Requests counts received requests, Retries and Hedges additional attempts.
 	Requests, Retries, Hedges uint64
-	// Delegated counts the requests delegated to peers, ForPeers those that peers delegated
+	// Delegated counts the requests sent to peers, ForPeers those that peers delegated
 	// to this instance.
 	Delegated, ForPeers uint64
 	// UnknownKey counts the requests refused without a key of a workspace, UnprovenTable
