serverconn, forward, readings: evacuations are looked at immediately before the first write

A process that is stopped between its last look and the write sends it late. Conn.MayWrite is asked before the first byte of a use, by requests and status checks; what it refuses is never written, and goes to another server, which is no retry. Streamed bodies are excepted, since they have been read in part by then.

So that the next failure can be traced, a status check that took over a second is logged with the time of its write.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -110,7 +110,7 @@
 	// unreached is set if no connection to the server could be opened.
 	unreached bool
 	// evacuated is set if the request was not sent because the data centre of the server
-	// was evacuated after the server was chosen.
+	// was evacuated after the server was chosen, or the process was stopped then.
 	evacuated bool
 	// peer is the ID of the peer that the request was delegated to, in place of a server;
 	// refusal is the error that it responded with itself.
@@ -162,6 +162,11 @@
 		conn.Close()
 		return result{server: a.reservation.server, notRun: true, unsent: true, err: context.DeadlineExceeded}
 	}
+	if !x.body.streamed() {
+		// A streamed body has been read in part by then, so that the request could not go to
+		// another server.
+		conn.MayWrite = func() error { return a.mayWrite(ctx) }
+	}
 	resp, err := conn.RoundTrip(ctx, a.request(left), x.matches(conn, a.reservation.server.ID))
 	if err != nil {
 		return a.sendFailed(ctx, conn, err)
@@ -191,6 +196,7 @@
 			conn.Close()
 			return nil, err
 		}
+		conn.MayWrite = func() error { return a.checkEvacuated(ctx) }
 		a.checkConn(ctx, conn)
 		if now := time.Now(); x.f.opts.Board.Load(a.reservation.server.ID, now).Quiet(now) {
 			return nil, &QuietError{Server: a.reservation.server.ID}
@@ -216,6 +222,26 @@
 	return nil
 }
 
+// errHeld reports that a request was not sent because it waited after a stop of the process, so
+// that the time that it gives the server would be too long.
+var errHeld = errors.New("forward: the process was stopped before the request was written")
+
+// maxHeld is the time for which a request may be held up after its head was made.
+const maxHeld = 20 * time.Millisecond
+
+// mayWrite is the last look before a request is written, since the process may have been stopped
+// after the one before.
+func (a *attempt) mayWrite(ctx context.Context) error {
+	began := time.Now()
+	if err := a.checkEvacuated(ctx); err != nil {
+		return err
+	}
+	if time.Since(began) > maxHeld {
+		return errHeld
+	}
+	return nil
+}
+
 // QuietError reports that a request was not sent because the server wants nothing from this
 // instance for a time.
 type QuietError struct{ Server string }
@@ -302,6 +328,10 @@
 func (a *attempt) sendFailed(ctx context.Context, conn *serverconn.Conn, err error) result {
 	unsent := serverconn.Unsent(err)
 	r := result{server: a.reservation.server, via: useOf(conn), notRun: unsent, unsent: unsent, err: err}
+	var evacuated *EvacuatedError
+	if r.evacuated = errors.As(err, &evacuated) || errors.Is(err, errHeld); r.evacuated {
+		return r
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return r
 	}
--- a/forward/evacuation_test.go
+++ b/forward/evacuation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -36,6 +37,8 @@
 				}
 			}
 		}},
+		{"about to write", http.MethodPost, "/order/1", "x", evacuateBeforeWrite},
+		{"about to write a long request", http.MethodPost, "/order/1", strings.Repeat("x", 8<<10), evacuateBeforeWrite},
 		{"checking an idle connection", http.MethodPost, "/order/2", "x", func(t *testing.T, f *fixture, evacuate func()) {
 			t.Helper()
 			f.onCheck.Store(&evacuate)
@@ -155,3 +158,39 @@
 	resp, _ = f.call(t, http.MethodGet, "/look/", "")
 	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
 }
+
+// evacuateBeforeWrite evacuates a data centre at the last look before a request is written.
+func evacuateBeforeWrite(_ *testing.T, f *fixture, evacuate func()) {
+	var calls atomic.Int64
+	f.awaitCurrent = func() {
+		// The looks before: at the choice, before and after connecting.
+		if calls.Add(1) == 4 {
+			evacuate()
+		}
+	}
+}
+
+// TestRequestHeldBeforeTheWriteIsMadeAnew guards against a request that gives its server more time
+// than is left, because it waited for the state of the evacuations after its head was made.
+func TestRequestHeldBeforeTheWriteIsMadeAnew(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s1 := startServer(t, "s1", ok)
+	f := newFixture(t, s1)
+	const held = 300 * time.Millisecond
+	var calls atomic.Int64
+	f.awaitCurrent = func() {
+		if calls.Add(1) == 4 {
+			time.Sleep(held)
+		}
+	}
+	began := time.Now()
+	resp, _ := f.call(t, http.MethodPost, "/order/1", "x")
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusOK))
+	g.Expect(s1.arrivals()).To(gomega.Equal(1))
+	g.Expect(calls.Load()).To(gomega.BeNumerically(">", 4))
+	g.Expect(f.forwarder.Stats().Retries).To(gomega.BeZero())
+	left, err := strconv.Atoi(s1.arrived[0].Header.Get("Deadline-Ms"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(left).To(gomega.BeNumerically("<=", 1500-held.Milliseconds()))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically(">=", held))
+}
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -27,8 +27,15 @@
 	// failedInterval is the time between status checks of a server that does
 	// not respond.
 	failedInterval = 250 * time.Millisecond
+	// longCheck is the time from which a check shows that the process was stopped while it was
+	// under way, far above checkTimeout. At most maxLongChecks are logged in each longCheck.
+	longCheck     = time.Second
+	maxLongChecks = 8
 )
 
+// errExcluded is the error of a check that was not sent because nothing may be sent to the server.
+var errExcluded = errors.New("readings: nothing may be sent to the server")
+
 // Checker interprets the headers of responses to status checks.
 type Checker interface {
 	// ServerID returns the ID of the server that sent the response, or "".
@@ -92,6 +99,10 @@
 	// next is the earliest time of the next check of each server that did not
 	// respond to the last one.
 	next map[string]time.Time
+	// longSince and longLogged are the start of the present time of longCheck and the number
+	// of long checks logged since.
+	longSince  time.Time
+	longLogged int
 }
 
 // NewChecks returns checks that [Checks.Run] starts.
@@ -206,7 +217,18 @@
 		c.record(target, timestamped(Reading{Server: KeyOf(target.Server), Health: HealthUnreachable}))
 		return
 	}
-	c.record(target, c.checkOn(ctx, conn, target))
+	excluded := false
+	conn.MayWrite = func() error {
+		if excluded = c.excluded(target); excluded {
+			return errExcluded
+		}
+		return nil
+	}
+	reading := c.checkOn(ctx, conn, target)
+	if excluded {
+		return
+	}
+	c.record(target, reading)
 }
 
 // postpone ends a check that was not sent.
@@ -250,7 +272,16 @@
 	reading := Reading{Server: KeyOf(target.Server), Health: HealthUnreachable}
 	began := time.Now()
 	c.opts.Board.BeganCheck(target.Server, began)
-	resp, err := conn.Check(ctx, target.Path, func(resp *http.Response) bool { return IsCheck(c.opts.Checker, resp) })
+	// After the check, the connection may be in use again.
+	var written time.Time
+	resp, err := conn.Check(ctx, target.Path, func(resp *http.Response) bool {
+		written = conn.Written()
+		return IsCheck(c.opts.Checker, resp)
+	})
+	if err != nil {
+		written = conn.Written()
+	}
+	c.logLong(target, began, written, err)
 	if err != nil {
 		c.opts.Logger.Debug("status check failed", "server", target.Server, "error", err)
 		if ctx.Err() != nil && conn.Reused() {
@@ -281,6 +312,25 @@
 	return timestamped(reading)
 }
 
+// logLong logs a check that was under way while the process was stopped.
+func (c *Checks) logLong(target Target, began, written time.Time, err error) {
+	now := time.Now()
+	if now.Sub(began) < longCheck {
+		return
+	}
+	c.mu.Lock()
+	if now.Sub(c.longSince) >= longCheck {
+		c.longSince, c.longLogged = now, 0
+	}
+	c.longLogged++
+	logged := c.longLogged <= maxLongChecks
+	c.mu.Unlock()
+	if logged {
+		c.opts.Logger.Info("status check was under way during a stop", "server", target.Server, "data_centre", target.DataCentre,
+			"began", began, "written", written, "took", now.Sub(began), "error", err)
+	}
+}
+
 func timestamped(r Reading) Reading {
 	r.HealthAt = time.Now()
 	if r.HasReport {
--- a/readings/checks_test.go
+++ b/readings/checks_test.go
@@ -1,10 +1,12 @@
 package readings
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -56,3 +58,50 @@
 	c.Refresh(t.Context(), []Target{target}, time.Minute)
 	g.Expect(received.Load()).To(gomega.Equal(int64(1)))
 }
+
+// TestChecksDuringAStopAreLogged guards against a log that does not tell when a status check was
+// sent that was under way while the process was stopped, and against one line for each server.
+func TestChecksDuringAStopAreLogged(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var log bytes.Buffer
+	c := NewChecks(CheckOptions{Logger: slog.New(slog.NewTextHandler(&log, nil))})
+	target := Target{Server: "s1", DataCentre: "a"}
+	now := time.Now()
+	c.logLong(target, now.Add(-checkTimeout), now, nil)
+	g.Expect(log.String()).To(gomega.BeEmpty())
+	for range 3 * maxLongChecks {
+		c.logLong(target, now.Add(-5*time.Second), now, nil)
+	}
+	g.Expect(strings.Count(log.String(), "status check was under way during a stop")).To(gomega.Equal(maxLongChecks))
+	g.Expect(log.String()).To(gomega.ContainSubstring("written=" + now.Format("2006-01-02T15:04:05.000")))
+}
+
+// TestServerExcludedBeforeTheWriteIsNotChecked guards against a status check that is written after
+// the process was stopped, although nothing may be sent to the server any longer.
+func TestServerExcludedBeforeTheWriteIsNotChecked(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var looks, received atomic.Int64
+	pool := serverconn.NewPool()
+	pool.Dial = func(context.Context, string, string) (net.Conn, error) {
+		client, server := net.Pipe()
+		go func() {
+			n, _ := server.Read(make([]byte, 1))
+			received.Add(int64(n))
+			server.Close()
+		}()
+		return client, nil
+	}
+	board := NewBoard()
+	c := NewChecks(CheckOptions{
+		Board: board, Pool: pool, Checker: silentChecker{}, OnNotice: func(Target, Notice) {},
+		// The looks before are those before and after connecting.
+		Excluded: func(Target) bool { return looks.Add(1) == 3 }, Logger: slog.New(slog.DiscardHandler),
+	})
+	target := Target{Server: "s1", Address: "s1:1", Path: "/health"}
+	c.Refresh(t.Context(), []Target{target}, time.Minute)
+	g.Expect(looks.Load()).To(gomega.Equal(int64(3)))
+	g.Expect(received.Load()).To(gomega.BeZero())
+	g.Expect(board.LastReading("s1")).To(gomega.BeZero(), "no check was made")
+	c.Refresh(t.Context(), []Target{target}, time.Minute)
+	g.Expect(received.Load()).To(gomega.Equal(int64(1)), "the server is checked again")
+}
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -96,7 +96,10 @@
 	IdleTime time.Duration
 	// Early reports whether the response of the present use began before the whole request
 	// was written.
-	Early     bool
+	Early bool
+	// MayWrite, if set, is called immediately before the first byte of the present use is
+	// written. If it fails, nothing is written, and the round trip fails with its error.
+	MayWrite  func() error
 	written   atomic.Int64
 	idleSince time.Time
 	// expires is the time from which an idle connection must not be reused, because
@@ -187,6 +190,7 @@
 	c.Uses++
 	c.request = 0
 	c.Early = false
+	c.MayWrite = nil
 	c.written.Store(0)
 	c.IdleTime = now.Sub(c.idleSince)
 	c.pool.Reused.Add(1)
@@ -285,6 +289,7 @@
 
 // put returns a connection to the pool for at most the given time.
 func (p *Pool) put(c *Conn, idle time.Duration) {
+	c.MayWrite = nil
 	c.idleSince = time.Now()
 	c.expires = c.idleSince.Add(idle)
 	p.mu.Lock()
--- a/serverconn/roundtrip.go
+++ b/serverconn/roundtrip.go
@@ -55,11 +55,25 @@
 	n atomic.Int64
 	// first is the time of the first write, in Unix nanoseconds.
 	first *atomic.Int64
+	// mayWrite is asked before the first write; nil if nothing forbids it. refused is the
+	// error that it returned.
+	mayWrite func() error
+	refused  atomic.Pointer[error]
 }
 
 // Write implements [io.Writer].
 func (c *countingWriter) Write(p []byte) (int, error) {
+	if refused := c.refused.Load(); refused != nil {
+		// What is reported as not sent must never be sent.
+		return 0, *refused
+	}
 	if c.first.Load() == 0 {
+		if c.mayWrite != nil {
+			if err := c.mayWrite(); err != nil {
+				c.refused.Store(&err)
+				return 0, err
+			}
+		}
 		c.first.Store(time.Now().UnixNano())
 	}
 	n, err := c.w.Write(p)
@@ -84,10 +98,17 @@
 		}
 		return nil, &SendError{Unsent: unsent, Err: err}
 	}
-	out := &countingWriter{w: c.raw, first: &c.written}
+	out := &countingWriter{w: c.raw, first: &c.written, mayWrite: c.MayWrite}
 	written := make(chan error, 1)
 	if req.ContentLength > maxInlineBody || unknownLength(req) {
-		go func() { written <- req.Write(out) }()
+		go func() {
+			err := req.Write(out)
+			if out.refused.Load() != nil {
+				// No response will come.
+				_ = c.raw.SetDeadline(time.Unix(1, 0))
+			}
+			written <- err
+		}()
 	} else {
 		err := req.Write(out)
 		if err != nil && out.n.Load() == 0 {
@@ -97,6 +118,9 @@
 	}
 	resp, err := c.readResponse(matches)
 	if err != nil {
+		if refused := out.refused.Load(); refused != nil {
+			return fail(true, *refused)
+		}
 		return fail(false, err)
 	}
 	if req.Method == http.MethodHead {
