forward: an earlier time takes no status checks away

Callers lost connections, with `handler panicked` "slice bounds out of range [:-1]" in the log: a request takes the time before it waits for the lock of its queue, so that the time in which checks are earned went back, and the number of allowed checks became negative. An earlier time now earns nothing.

--- a/forward/refresh.go
+++ b/forward/refresh.go
@@ -100,13 +100,17 @@
 	return q.checks >= 1
 }
 
-// earnChecksLocked adds the checks that have become available since the last call.
+// earnChecksLocked adds the checks that have become available since the last call. A goroutine that
+// waited for the lock may have an earlier time than the one before.
 func (q *queue) earnChecksLocked(now time.Time) {
 	rate := q.f.opts.CheckRate() * float64(len(q.servers())) / float64(max(q.f.opts.Instances(), 1))
 	most := max(rate*checkBurst.Seconds(), refreshCount*refreshRounds)
-	if q.checksAt.IsZero() {
+	switch {
+	case q.checksAt.IsZero():
 		q.checks = most
-	} else {
+	case !now.After(q.checksAt):
+		return
+	default:
 		q.checks = min(q.checks+rate*now.Sub(q.checksAt).Seconds(), most)
 	}
 	q.checksAt = now
