feed: the grace period of removed servers ends within the setting `drain`

After a restore or an outage of the store a removed server stayed in use for 1.7 s from the successful read. The period is now counted from when the removal can have been confirmed and ends 0.2 s before `drain`; the read of all servers follows the one that found the history lost at once; a read under way no longer delays the end.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// RemovalGracePeriod is the time for which removed entries stay in use after the
+	// RemovalGracePeriod is the longest time for which removed entries stay in use after the
 	// store has recovered from an outage. The platform guarantees that live servers
 	// register again within about two seconds. The period is shorter, so that the
 	// entries of servers that are really gone are dropped in time.
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -42,6 +42,11 @@
 	// callTimeout bounds a call to the store, excluding the long poll time. Calls that prove
 	// the table have tableCallTimeout.
 	callTimeout = 700 * time.Millisecond
+	// defaultDrainWithin applies if the setting is missing. It is the shortest of the platform.
+	defaultDrainWithin = 2 * time.Second
+	// drainMargin is the part of DrainWithin that is left for the way of a removal to the
+	// other instances and for pollInterval when a grace period ends.
+	drainMargin = 200 * time.Millisecond
 	// outageThreshold is how long reads have to fail to count as an outage. During
 	// an outage live servers may lose their entries.
 	outageThreshold = time.Second
@@ -117,7 +122,7 @@
 	Version uint64
 }
 
-// Options configure a [Feed]. All but ReadDelay and InFlight are required.
+// Options configure a [Feed]. All but ReadDelay, InFlight and DrainWithin are required.
 type Options struct {
 	ID        string
 	Store     Store
@@ -134,6 +139,9 @@
 	// servers, for the log.
 	InFlight func(servers []directory.Server) int
 	Logger   *slog.Logger
+	// DrainWithin returns the time within which a server has to be out of use on all
+	// instances after the store has confirmed that it leaves, or 0 if unknown.
+	DrainWithin func() time.Duration
 	// Proof holds the proof that the table in force is the newest, RevokeWithin returns the
 	// time within which a withdrawn key stops being served, or 0 if no proof is needed. Both
 	// are nil if there is no such setting.
@@ -179,6 +187,8 @@
 	// failingSince is the start of the current series of failed reads, zero if the
 	// last read succeeded.
 	failingSince time.Time
+	// failedAt is the start of the last read that failed.
+	failedAt time.Time
 
 	evacuations evacuationState
 	pauses      pauses
@@ -207,6 +217,7 @@
 func (f *Feed) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	wg.Go(func() { f.followServers(ctx) })
+	wg.Go(func() { f.expireServers(ctx) })
 	wg.Go(func() { f.followTable(ctx) })
 	wg.Go(func() { f.watchPauses(ctx) })
 	wg.Go(func() { f.keepCalibrated(ctx) })
@@ -264,19 +275,38 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			for _, id := range f.opts.Directory.Expire(now) {
-				f.opts.Logger.Info("server gone", "server", id, "reason", "not registered again after the store recovered")
-			}
 			if now.Before(next) || !f.shouldRead(now) {
 				continue
 			}
 			read, err := f.readServers(ctx, version)
 			version = read
+			var history *HistoryError
+			if errors.As(err, &history) {
+				// What changed is not known yet: the full read must not wait.
+				version, err = f.readServers(ctx, 0)
+			}
 			next = now.Add(f.readDelay(err))
 		}
 	}
 }
 
+// expireServers takes removed servers out of use when their grace period ends, also while a
+// read of the store is under way.
+func (f *Feed) expireServers(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, id := range f.opts.Directory.Expire(now) {
+				f.opts.Logger.Info("server gone", "server", id, "reason", "not registered again after the store recovered")
+			}
+		}
+	}
+}
+
 func (f *Feed) readDelay(err error) time.Duration {
 	if err == nil || f.rank() <= 2 {
 		return readInterval
@@ -308,7 +338,7 @@
 	switch {
 	case errors.As(err, &history):
 		f.opts.Logger.Info("store no longer has the changes, reading all servers", "version", after)
-		return 0, nil
+		return 0, err
 	case err != nil:
 		f.recordFailure(began, err)
 		return after, err
@@ -343,6 +373,7 @@
 	if first {
 		f.failingSince = at
 	}
+	f.failedAt = at
 	f.mu.Unlock()
 	if first {
 		f.opts.Logger.Warn("store unreadable", "error", err)
@@ -355,10 +386,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	// The view shows what was removed before this time, unless the store was out of reach. A
+	// single failed read does not show that it was.
+	known := f.freshAt
 	if !f.failingSince.IsZero() {
 		lasted := now.Sub(f.failingSince)
 		if lasted > outageThreshold {
-			f.holdUntil = now.Add(directory.RemovalGracePeriod)
+			if f.failedAt.After(known) {
+				known = f.failedAt
+			}
+			f.holdLocked(now, known)
 		}
 		f.failingSince = time.Time{}
 		f.opts.Logger.Info("store readable", "outage", lasted)
@@ -366,7 +403,7 @@
 	if era > f.era {
 		if f.readCount > 0 || f.heardState {
 			// The copy may lack live servers, which register again.
-			f.holdUntil = now.Add(directory.RemovalGracePeriod)
+			f.holdLocked(now, known)
 		}
 		f.opts.Logger.Info("store restored from a copy", "era", era, "era_before", f.era)
 		f.era = era
@@ -378,6 +415,22 @@
 	return f.holdUntil
 }
 
+// holdLocked starts a grace period of removed servers. A removal that is found now may have been
+// confirmed at any time after known. The period ends before DrainWithin from then.
+func (f *Feed) holdLocked(now, known time.Time) {
+	within := defaultDrainWithin
+	if f.opts.DrainWithin != nil && f.opts.DrainWithin() > 0 {
+		within = f.opts.DrainWithin()
+	}
+	until, latest := now.Add(directory.RemovalGracePeriod), known.Add(within-drainMargin)
+	if until.After(latest) {
+		until = latest
+	}
+	if until.After(f.holdUntil) {
+		f.holdUntil = until
+	}
+}
+
 func (f *Feed) logChanges(changes []directory.Change, source string) {
 	if len(changes) > maxLoggedChanges {
 		f.opts.Logger.Info("servers changed", "changes", len(changes), "version", f.opts.Directory.Version(), "source", source)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -42,6 +42,8 @@
 	keys      bool
 	refused   *Refusal
 	changed   chan struct{}
+	// drainWithin is the time within which servers that leave have to be out of use.
+	drainWithin time.Duration
 }
 
 var errUnavailable = errors.New("store unavailable")
@@ -153,6 +155,8 @@
 	afterChange func()
 	// tableDown makes only the reads of the table fail.
 	tableDown bool
+	// serverRejects is the number of reads of all servers that fail.
+	serverRejects int
 	// slow is the time after which responses arrive.
 	slow time.Duration
 }
@@ -216,6 +220,9 @@
 	if err := errors.Join(a.countCall(), a.respond(ctx)); err != nil {
 		return nil, 0, err
 	}
+	if a.take(&a.serverRejects) {
+		return nil, 0, errUnavailable
+	}
 	a.store.mu.Lock()
 	defer a.store.mu.Unlock()
 	var all []directory.Change
@@ -414,6 +421,7 @@
 	f := New(Options{
 		ID: i.id, Store: i.access, Directory: i.directory, Current: i.current, Exchange: i.exchange,
 		Logger: slog.New(slog.DiscardHandler), Proof: i.proof, RevokeWithin: func() time.Duration { return i.revokeWithin },
+		DrainWithin: func() time.Duration { return i.access.drainWithin },
 	})
 	i.feed = f
 	i.exchange.Follow(f)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -42,6 +42,9 @@
 	// ApplyWithin is the time within which a table is in force on all instances that
 	// reach the store; 0 if unknown.
 	ApplyWithin time.Duration
+	// DrainWithin is the time within which a backend server gets no more requests from
+	// instances that reach the store after that has confirmed that it leaves; 0 if unknown.
+	DrainWithin time.Duration
 	// RemoteBytePrice is the price of a megabyte sent between data centres, in seconds of a
 	// caller's time. With 0, only the delay between them counts.
 	RemoteBytePrice float64
