slot: a recalled trial stays available until it has served one request

The coordinator recalls the lease of a trial with the next report. If the waiting request had got another lease, the holder returned the trial unused, and the coordinator waited a whole interval, 2 s by then. A recalled trial now stays available until a request has used it, or it was idle as long as other leases are kept.

TestRecalledTrialServesOneRequest failed before.

--- a/slot/holder.go
+++ b/slot/holder.go
@@ -43,7 +43,8 @@
 	trial bool
 	// session is the session in which the lease was granted.
 	session uint64
-	// recalled leases are returned as soon as they are idle.
+	// recalled leases are returned as soon as they are idle; an unused trial first
+	// serves one request.
 	recalled bool
 	// stateSince is when the lease entered its state.
 	stateSince time.Time
@@ -51,6 +52,11 @@
 	reservedUntil time.Time
 }
 
+// available reports whether a request may take the lease. A recalled trial is available
+// until its request: the coordinator recalls it as soon as it has granted it, and learns
+// nothing about the server from a trial that is returned unused.
+func (l *lease) available() bool { return l.state == leaseIdle && (!l.recalled || l.trial) }
+
 // serverStats is what a holder knows about one server.
 type serverStats struct {
 	// report has the results that were not reported yet.
@@ -142,7 +148,7 @@
 	var best *lease
 	var bestScore time.Duration
 	for _, l := range h.leases {
-		if l.state != leaseIdle || l.recalled {
+		if !l.available() {
 			continue
 		}
 		score := h.score(l, now)
@@ -163,7 +169,7 @@
 		return false
 	}
 	for _, l := range h.leases {
-		if l.state == leaseIdle && !l.recalled {
+		if l.available() {
 			return true
 		}
 	}
@@ -243,7 +249,7 @@
 				h.makeIdle(l, now)
 			}
 		case leaseIdle:
-			if l.recalled {
+			if !l.available() {
 				h.returnLease(l)
 			} else if now.Sub(l.stateSince) >= h.idleTime {
 				h.returnLater(l, now)
--- a/slot/holder_test.go
+++ b/slot/holder_test.go
@@ -128,3 +128,49 @@
 	g.Expect(h.suspect(now)).To(gomega.BeFalse())
 	g.Expect(h.ask(now).GetSuspect()).To(gomega.BeFalse())
 }
+
+// TestRecalledTrialServesOneRequest guards against a closed server that stays closed
+// after its recovery: the coordinator recalls a trial as soon as it has granted it, and a
+// trial that is returned unused tells it nothing. The same holds if no request waits
+// when the grant arrives.
+func TestRecalledTrialServesOneRequest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := newHolder(simGroup, simMaxRunTime, minIdleTime)
+	ask := askAt(h, now)
+	trial := grantOf(1, ask.GetSeq(), firstSlot)
+	trial.Leases[0].Trial = true
+	h.onGrant("entry-0", trial, now)
+	recall := grantOf(2, ask.GetSeq())
+	recall.Recall = []uint64{uint64(firstSlot)}
+	h.onGrant("entry-0", recall, now)
+	now = now.Add(minIdleTime / 2)
+	h.tick(now)
+	if !h.anyIdle(now) {
+		t.Errorf("the holder returned the recalled trial without a request")
+	}
+	l := h.take(noSkip, now)
+	if l == nil {
+		t.Fatal("a request did not get the recalled trial")
+	}
+	h.release(l, loadbalancer.Result{Latency: time.Millisecond}, now)
+	if held := askAt(h, now).GetHeld(); len(held) != 0 {
+		t.Errorf("the recalled trial was kept after its request: %v", held)
+	}
+}
+
+// TestUnusedTrialIsReturnedWhenIdle guards against a recalled trial that occupies the
+// only slot of a closed server for longer than other idle leases.
+func TestUnusedTrialIsReturnedWhenIdle(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := newHolder(simGroup, simMaxRunTime, minIdleTime)
+	ask := askAt(h, now)
+	trial := grantOf(1, ask.GetSeq(), firstSlot)
+	trial.Leases[0].Trial = true
+	trial.Recall = []uint64{uint64(firstSlot)}
+	h.onGrant("entry-0", trial, now)
+	now = now.Add(minIdleTime)
+	h.tick(now)
+	if held := askAt(h, now).GetHeld(); len(held) != 0 {
+		t.Errorf("the unused trial was kept after %v: %v", minIdleTime, held)
+	}
+}
--- a/slot/receive.go
+++ b/slot/receive.go
@@ -71,15 +71,15 @@
 }
 
 // applyRecalls marks the leases that g recalls, to be returned once they are
-// idle. If there are more leases than g lets the holder keep, it returns idle
-// ones.
+// idle, or unused trials once they have served a request. If there are more leases
+// than g lets the holder keep, it returns idle ones.
 func (h *holder) applyRecalls(g *slotpb.Grant, now time.Time) {
 	h.keep = int(g.GetKeep()) - 1
 	for _, id := range g.GetRecall() {
 		if l := h.leases[leaseID(id)]; l != nil && !l.recalled {
 			l.recalled = true
 			h.recalls++
-			h.askDue = h.askDue || l.state == leaseIdle
+			h.askDue = h.askDue || l.state == leaseIdle && !l.available()
 		}
 	}
 	if h.keep < 0 || len(h.leases) <= h.keep {
