--- a/slot/coordinator_test.go
+++ b/slot/coordinator_test.go
@@ -254,6 +254,27 @@
 	}
 }
 
+// TestSlowResultAfterFailuresShortensTrialInterval guards against a server that stays
+// closed long after its recovery because the first request that it serves again takes
+// long: the interval that its failures lengthened must not apply to its slowness, which
+// lengthens it on its own.
+func TestSlowResultAfterFailuresShortensTrialInterval(t *testing.T) {
+	d := newTestCoordinator(coordinatorConfig{recorded: []string{"a", "b"}, takeoverDone: true})
+	q := &d.byID[idOfServer("server-0")].quality
+	for q.trialInterval < maxTrialInterval {
+		q.observe(d.now, &slotpb.ServerReport{Failed: 1}, simSlots, time.Millisecond)
+		d.now = d.now.Add(decreaseInterval)
+	}
+	slow := &slotpb.ServerReport{Ok: 1, LatencyUs: 100_000}
+	for want := minTrialInterval; want <= maxTrialInterval; want *= 2 {
+		q.observe(d.now, slow, simSlots, time.Millisecond)
+		if wait := q.nextTrialAt.Sub(d.now); !q.closed() || wait != want {
+			t.Fatalf("after a slow result the next trial is due in %v, want %v", wait, want)
+		}
+		d.now = d.now.Add(want)
+	}
+}
+
 // TestDrainingServerGetsNoTrialWhileOthersHaveFreeSlots checks that a server that
 // reports draining gets no trial while others have free slots.
 func TestDrainingServerGetsNoTrialWhileOthersHaveFreeSlots(t *testing.T) {
--- a/slot/quality.go
+++ b/slot/quality.go
@@ -36,11 +36,13 @@
 	// latency is the average over ok results; zero if there are none yet.
 	latency time.Duration
 	// failing is set when errors shrink the window, and reset when ok results
-	// let it grow.
+	// let it grow or their slowness shrinks it.
 	failing  bool
 	draining bool
 	// trialInterval is the time until the next trial. It doubles up to
-	// maxTrialInterval each time the window closes.
+	// maxTrialInterval each time the window closes. It starts again at
+	// minTrialInterval when the cause changes from errors to slowness, because one
+	// slow result must not delay the recovery of a server that failed for long.
 	trialInterval time.Duration
 	nextTrialAt   time.Time
 	lastDecrease  time.Time
@@ -67,6 +69,10 @@
 		q.failing = true
 		q.decrease(now)
 	case q.isSlow(median):
+		if q.failing && r.GetOk() > 0 {
+			q.failing = false
+			q.trialInterval = minTrialInterval
+		}
 		q.decrease(now)
 	case r.GetOverdue() > 0:
 		q.shrink(float64(r.GetOverdue())-windowStep*float64(r.GetOk()), now)
