quota: an allocator that did not answer is probed

It is now probed each 100 ms with a request for no units, and asked again from its first answer on; requests don't wait for that.

Test: TestAllocatorThatIsBackIsAskedAtOnce.

--- a/quota/client.go
+++ b/quota/client.go
@@ -34,6 +34,9 @@
 	maxAllocators = 2
 	// suspectTime is the time for which an allocator is not asked that did not answer.
 	suspectTime = 2 * time.Second
+	// probeInterval is the time between two messages to an allocator that is not asked because it did
+	// not answer.
+	probeInterval = 100 * time.Millisecond
 	// unitTTL is the time for which a unit may be used after it was asked for, also if a request
 	// that did not run has returned it. It bounds the units of one window that are used in the
 	// next, and those of a process that was stopped meanwhile.
@@ -424,7 +427,7 @@
 		return
 	}
 	c.stats.Failures++
-	c.suspects[q.to] = time.Now().Add(suspectTime)
+	c.suspectLocked(q)
 	c.opts.Logger.Info("allocator does not answer", "workspace", a.name, "allocator", q.to, "tried", q.tried+1, "waiting", len(a.waiters))
 	c.forgetLocked(q)
 	send := func() {}
@@ -437,6 +440,29 @@
 	send()
 }
 
+// suspectLocked records that an allocator did not answer. It is probed, since three lost messages in a
+// row say little about it, and one that failed may soon be back; requests don't wait for that.
+func (c *Client) suspectLocked(q *asking) {
+	until := time.Now().Add(suspectTime)
+	c.suspects[q.to] = until
+	time.AfterFunc(probeInterval, func() { c.probe(q.to, until, q.req) })
+}
+
+// probe asks an allocator for no units, and again until it is no longer suspected of the failure that
+// until belongs to. Any answer ends the suspicion.
+func (c *Client) probe(to string, until time.Time, failed *quotapb.UnitRequest) {
+	c.mu.Lock()
+	if current := c.suspects[to]; !current.Equal(until) || !time.Now().Before(until) {
+		c.mu.Unlock()
+		return
+	}
+	c.number++
+	req := &quotapb.UnitRequest{Number: c.number, Process: c.opts.Process, Workspace: failed.GetWorkspace(), Substitute: failed.GetSubstitute()}
+	time.AfterFunc(probeInterval, func() { c.probe(to, until, failed) })
+	c.mu.Unlock()
+	c.opts.Send(to, req)
+}
+
 // forgetLocked ends a request for units. A later answer has no effect.
 func (c *Client) forgetLocked(q *asking) {
 	q.timer.Stop()
--- a/quota/handover_test.go
+++ b/quota/handover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -280,24 +281,93 @@
 // there for seconds, because they were slow to read its answer.
 func TestLateAnswerEndsTheSuspicion(t *testing.T) {
 	run(t, func(g *gomega.WithT) {
+		var mu sync.Mutex
 		var asked []string
 		client := NewClient(ClientOptions{
 			Random: rand.New(rand.NewPCG(1, 1)), Fleet: func() Fleet { return Fleet{Instances: 2, Allocators: []string{"a", "b"}} },
-			Send:     func(to string, _ *quotapb.UnitRequest) { asked = append(asked, to) },
+			Send: func(to string, req *quotapb.UnitRequest) {
+				mu.Lock()
+				defer mu.Unlock()
+				if req.GetUnits() > 0 {
+					asked = append(asked, to)
+				}
+			},
 			BootTime: func() time.Duration { return time.Since(time.Time{}) }, Logger: slog.New(slog.DiscardHandler),
 		})
 		client.SetLimits(testLimits)
 		client.SetTable(NewTable(1, map[string]Cap{"w": {1, 1}}))
 		g.Expect(client.Take(context.Background(), "w").OK).To(gomega.BeFalse())
+		mu.Lock()
 		first := asked[0]
 		g.Expect(asked[len(asked)-1]).NotTo(gomega.Equal(first))
+		mu.Unlock()
 		client.Receive(first, &quotapb.UnitGrant{Number: 1})
 		time.Sleep(refusalTTL)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
 		defer cancel()
 		client.Take(ctx, "w")
 		time.Sleep(time.Second)
+		mu.Lock()
+		defer mu.Unlock()
 		g.Expect(asked).To(gomega.HaveLen(3 * maxSent))
 		g.Expect(asked[2*maxSent]).To(gomega.Equal(first))
 	})
 }
+
+// TestAllocatorThatIsBackIsAskedAtOnce guards against seconds in which an instance asks in place of an
+// allocator that is there, because three messages were lost in a row or its process was restarted: the
+// other one grants little.
+func TestAllocatorThatIsBackIsAskedAtOnce(t *testing.T) {
+	run(t, func(g *gomega.WithT) {
+		first := ranked(hash("w"), []string{"a", "b"})[0]
+		var mu sync.Mutex
+		var client *Client
+		var asked []string
+		probes, back := 0, false
+		client = NewClient(ClientOptions{
+			Random: rand.New(rand.NewPCG(1, 1)), Fleet: func() Fleet { return Fleet{Instances: 2, Allocators: []string{"a", "b"}} },
+			Send: func(to string, req *quotapb.UnitRequest) {
+				mu.Lock()
+				defer mu.Unlock()
+				if req.GetUnits() > 0 {
+					asked = append(asked, to)
+				} else {
+					g.Expect(to).To(gomega.Equal(first))
+					probes++
+				}
+				if to != first || back {
+					go client.Receive(to, &quotapb.UnitGrant{Number: req.GetNumber(), Units: req.GetUnits()})
+				}
+			},
+			BootTime: func() time.Duration { return time.Since(time.Time{}) }, Logger: slog.New(slog.DiscardHandler),
+		})
+		client.SetLimits(testLimits)
+		client.SetTable(NewTable(1, map[string]Cap{"w": {1, 1}}))
+		take := func() string {
+			g.Expect(client.Take(context.Background(), "w").OK).To(gomega.BeTrue())
+			mu.Lock()
+			defer mu.Unlock()
+			return asked[len(asked)-1]
+		}
+		// probed returns the number of probes so far, and sets whether the first allocator answers.
+		probed := func(answers bool) int {
+			mu.Lock()
+			defer mu.Unlock()
+			back = answers
+			return probes
+		}
+		g.Expect(take()).NotTo(gomega.Equal(first), "it does not answer")
+		time.Sleep(suspectTime / 2)
+		g.Expect(take()).NotTo(gomega.Equal(first), "it still does not")
+		g.Expect(probed(true)).To(gomega.BeNumerically("~", suspectTime/2/probeInterval, 1))
+		time.Sleep(probeInterval + time.Millisecond)
+		g.Expect(take()).To(gomega.Equal(first))
+
+		// The probes end with the suspicion.
+		before := probed(false)
+		time.Sleep(unitTTL)
+		g.Expect(take()).NotTo(gomega.Equal(first))
+		time.Sleep(3 * suspectTime)
+		g.Expect(probed(false) - before).To(gomega.BeNumerically("<", suspectTime/probeInterval))
+	})
+}
