quota: Retry-After of a refusal is rounded up to the time of the next unit

Callers who returned at the time that they were told could find no unit yet: the milliseconds were cut off. TestRetryAfterIsTheTimeToTheNextUnit looks at the bucket at many levels, 2 ms before that time and at it.

--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -441,7 +441,10 @@
 	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
-func milliseconds(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 1)) }
+// milliseconds rounds up, so that nobody returns before there is a unit.
+func milliseconds(d time.Duration) uint32 {
+	return uint32(max((d + time.Millisecond - 1).Milliseconds(), 1))
+}
 
 // ranked returns allocators in the order in which they are asked for units of a workspace.
 func ranked(workspace uint64, allocators []string) []string {
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -471,6 +471,38 @@
 	g.Expect(grant.GetRetryAfterMs()).To(gomega.BeNumerically(">=", 900))
 }
 
+// noSpread is a source of random numbers with which refused callers are not spread.
+type noSpread struct{}
+
+func (noSpread) Uint64() uint64 { return 0 }
+
+// TestRetryAfterIsTheTimeToTheNextUnit guards against callers that are told to return before
+// there is a unit for them, or later than need be. The bucket is at many levels.
+func TestRetryAfterIsTheTimeToTheNextUnit(t *testing.T) {
+	for refusedAt := 7 * time.Millisecond; refusedAt < 430*time.Millisecond; refusedAt += 7 * time.Millisecond {
+		g := gomega.NewWithT(t)
+		a := NewAllocator(AllocatorOptions{ID: "a", Random: rand.New(noSpread{}), Logger: slog.New(slog.DiscardHandler)})
+		a.SetLimits(Limits{Window: window})
+		a.SetTable(NewTable(1, map[string]Cap{"w": {PerSecond: 2.3, Burst: 1}}))
+		role := Role{Share: 1, Allocators: []string{"a"}}
+		emptied := time.Now()
+		for before := -window; before < 0; before += 100 * time.Millisecond {
+			a.Tick(role, emptied.Add(before))
+		}
+		number := uint64(0)
+		ask := func(at time.Duration) *quotapb.UnitGrant {
+			number++
+			return a.Receive("i", &quotapb.UnitRequest{Number: number, Workspace: hash("w"), Units: 1}, role, emptied.Add(at))
+		}
+		g.Expect(ask(0).GetUnits()).To(gomega.Equal(uint32(1)))
+		refusal := ask(refusedAt)
+		g.Expect(refusal.GetUnits()).To(gomega.BeZero())
+		wait := time.Duration(refusal.GetRetryAfterMs()) * time.Millisecond
+		g.Expect(ask(refusedAt+wait-2*time.Millisecond).GetUnits()).To(gomega.BeZero(), "2 ms before the Retry-After of %v", wait)
+		g.Expect(ask(refusedAt+wait).GetUnits()).To(gomega.Equal(uint32(1)), "after the Retry-After of %v", wait)
+	}
+}
+
 // TestReturnedUnitIsUsedAgain guards against requests that did not run and still count.
 func TestReturnedUnitIsUsedAgain(t *testing.T) {
 	run(t, func(g *gomega.WithT) {
