serverconn: the unused body of a response is not awaited

A refusal whose body comes slowly and without end held its request until the deadline and made it a 504, although the head proved that it had not run.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -249,6 +249,7 @@
 			{Host: "h", PathPrefix: "/hedged/", Service: "main", Repeatable: true, Attempts: 2, DeadlineMS: 2000, TargetMS: 100},
 			{Host: "h", PathPrefix: "/brief/", Service: "main", Attempts: 2, DeadlineMS: 80},
 			{Host: "h", PathPrefix: "/quick/", Service: "main", Attempts: 2, DeadlineMS: 80, TargetMS: 40},
+			{Host: "h", PathPrefix: "/long/", Service: "main", Attempts: 2, DeadlineMS: 60_000},
 			{Host: "h", PathPrefix: "/public/", Service: "main", Attempts: 2, DeadlineMS: 2000, Public: true},
 		},
 	}))
--- a/serverconn/roundtrip.go
+++ b/serverconn/roundtrip.go
@@ -196,17 +196,21 @@
 
 // Close implements [io.Closer].
 func (b *responseBody) Close() error {
-	if b.closed {
-		return nil
+	if !b.closed {
+		b.release(b.stop())
 	}
+	return nil
+}
+
+// release returns the connection to the pool if it can be reused, and closes it otherwise. live is
+// set if the context of the request has not ended.
+func (b *responseBody) release(live bool) {
 	b.closed = true
-	live := b.stop()
 	if !live || !b.eof || b.resp.Close || b.conn.reader.Buffered() > 0 || !b.requestSent() {
 		b.conn.Close()
-		return nil
+		return
 	}
 	b.conn.pool.put(b.conn, idleTimeout(b.resp.Header.Get("Keep-Alive")))
-	return nil
 }
 
 // requestSent reports whether the complete request has been written.
@@ -219,12 +223,30 @@
 	}
 }
 
-// discardLimit bounds the bytes read from an unused response to make its connection
-// reusable.
-const discardLimit = 16 << 10
+const (
+	// discardLimit bounds the bytes read from an unused response to make its connection
+	// reusable, discardTimeout the time for that. A short body arrives with its head, or a delayed
+	// acknowledgement of 40 ms later; the user of the response does not wait longer for one that is
+	// sent slowly or does not end.
+	discardLimit   = 16 << 10
+	discardTimeout = 50 * time.Millisecond
+)
 
-// Discard reads up to 16 KiB of an unused response's body and closes it.
+// Discard reads up to 16 KiB of an unused response's body, for at most discardTimeout, and closes it.
+// resp must be that of a round trip on a [Conn].
 func Discard(resp *http.Response) {
-	_, _ = io.CopyN(io.Discard, resp.Body, discardLimit)
-	_ = resp.Body.Close()
+	b, ok := resp.Body.(*responseBody)
+	if !ok || b.closed {
+		_ = resp.Body.Close()
+		return
+	}
+	// From here on, discardTimeout takes the place of the context, whose end sets the deadline of
+	// the connection, too.
+	live := b.stop()
+	if live {
+		_ = b.conn.raw.SetReadDeadline(time.Now().Add(discardTimeout))
+		_, _ = io.CopyN(io.Discard, b, discardLimit)
+		_ = b.conn.raw.SetReadDeadline(time.Time{})
+	}
+	b.release(live)
 }
