probe, platform, storage, operator: bounds on the heads and bodies of answers

A store of a fleet of its own could take 161 MB for one endless body and 71 MB for a head, nothing bounded several lists at once, and a value above 64 MiB was cut and returned as if it were whole. Lists are read one at a time.

--- a/internal/cli/remote.go
+++ b/internal/cli/remote.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: operator.MaxHeadBytes}
 	scheme := "http://"
 	if a.CA != "" || a.Cert != "" {
 		scheme = "https://"
--- a/operator/client.go
+++ b/operator/client.go
@@ -12,8 +12,18 @@
 	"github.com/pomelolock/pomelolock/burn"
 )
 
-// maxResponseBytes bounds the part of a response body that is read.
-const maxResponseBytes = 64 << 20
+const (
+	// MaxHeadBytes bounds the status line and the headers of a response, in bytes. It is for the transport
+	// of [Client.HTTP].
+	MaxHeadBytes = 64 << 10
+	// maxResponseBytes bounds the body of a response with status 200, in bytes, maxFailureBytes the part
+	// that is read of another.
+	maxResponseBytes = 8 << 20
+	maxFailureBytes  = 64 << 10
+)
+
+// errLongResponse reports the body of a response that exceeds maxResponseBytes.
+var errLongResponse = errors.New("the response is too long")
 
 // UnreachableError reports an instance that could not be reached or from which no
 // complete, decodable response was received. Address is the base URL.
@@ -36,7 +46,8 @@
 	// Token is the operators' bearer token. It is empty if HTTP uses a client
 	// certificate.
 	Token string
-	// HTTP sends the requests. Its timeout applies to each of them.
+	// HTTP sends the requests. Its timeout applies to each of them, and its transport should bound the
+	// head of a response to [MaxHeadBytes].
 	HTTP *http.Client
 }
 
@@ -89,13 +100,20 @@
 		return &UnreachableError{Address: c.URL, Err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	limit := int64(maxResponseBytes)
+	if resp.StatusCode != http.StatusOK {
+		limit = maxFailureBytes
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return &UnreachableError{Address: c.URL, Err: err}
 	}
 	if resp.StatusCode != http.StatusOK {
 		return decodeFailure(resp.StatusCode, data)
 	}
+	if len(data) > maxResponseBytes {
+		return &UnreachableError{Address: c.URL, Err: errLongResponse}
+	}
 	if err := json.Unmarshal(data, out); err != nil {
 		return &UnreachableError{Address: c.URL, Err: err}
 	}
--- a/probe/prober.go
+++ b/probe/prober.go
@@ -36,6 +36,9 @@
 	maxSuspects = 4096
 	// maxProbeBody is the maximum number of bytes read of a response body.
 	maxProbeBody = 64 << 10
+	// maxProbeHead is the maximum number of bytes read of the status lines and headers of a
+	// response and of the interim responses before it.
+	maxProbeHead = 64 << 10
 	// DefaultTimeout is the default of [ProberOptions.Timeout].
 	DefaultTimeout = time.Second
 	// DefaultPath is the default of [ProberOptions.Path].
@@ -125,7 +128,7 @@
 	if opts.Dial == nil {
 		opts.Dial = new(net.Dialer).DialContext
 	}
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: opts.Dial}
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: opts.Dial, MaxResponseHeaderBytes: maxProbeHead}
 	return &Prober{
 		opts:      opts,
 		client:    &http.Client{Transport: transport, CheckRedirect: noRedirect},
--- a/storage/httpplatform/client.go
+++ b/storage/httpplatform/client.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -19,9 +21,33 @@
 	maxIdleConnections = 32
 	idleTimeout        = 30 * time.Second
 	maxDetailBytes     = 256
-	maxListBytes       = 64 << 20
 )
 
+const (
+	// maxHeadBytes bounds the status line and the headers of a response, in bytes.
+	maxHeadBytes = 64 << 10
+	// maxOtherBytes bounds the part that is read of an error and of a response to a write, in bytes.
+	maxOtherBytes = 4 << 10
+	// maxListBytes bounds the body of a list of names or instances, in bytes.
+	maxListBytes = 8 << 20
+	// maxScanBytes bounds the body of a scan, in bytes. A value of MaxValueBytes has 4/3 of them in base64.
+	maxScanBytes = 2 * MaxValueBytes
+	// maxListCommas and maxInstanceCommas bound the elements of a list, which can take much more memory than
+	// the bytes for them. An instance has up to eight fields, so these are 16,000 instances or more.
+	maxListCommas     = 1 << 18
+	maxInstanceCommas = 1 << 17
+)
+
+// bodySizeError reports the body of a response that exceeds its bound in bytes.
+type bodySizeError int64
+
+func (e bodySizeError) Error() string {
+	return "httpplatform: the body of the response exceeds " + strconv.FormatInt(int64(e), 10) + " bytes"
+}
+
+// errManyElements reports a list with more commas than its bound.
+var errManyElements = errors.New("too many elements")
+
 // OptionReason is the reason why an option is invalid.
 type OptionReason string
 
@@ -46,6 +72,9 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	// listing holds an element while a list is read and decoded: several at once could take more
+	// memory than the process has.
+	listing chan struct{}
 }
 
 var _ storage.Platform = (*Client)(nil)
@@ -69,7 +98,7 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	return &Client{base: strings.TrimSuffix(opts.BaseURL, "/"), timeout: timeout, http: &client}, nil
+	return &Client{base: strings.TrimSuffix(opts.BaseURL, "/"), timeout: timeout, http: &client, listing: make(chan struct{}, 1)}, nil
 }
 
 func newTransport() *http.Transport {
@@ -77,6 +106,8 @@
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
@@ -89,6 +120,10 @@
 	path   string
 	query  url.Values
 	body   []byte
+	// limit bounds the body of a response with status 200 in bytes; 0 means that it is not needed.
+	limit int64
+	// commas bounds the commas in a list.
+	commas int
 }
 
 func (c request) isWrite() bool { return c.method != http.MethodGet }
@@ -116,10 +151,18 @@
 		return response{}, classifyError(req, sent.Load(), err)
 	}
 	defer func() { _ = httpResp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxListBytes))
+	limit := int64(maxOtherBytes)
+	whole := req.limit > 0 && httpResp.StatusCode == http.StatusOK
+	if whole {
+		limit = req.limit
+	}
+	body, err := io.ReadAll(io.LimitReader(httpResp.Body, limit+1))
 	if err != nil {
 		return response{}, classifyError(req, true, err)
 	}
+	if whole && int64(len(body)) > limit {
+		return response{}, classifyError(req, true, bodySizeError(limit))
+	}
 	return response{status: httpResp.StatusCode, header: httpResp.Header, body: body}, nil
 }
 
--- a/storage/httpplatform/objects.go
+++ b/storage/httpplatform/objects.go
@@ -16,7 +16,7 @@
 
 // GetObject implements [storage.ObjectStore].
 func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
-	req := request{op: "get object", method: http.MethodGet, path: PathObjects, query: url.Values{ParamName: {name}}}
+	req := request{op: "get object", method: http.MethodGet, path: PathObjects, query: url.Values{ParamName: {name}}, limit: MaxValueBytes}
 	resp, err := c.do(ctx, req)
 	if err != nil {
 		return nil, err
@@ -34,8 +34,8 @@
 // ListObjects implements [storage.ObjectStore].
 func (c *Client) ListObjects(ctx context.Context, prefix string) ([]string, error) {
 	var list NameList
-	req := request{op: "list objects", method: http.MethodGet, path: PathObjectNames, query: url.Values{ParamPrefix: {prefix}}}
-	if err := c.getJSON(ctx, req, &list); err != nil {
+	req := request{op: "list objects", method: http.MethodGet, path: PathObjectNames, query: url.Values{ParamPrefix: {prefix}}, limit: maxListBytes, commas: maxListCommas}
+	if err := c.getList(ctx, req, &list); err != nil {
 		return nil, err
 	}
 	return list.Names, nil
@@ -49,7 +49,7 @@
 // ListInstances implements [storage.InstanceList].
 func (c *Client) ListInstances(ctx context.Context) ([]storage.Instance, error) {
 	var rows InstanceRows
-	if err := c.getJSON(ctx, request{op: "list instances", method: http.MethodGet, path: PathInstances}, &rows); err != nil {
+	if err := c.getList(ctx, request{op: "list instances", method: http.MethodGet, path: PathInstances, limit: maxListBytes, commas: maxInstanceCommas}, &rows); err != nil {
 		return nil, err
 	}
 	return rows.Instances, nil
--- a/storage/httpplatform/table.go
+++ b/storage/httpplatform/table.go
@@ -1,6 +1,7 @@
 package httpplatform
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -12,7 +13,7 @@
 
 // Get implements [storage.TableService].
 func (c *Client) Get(ctx context.Context, key string) (storage.Record, error) {
-	req := request{op: "get", method: http.MethodGet, path: PathRecords, query: url.Values{ParamKey: {key}}}
+	req := request{op: "get", method: http.MethodGet, path: PathRecords, query: url.Values{ParamKey: {key}}, limit: MaxValueBytes}
 	resp, err := c.do(ctx, req)
 	if err != nil {
 		return storage.Record{}, err
@@ -73,7 +74,7 @@
 func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]storage.Record, error) {
 	query := url.Values{ParamPrefix: {prefix}, ParamAfter: {after}, ParamLimit: {strconv.Itoa(limit)}}
 	var list RecordList
-	if err := c.getJSON(ctx, request{op: "scan", method: http.MethodGet, path: PathScan, query: query}, &list); err != nil {
+	if err := c.getList(ctx, request{op: "scan", method: http.MethodGet, path: PathScan, query: query, limit: maxScanBytes, commas: maxListCommas}, &list); err != nil {
 		return nil, err
 	}
 	records := make([]storage.Record, 0, len(list.Records))
@@ -83,7 +84,16 @@
 	return records, nil
 }
 
-func (c *Client) getJSON(ctx context.Context, req request, into any) error {
+// getList reads and decodes a list, one at a time. The timeout of the client includes the wait for others.
+func (c *Client) getList(ctx context.Context, req request, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	select {
+	case c.listing <- struct{}{}:
+		defer func() { <-c.listing }()
+	case <-ctx.Done():
+		return classifyError(req, false, ctx.Err())
+	}
 	resp, err := c.do(ctx, req)
 	if err != nil {
 		return err
@@ -91,6 +101,9 @@
 	if resp.status != http.StatusOK {
 		return statusError(req, resp)
 	}
+	if bytes.Count(resp.body, []byte{','}) > req.commas {
+		return classifyError(req, true, &ResponseError{Err: errManyElements})
+	}
 	if err := json.Unmarshal(resp.body, into); err != nil {
 		return classifyError(req, true, &ResponseError{Err: err})
 	}
