--- a/internal/soak/daemon_test.go
+++ b/internal/soak/daemon_test.go
@@ -23,7 +23,9 @@
 	settings string
 	caller   string
 	ready    string
-	store    *link
+	// env holds further environment variables of the process.
+	env   []string
+	store *link
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -102,7 +104,7 @@
 		defer close(d.done)
 		for first := true; ; first = false {
 			cmd := exec.Command(d.binary, "--platform")
-			cmd.Env = []string{"POMELOLOCK_CONFIG=" + d.settings}
+			cmd.Env = append(d.env, "POMELOLOCK_CONFIG="+d.settings)
 			cmd.Stdout, cmd.Stderr = log, log
 			d.mu.Lock()
 			stopped := d.binary == ""
--- a/internal/soak/latestop_test.go
+++ b/internal/soak/latestop_test.go
@@ -6,9 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -22,28 +19,6 @@
 	longDeadline = 9 * time.Second
 )
 
-// ownsSocket reports whether a process has the other end of a connection.
-func ownsSocket(pid int, conn net.Conn) bool {
-	remote := conn.RemoteAddr().(*net.TCPAddr)
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", pid))
-	if err != nil {
-		return false
-	}
-	for _, line := range strings.Split(string(text), "\n") {
-		fields := strings.Fields(line)
-		if len(fields) < 10 || !strings.HasSuffix(fields[1], fmt.Sprintf(":%04X", remote.Port)) {
-			continue
-		}
-		files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
-		for _, file := range files {
-			if target, _ := os.Readlink(file); target == "socket:["+fields[9]+"]" {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // sendSlowly sends an order whose last byte is sent at the given time.
 func (s *plannedStops) sendSlowly(conn net.Conn, d *stoppable, work time.Duration, last time.Time) *channelCall {
 	c := &channelCall{id: fmt.Sprint("q", s.sequence.Add(1)), daemon: d, deadline: longDeadline, beganAt: time.Now()}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -288,7 +288,12 @@
 // send sends a request and returns the status and body of the response, or status 0
 // if there is no complete response.
 func (s *soak) send(transport *http.Transport, d *daemon, method, path, id string) (int, string) {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	return s.sendWithin(transport, d, method, path, id, 2*time.Second, "")
+}
+
+// sendWithin is like send with the given deadline, and the given key of a workspace unless it is "".
+func (s *soak) sendWithin(transport *http.Transport, d *daemon, method, path, id string, deadline time.Duration, key string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline+time.Second)
 	defer cancel()
 	// The transport doesn't retry a request whose body can't be read again.
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+d.caller+path, io.NopCloser(strings.NewReader("x")))
@@ -299,7 +304,10 @@
 	req.Host = "h"
 	req.ContentLength = 1
 	req.Header.Set("Request-Id", id)
-	req.Header.Set("Deadline-Ms", "2000")
+	req.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	if key != "" {
+		req.Header.Set("X-Api-Key", key)
+	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return 0, ""
