soak: a daemon never gets the same port for two purposes

TestSoak/81005 failed because a daemon had been given two equal ports, and could not start. A port stays in use until the others are found. Test: TestFreePortsDiffer.

--- a/internal/soak/daemon_test.go
+++ b/internal/soak/daemon_test.go
@@ -55,22 +55,24 @@
 addr = "%[6]s"
 `
 
-// freePort returns a port of ip that is free for both TCP and UDP.
-func freePort(t *testing.T, ip string) int {
+// freePorts returns different ports of ip that are free for both TCP and UDP.
+func freePorts(t *testing.T, ip string, count int) (ports []int) {
 	t.Helper()
-	for {
+	for len(ports) < count {
 		tcp, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
+		// The port stays in use until the others are found.
+		defer tcp.Close()
 		port := tcp.Addr().(*net.TCPAddr).Port
 		udp, err := net.ListenPacket("udp", fmt.Sprintf("%s:%d", ip, port))
-		tcp.Close()
 		if err == nil {
 			_ = udp.Close()
-			return port
+			ports = append(ports, port)
 		}
 	}
+	return ports
 }
 
 // newDaemon writes the settings of a daemon. The address depends on the process ID of
@@ -83,12 +85,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	front, ready := freePort(t, ip), freePort(t, ip)
+	ports := freePorts(t, ip, 3)
+	front, ready, peer := ports[0], ports[1], ports[2]
 	d := &daemon{
 		t: t, binary: binary, store: l, settings: filepath.Join(t.TempDir(), "boot.toml"),
 		caller: fmt.Sprintf("%s:%d", ip, front), ready: fmt.Sprintf("%s:%d", ip, ready),
 	}
-	text := fmt.Sprintf(settingsFormat, n, ip, freePort(t, ip), front, ready, l.address(), memoryMB)
+	text := fmt.Sprintf(settingsFormat, n, ip, peer, front, ready, l.address(), memoryMB)
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -152,3 +155,12 @@
 	<-d.done
 	d.store.close()
 }
+
+// A daemon with the same port for two purposes can't start.
+func TestFreePortsDiffer(t *testing.T) {
+	for range 10_000 {
+		if ports := freePorts(t, "127.0.0.1", 3); ports[0] == ports[1] || ports[0] == ports[2] || ports[1] == ports[2] {
+			t.Fatalf("ports %v", ports)
+		}
+	}
+}
