--- a/internal/soak/latestop_test.go
+++ b/internal/soak/latestop_test.go
@@ -107,7 +107,7 @@
 // are served.
 func (s *plannedStops) usual(t *testing.T, d *stoppable, count int) {
 	t.Helper()
-	conn, err := net.Dial("tcp", d.caller)
+	conn, err := connect(d)
 	if err != nil {
 		t.Fatal(err)
 	}
