forward: an upload whose memory was taken is refused before it waits

The test takes the memory of a waiting upload right after this instance has lost its links. The queue releases its requests to a peer at its next tick, each 25 ms; if that came first, the upload was being sent by then and its memory can't be taken: the error lists one upload that can lose its memory, the test's own. Such a request is served, and that is right.

--- a/forward/delegate_test.go
+++ b/forward/delegate_test.go
@@ -203,6 +203,9 @@
 func (f *fixture) pickPeer(except []string) (forward.Peer, bool) {
 	for _, p := range f.peers {
 		if !slices.Contains(except, p.ID) {
+			if f.onPeerChosen != nil {
+				f.onPeerChosen()
+			}
 			return p, true
 		}
 	}
--- a/forward/delegatelog_test.go
+++ b/forward/delegatelog_test.go
@@ -37,13 +37,6 @@
 	f := newStartingFixture(t, unreachable(t, "s1"), unreachable(t, "s2"), unreachable(t, "s3"))
 	f.peers = []forward.Peer{peer}
 	close(f.viewReady)
-	const size = 200 << 10
-	answers := make(chan answer, 1)
-	var wg sync.WaitGroup
-	f.upload(t, &wg, "/order/1", strings.Repeat("x", size), answers)
-	g.Eventually(func() int64 { return f.memory.Used(memory.Uploads) }).Should(gomega.BeNumerically(">=", size))
-	// The upload has been read whole and waits for a server by then.
-	time.Sleep(200 * time.Millisecond)
 	now := time.Now()
 	for _, id := range []string{"s1", "s2", "s3"} {
 		f.board.Unanswered(id, now)
@@ -52,8 +45,15 @@
 	other, err := f.memory.NewUpload(1, memory.Rank{LateFrom: now.Add(time.Hour), Target: now, Deadline: now.Add(time.Hour)}, now)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer other.Release()
-	g.Expect(other.Grow(testMemory*3/4-size/2, now)).To(gomega.Succeed())
+	const size = 200 << 10
+	// The memory is taken after the upload has been read and its peer chosen.
+	taken := make(chan error, 1)
+	f.onPeerChosen = sync.OnceFunc(func() { taken <- other.Grow(testMemory*3/4-size/2, time.Now()) })
+	answers := make(chan answer, 1)
+	var wg sync.WaitGroup
+	f.upload(t, &wg, "/order/1", strings.Repeat("x", size), answers)
 	wg.Wait()
+	g.Expect(taken).To(gomega.Receive(gomega.BeNil()))
 	g.Expect((<-answers).Status).To(gomega.Equal(http.StatusServiceUnavailable))
 	g.Expect(served.arrivals()).To(gomega.BeZero())
 	g.Expect(f.logs.String()).To(gomega.ContainSubstring("refused for memory"))
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -301,6 +301,9 @@
 		if delegate(maxUnreached) {
 			return nil
 		}
+		if full := x.held.upload.Full(); full != nil {
+			return x.noMemory(full)
+		}
 		if x.delegation != nil && x.f.opts.Board.LinksLost() {
 			return x.refusal(outcome.CodeServerUnreached, "this instance reaches no server")
 		}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -160,6 +160,8 @@
 	connections int
 	// peers are those to which it can delegate requests.
 	peers []forward.Peer
+	// onPeerChosen, if not nil, is called for each choice of a peer.
+	onPeerChosen func()
 	// tableAge is the age of the table in force, in nanoseconds.
 	tableAge atomic.Int64
 	logs     logBuffer
