--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -73,9 +73,12 @@
 	})
 }
 
-// put writes a row; a nil value deletes it.
-func (s *store) put(table, key string, value any) {
-	r := row{Table: table, Key: key, Deleted: value == nil}
+// put writes a row with an empty part; a nil value deletes it.
+func (s *store) put(table, key string, value any) { s.putIn(table, "", key, value) }
+
+// putIn writes a row; a nil value deletes it.
+func (s *store) putIn(table, part, key string, value any) {
+	r := row{Table: table, Part: part, Key: key, Deleted: value == nil}
 	if value != nil {
 		data, err := json.Marshal(value)
 		if err != nil {
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -248,9 +248,15 @@
 // host is the host of all routes.
 const host = "h.example"
 
-// routes writes a desired state with the given routes. Fields that a route lacks are filled in.
+// routes writes the next desired state, with the given routes.
 func (w *world) routes(routes ...map[string]any) {
 	w.version += 3
+	w.logf("desired state r%d with %d routes", w.version, len(routes))
+	w.store.put("op", "config", desiredState(w.version, routes))
+}
+
+// desiredState returns a desired state. Fields that a route lacks are filled in.
+func desiredState(version int, routes []map[string]any) map[string]any {
 	services := make(map[string]bool)
 	var list []any
 	for _, r := range routes {
@@ -266,11 +272,10 @@
 	for name := range services {
 		named = append(named, map[string]any{"name": name, "health_path": "/healthz", "max_conns": 260})
 	}
-	w.logf("desired state r%d with %d routes", w.version, len(list))
-	w.store.put("op", "config", map[string]any{
-		"version": fmt.Sprintf("r%d", w.version), "routes": list, "services": named,
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 8 << 20, "header_timeout": "5000ms", "idle_timeout": "15000ms"},
-	})
+	return map[string]any{
+		"version": fmt.Sprintf("r%d", version), "routes": list, "services": named,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 64 << 20, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
+	}
 }
 
 // startDaemons starts daemons and waits until all are ready.
