--- a/review/standin-2/samepage.go
+++ b/review/standin-2/samepage.go
@@ -20,12 +20,12 @@
 	// rounds is the number of times that the displays fetch the page, roundTime the time between.
 	rounds    = 14
 	roundTime = 3 * time.Second
-	// crashRound is the round in which servers crash.
-	crashRound = 2
+	// Servers crash in the rounds firstCrash, firstCrash+crashEvery and so on, up to lastCrash.
+	firstCrash, crashEvery, lastCrash = 2, 3, 8
 )
 
 // samePage lets the displays of all shops fetch the same page at the same times, and servers crash
-// while they do.
+// while they do, three times.
 func samePage(w *world, trouble bool) (verdict, error) {
 	w.routes(map[string]any{"name": "browse", "prefix": "/browse/", "kind": "idempotent", "service": "vzornik", "timeout": "1000ms"})
 	var servers []*upstream
@@ -72,23 +72,24 @@
 		time.Sleep(time.Until(began.Add(time.Duration(round) * roundTime)))
 		for n := range displays {
 			wg.Go(func() {
-				if fetch(n, fmt.Sprintf("display-%d-%d", round, n), "/browse/today").status == 422 && round > crashRound+2 {
+				if fetch(n, fmt.Sprintf("display-%d-%d", round, n), "/browse/today").status == http.StatusUnprocessableEntity && round > lastCrash+2 {
 					late.Add(1)
 				}
 			})
 		}
-		if trouble && round == crashRound {
+		if trouble && round >= firstCrash && round <= lastCrash && (round-firstCrash)%crashEvery == 0 {
 			time.Sleep(60 * time.Millisecond)
-			for n, u := range servers[:crashed] {
+			for _, u := range servers[:crashed] {
 				w.logf("%s crashes", u.id)
 				u.crash()
 				time.AfterFunc(crashTime, func() {
 					w.store.put("servers", u.id, nil)
-					if _, err := w.startUpstream("127.0.0.1", fmt.Sprintf("i-%d", pageServers+n), "vzornik", "a", u.work); err != nil {
+					if _, err := w.startUpstream("127.0.0.1", u.id+"-new", "vzornik", "a", u.work); err != nil {
 						w.logf("no new server: %v", err)
 					}
 				})
 			}
+			servers = servers[crashed:]
 		}
 	}
 	time.Sleep(time.Second)
@@ -98,5 +99,5 @@
 		return verdict{}, fmt.Errorf("only %d of %d requests were served", served.Load(), sent.Load())
 	}
 	allowed := 5 + sent.Load()/500
-	return verdict{denied.Load() > allowed, fmt.Sprintf("%d requests, %d served, %d ended with a 4xx of the system's own (%d allowed), %d of them over 6 s after the crash", sent.Load(), served.Load(), denied.Load(), allowed, late.Load())}, nil
+	return verdict{denied.Load() > allowed, fmt.Sprintf("%d requests, %d served, %d ended with a 4xx of the system's own (%d allowed), %d of them over 6 s after the last crash", sent.Load(), served.Load(), denied.Load(), allowed, late.Load())}, nil
 }
