forward: servers that tests do not reach keep their ports

The log shows one request that the instance served itself, over and over, up to 12 times. Cause: unreachable() closed the listener whose address it returned; the listener of the instance under test got the port, and the instance was its own server. Change: the port stays bound until the test ends; nothing listens there. The tests check what they did before.

--- a/forward/delegate_test.go
+++ b/forward/delegate_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -16,15 +17,23 @@
 	"github.com/pomelolock/pomelolock/forward"
 )
 
-// unreachable returns a server at whose address nothing listens.
+// unreachable returns a server at whose address nothing listens. Its port is in use until the test ends, so
+// that no other server of the test gets it.
 func unreachable(t *testing.T, id string) *server {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return &server{id: id, address: listener.Addr().String()}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &server{id: id, address: "127.0.0.1:" + strconv.Itoa(bound.(*syscall.SockaddrInet4).Port)}
 }
 
 // cutOff starts an instance that reaches none of its servers and knows the given peers.
