serverconn: a response without a length is whole only if the request was written to its end

Cause: the kernel reports a reset to one call only. Uploads are written beside the reading of the response. If the write meets the reset, the next read finds the end of the connection without an error, which ends a body without a length as a close does. The error of the write decided only whether the connection was used again. Ruled out: truncation on the way to the caller (the body that serverconn handed out ended with io.EOF), and the buffer (parts of 0 to 312,144 bytes alike). net/http has the same race: 6 of 30 plays of a plain http.Transport.

Change: package internal/respcheck states when a response is whole and holds the rule. At the end of a body that only the connection ends, the write of the request is waited for, and its error makes the response incomplete. serverconn (requests, status checks, requests to peers) asks it, and respcheck.Transport for probes, the store and the command line. Why it works: whichever call meets the reset, one of the two fails, and both results are known by then. It also rejects a response that is ended in order before the server resets the upload. The caller gets 502, or the response of another server where the request may go there; a response over 256 KB has begun by then and is cut off.

proxy/ rejects all responses without a length already; its test is kept (TestPartOfAResponseToAnUploadIsNotPassedOnAsWhole there passed before). Sound responses stay whole: early with the upload read on, after it, to requests without a body (TestWholeResponseWithoutLengthIsPassedOn, passed before and after). The end of one that the server ends before it has read the upload is passed on when the upload has been written.

Not covered: bytes of the upload that the kernel has taken and the server has not. A close in order that meets these, and a reset after it, look like the end of a sound response.

--- a/internal/cli/remote.go
+++ b/internal/cli/remote.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 
+	"github.com/pomelolock/pomelolock/internal/respcheck"
 	"github.com/pomelolock/pomelolock/operator"
 	"github.com/pomelolock/pomelolock/settings"
 	"github.com/pomelolock/pomelolock/storage"
@@ -100,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: operator.MaxHeadBytes}
+	transport := respcheck.NewTransport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: operator.MaxHeadBytes})
 	scheme := "http://"
 	if a.CA != "" || a.Cert != "" {
 		scheme = "https://"
--- /dev/null
+++ b/internal/respcheck/doc.go
@@ -0,0 +1,8 @@
+// Package respcheck holds the rules by which responses are used or rejected. Everything that reads
+// responses applies them here: package serverconn for requests and status checks to servers and for
+// requests to peers, and the users of [net/http] through [Transport].
+//
+// A response is whole once all that its framing announces has been received; if only the end of its
+// connection frames it, the server has to close the connection in order, and the request has to be
+// written to its end without an error.
+package respcheck
--- a/probe/prober.go
+++ b/probe/prober.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pomelolock/pomelolock/internal/respcheck"
 	"github.com/pomelolock/pomelolock/outcome"
 )
 
@@ -128,7 +129,7 @@
 	if opts.Dial == nil {
 		opts.Dial = new(net.Dialer).DialContext
 	}
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: opts.Dial, MaxResponseHeaderBytes: maxProbeHead}
+	transport := respcheck.NewTransport(&http.Transport{DisableKeepAlives: true, DialContext: opts.Dial, MaxResponseHeaderBytes: maxProbeHead})
 	return &Prober{
 		opts:      opts,
 		client:    &http.Client{Transport: transport, CheckRedirect: noRedirect},
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/internal/hop"
+	"github.com/pomelolock/pomelolock/internal/respcheck"
 	"github.com/pomelolock/pomelolock/loadbalancer"
 	"github.com/pomelolock/pomelolock/outcome"
 	"github.com/pomelolock/pomelolock/table"
@@ -180,10 +181,7 @@
 // unframed reports whether the body's end is marked only by the close of the
 // connection.
 func unframed(httpResp *http.Response) bool {
-	if httpResp.ContentLength >= 0 || len(httpResp.TransferEncoding) > 0 || httpResp.Request.Method == http.MethodHead {
-		return false
-	}
-	return httpResp.Body != http.NoBody
+	return httpResp.Request.Method != http.MethodHead && respcheck.EndsWithConnection(httpResp)
 }
 
 // rejectResponse discards a response that can't be used.
--- a/serverconn/roundtrip.go
+++ b/serverconn/roundtrip.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/pomelolock/pomelolock/internal/respcheck"
 )
 
 const (
@@ -99,7 +101,8 @@
 		return nil, &SendError{Unsent: unsent, Err: err}
 	}
 	out := &countingWriter{w: c.raw, first: &c.written, mayWrite: c.MayWrite}
-	written := make(chan error, 1)
+	var write respcheck.RequestWrite
+	write.Begin()
 	if req.ContentLength > maxInlineBody || unknownLength(req) {
 		go func() {
 			err := req.Write(out)
@@ -107,14 +110,14 @@
 				// No response will come.
 				_ = c.raw.SetDeadline(time.Unix(1, 0))
 			}
-			written <- err
+			write.End(err)
 		}()
 	} else {
 		err := req.Write(out)
 		if err != nil && out.n.Load() == 0 {
 			return fail(true, err)
 		}
-		written <- err
+		write.End(err)
 	}
 	resp, err := c.readResponse(matches)
 	if err != nil {
@@ -127,8 +130,11 @@
 		c.carriedHead = true
 		resp.Body = http.NoBody
 	}
-	c.Early = len(written) == 0
-	resp.Body = &responseBody{ReadCloser: resp.Body, conn: c, resp: resp, written: written, stop: stop}
+	ended, _ := write.Ended()
+	c.Early = !ended
+	untilClose := respcheck.EndsWithConnection(resp)
+	respcheck.RequireWhole(resp, func() error { return write.Wait(ctx) })
+	resp.Body = &responseBody{ReadCloser: resp.Body, conn: c, resp: resp, write: &write, stop: stop, untilClose: untilClose}
 	return resp, nil
 }
 
@@ -177,12 +183,14 @@
 // was read.
 type responseBody struct {
 	io.ReadCloser
-	conn    *Conn
-	resp    *http.Response
-	written <-chan error
-	stop    func() bool
-	eof     bool
-	closed  bool
+	conn  *Conn
+	resp  *http.Response
+	write *respcheck.RequestWrite
+	stop  func() bool
+	// untilClose is set if only the end of the connection marks the end of the body.
+	untilClose bool
+	eof        bool
+	closed     bool
 }
 
 // Read implements [io.Reader].
@@ -215,12 +223,8 @@
 
 // requestSent reports whether the complete request has been written.
 func (b *responseBody) requestSent() bool {
-	select {
-	case err := <-b.written:
-		return err == nil
-	default:
-		return false
-	}
+	ended, err := b.write.Ended()
+	return ended && err == nil
 }
 
 const (
@@ -243,7 +247,7 @@
 	// From here on, discardTimeout takes the place of the context, whose end sets the deadline of
 	// the connection, too.
 	live := b.stop()
-	if live {
+	if live && !b.untilClose {
 		_ = b.conn.raw.SetReadDeadline(time.Now().Add(discardTimeout))
 		_, _ = io.CopyN(io.Discard, b, discardLimit)
 		_ = b.conn.raw.SetReadDeadline(time.Time{})
--- a/storage/httpplatform/client.go
+++ b/storage/httpplatform/client.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pomelolock/pomelolock/internal/respcheck"
 	"github.com/pomelolock/pomelolock/storage"
 )
 
@@ -101,14 +102,14 @@
 	return &Client{base: strings.TrimSuffix(opts.BaseURL, "/"), timeout: timeout, http: &client, listing: make(chan struct{}, 1)}, nil
 }
 
-func newTransport() *http.Transport {
-	return &http.Transport{
+func newTransport() *respcheck.Transport {
+	return respcheck.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	})
 }
 
 // Close closes the idle connections.
