serverconn, proxy: a response without a valid status line is rejected

Here, on the platform's path: 200 with the bytes behind a 000, or a 101, as the response, 504 after the whole deadline if the server kept the connection, and 200 for a response of HTTP/2. In a fleet of its own: the end of the connection without an answer. A probe took a server that answered 000 for a sound one, and so could a status check whose 000 is followed by a sound response.

Cause: net/http accepts any three characters that strconv reads as a number that is not negative, and any version. serverconn skipped every status below 200 as interim and read what followed as the next response. proxy/ passed the status on, and net/http panics when 0 is written.

The head is rejected with the line and the byte; the line 'attempt failed' has it by the ID of the request, 'status check failed' and 'probe failed' by the server. The connection is closed. A malformed head is no loss of a server: the quarantine is not told of one. The caller gets 502 with an unknown outcome, or the response of another server where the request may go there.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/directory"
+	"github.com/pomelolock/pomelolock/internal/respcheck"
 	"github.com/pomelolock/pomelolock/outcome"
 	"github.com/pomelolock/pomelolock/readings"
 	"github.com/pomelolock/pomelolock/serverconn"
@@ -332,7 +333,7 @@
 	}
 }
 
-// sendFailed returns the result of an attempt without any response.
+// sendFailed returns the result of an attempt without a response, or with one whose head is malformed.
 func (a *attempt) sendFailed(ctx context.Context, conn *serverconn.Conn, err error) result {
 	unsent := serverconn.Unsent(err)
 	r := result{server: a.reservation.server, via: useOf(conn), notRun: unsent, unsent: unsent, err: err}
@@ -343,6 +344,10 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return r
 	}
+	var malformed *respcheck.HeadError
+	if errors.As(err, &malformed) {
+		return a.fail(r, err)
+	}
 	r.connLost, r.sentAt = !r.unsent && ctx.Err() == nil, a.sentAt
 	if ctx.Err() != nil && conn.Reused() {
 		// The server may have dropped its connections without a reset.
--- /dev/null
+++ b/internal/rawserver/malformed.go
@@ -0,0 +1,25 @@
+package rawserver
+
+import "fmt"
+
+// MalformedStatus returns responses with a status line that no response may have. They have the given
+// fields, each with its line end, a length and the body, which would otherwise be those of a success.
+func MalformedStatus(fields, body string) map[string]string {
+	rest := framed(fields, body)
+	responses := map[string]string{
+		"000 after an interim response": "HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\nHTTP/1.1 000 X\r\n" + rest,
+		"000 before a response":         "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+		"000 without a length":          "HTTP/1.1 000 X\r\n" + fields + "\r\n" + body,
+		"a switch of protocols":         "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+		"another version":               "HTTP/2.0 200 OK\r\n" + rest,
+	}
+	for _, status := range []string{"000", "000 ", "000 X", "099 X", "001 X", "+20 X", "-00 X", "-20 X", "0 X", "20 X", "2000 X", "20x X", "X"} {
+		responses[fmt.Sprintf("status %q", status)] = "HTTP/1.1 " + status + "\r\n" + rest
+	}
+	return responses
+}
+
+// framed returns the fields with a length, the end of the head and the body.
+func framed(fields, body string) string {
+	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
+}
--- a/probe/prober.go
+++ b/probe/prober.go
@@ -295,6 +295,7 @@
 	start := time.Now()
 	resp, err := p.client.Do(req)
 	if err != nil {
+		p.opts.Logger.Info("probe failed", "address", address, "error", err)
 		return result
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pomelolock/pomelolock/internal/idset"
+	"github.com/pomelolock/pomelolock/internal/respcheck"
 )
 
 // WriteRefusedError is the reason why a connection refused to write.
@@ -153,7 +154,7 @@
 }
 
 func (s *sendRecord) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*countingConn)
+	conn, ok := respcheck.Dialed(info.Conn).(*countingConn)
 	if !ok {
 		return
 	}
--- a/proxy/transport.go
+++ b/proxy/transport.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/pomelolock/pomelolock/internal/respcheck"
 	"github.com/pomelolock/pomelolock/table"
 )
 
@@ -29,7 +30,7 @@
 
 type serverTransport struct {
 	limit int
-	*http.Transport
+	*respcheck.Transport
 }
 
 func newTransports(limit func(table.Server) int) *transports {
@@ -37,7 +38,7 @@
 }
 
 // get returns the transport for the server and creates it if necessary.
-func (t *transports) get(server table.Server) *http.Transport {
+func (t *transports) get(server table.Server) *respcheck.Transport {
 	t.mu.RLock()
 	transport := t.byAddress[server.Address]
 	t.mu.RUnlock()
@@ -47,7 +48,7 @@
 	return t.create(server)
 }
 
-func (t *transports) create(server table.Server) *http.Transport {
+func (t *transports) create(server table.Server) *respcheck.Transport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if transport := t.byAddress[server.Address]; transport != nil {
@@ -85,9 +86,9 @@
 	}
 }
 
-func newTransport(connLimit int) *http.Transport {
+func newTransport(connLimit int) *respcheck.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return respcheck.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -103,7 +104,7 @@
 		WriteBufferSize:        writeBufferBytes,
 		DisableCompression:     true,
 		Protocols:              http1Only(),
-	}
+	})
 }
 
 func http1Only() *http.Protocols {
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/pomelolock/pomelolock/internal/respcheck"
 	"github.com/pomelolock/pomelolock/serverconn"
 )
 
@@ -213,7 +214,12 @@
 		return
 	}
 	if err != nil {
-		c.opts.Logger.Debug("status check failed", "server", target.Server, "error", err)
+		level := slog.LevelDebug
+		var malformed *respcheck.HeadError
+		if errors.As(err, &malformed) {
+			level = slog.LevelInfo
+		}
+		c.opts.Logger.Log(ctx, level, "status check failed", "server", target.Server, "error", err)
 		c.record(target, timestamped(Reading{Server: KeyOf(target.Server), Health: HealthUnreachable}))
 		return
 	}
--- a/serverconn/pool.go
+++ b/serverconn/pool.go
@@ -16,6 +16,7 @@
 
 	"github.com/pomelolock/pomelolock/internal/hop"
 	"github.com/pomelolock/pomelolock/internal/idset"
+	"github.com/pomelolock/pomelolock/internal/respcheck"
 )
 
 const (
@@ -86,6 +87,7 @@
 	raw     net.Conn
 	pool    *Pool
 	address string
+	heads   *respcheck.Reader
 	limit   *hop.HeadReader
 	reader  *bufio.Reader
 	// Number identifies the connection in the process. Uses counts how
@@ -269,10 +271,11 @@
 		return nil, &DialError{Address: address, Err: err}
 	}
 	p.Opened.Add(1)
-	limit := hop.NewHeadReader(conn)
+	heads := respcheck.NewReader(conn)
+	limit := hop.NewHeadReader(heads)
 	return &Conn{
 		Number: lastNumber.Add(1), Uses: 1,
-		raw: conn, pool: p, address: address, limit: limit, reader: bufio.NewReaderSize(limit, bufferSize), opened: time.Now(),
+		raw: conn, pool: p, address: address, heads: heads, limit: limit, reader: bufio.NewReaderSize(limit, bufferSize), opened: time.Now(),
 	}, nil
 }
 
--- a/serverconn/roundtrip.go
+++ b/serverconn/roundtrip.go
@@ -172,11 +172,20 @@
 }
 
 // readHead reads the status line and the headers of a response. The body is framed as if the
-// request was not HEAD. It fails with [hop.HeadSizeError] if the head exceeds maxHeadBytes.
+// request was not HEAD. It fails with [respcheck.HeadError] if the head is malformed, and with
+// [hop.HeadSizeError] if it exceeds maxHeadBytes.
 func (c *Conn) readHead() (*http.Response, error) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.heads.ExpectHead(buffered); err != nil {
+		return nil, err
+	}
 	c.limit.Limit(maxHeadBytes)
 	defer c.limit.Unlimit()
-	return http.ReadResponse(c.reader, nil)
+	resp, err := http.ReadResponse(c.reader, nil)
+	if headErr := c.heads.Err(); headErr != nil {
+		return nil, headErr
+	}
+	return resp, err
 }
 
 // responseBody returns the connection to the pool when it is closed after its last byte
--- a/storage/httpplatform/client.go
+++ b/storage/httpplatform/client.go
@@ -107,6 +107,7 @@
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+		ForceAttemptHTTP2:   true,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
 	})
