respcheck: a response with a line in its head that is no field is rejected

Here: the body was not the server's where the name was that of the length or of the transfer coding ('Content-Length : 5', 'Transfer-Encoding : chunked'): it was read until the connection ended, chunk sizes included, and where the server kept the connection the caller got 504 after its whole deadline. A line that begins with a blank or a tab went to the caller as the end of the value before. Names with a blank inside were dropped.

Cause: net/textproto accepts a blank in a name, and then does not know the field; it takes a line that begins with a blank for a folded one. Control bytes in names and values, and lines without a colon, it rejects.

Change: the check of respcheck.Reader covers the lines of fields: names are tokens (RFC 9110, 5.6.2), values hold no control byte but the tab, and no line is folded, which RFC 9112, 5.2 lets a gateway reject with 502: a fold can't be told from a name that begins with a blank. Bare line feeds stay accepted.

--- a/forward/malformed_test.go
+++ b/forward/malformed_test.go
@@ -106,6 +106,12 @@
 	testMalformed(t, rawserver.MalformedStatus(responseFields, "of the server"))
 }
 
+// TestResponseWithMalformedFieldIsNotPassedOn guards against callers who get a response in whose head the
+// name of a field is none: with that line, or with a body that is not the server's.
+func TestResponseWithMalformedFieldIsNotPassedOn(t *testing.T) {
+	testMalformed(t, rawserver.MalformedFields(responseFields, "of the server"))
+}
+
 // TestRepeatableRequestWithAMalformedResponseGoesToAnotherServer guards against a caller who gets an error
 // although another server may run the request.
 func TestRepeatableRequestWithAMalformedResponseGoesToAnotherServer(t *testing.T) {
--- a/internal/rawserver/malformed.go
+++ b/internal/rawserver/malformed.go
@@ -1,6 +1,9 @@
 package rawserver
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // MalformedStatus returns responses with a status line that no response may have. They have the given
 // fields, each with its line end, a length and the body, which would otherwise be those of a success.
@@ -19,6 +22,27 @@
 	return responses
 }
 
+// MalformedFields returns responses with a status of 200 and one more line that is no field. They have
+// the given fields, each with its line end, a length and the body.
+func MalformedFields(fields, body string) map[string]string {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	responses := make(map[string]string)
+	for _, line := range []string{
+		"Own Name: 1", "Own : 1", "Own\t: 1", " Own: 1", "\tOwn: 1", "\x01Own: 1", "Own\x01: 1", "Ow\x00n: 1", "Own\x7f: 1", "Own\x0b: 1",
+		"Own\rName: 1", "\r Own: 1", ": 1", "Own", "Ow\xa0n: 1", "Own(1): 1", "Own: 1\x00", "Own: 1\rName: 2", " folded",
+	} {
+		responses[fmt.Sprintf("line %q", line)] = ok + fields + line + "\r\n" + framed("", body)
+		responses[fmt.Sprintf("line %q, last", line)] = ok + strings.TrimSuffix(framed(fields, body), "\r\n"+body) + line + "\r\n\r\n" + body
+	}
+	for _, line := range []string{"Content-Length : %d", "Content-Length\t: %d", " Content-Length: %d", "Content Length: %d"} {
+		responses[fmt.Sprintf("line %q", line)] = ok + fields + fmt.Sprintf(line, len(body)) + "\r\n\r\n" + body
+	}
+	for _, line := range []string{"Transfer-Encoding : chunked", " Transfer-Encoding: chunked"} {
+		responses[fmt.Sprintf("line %q", line)] = ok + fields + line + "\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	}
+	return responses
+}
+
 // framed returns the fields with a length, the end of the head and the body.
 func framed(fields, body string) string {
 	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
--- a/internal/respcheck/head.go
+++ b/internal/respcheck/head.go
@@ -31,7 +31,8 @@
 	afterStatus
 	inReason
 	atField
-	inField
+	inName
+	inValue
 	// atLineFeed and atLastLineFeed follow a carriage return, the second one in the empty line.
 	atLineFeed
 	atLastLineFeed
@@ -105,10 +106,16 @@
 		}
 		return "the status line is malformed"
 	case atField:
-		h.fieldStart(c)
-	case inField:
-		if c == '\n' {
-			h.state = atField
+		return h.fieldStart(c)
+	case inName:
+		if c == ':' {
+			h.state = inValue
+		} else if !isToken[c] {
+			return "the name of a field is no token"
+		}
+	case inValue:
+		if !isText(c) && !h.lineEnd(c) {
+			return "the value of a field holds a control byte"
 		}
 	case atLineFeed, atLastLineFeed:
 		if c != '\n' {
@@ -154,15 +161,20 @@
 	return ""
 }
 
-func (h *headChecker) fieldStart(c byte) {
-	switch c {
-	case '\n':
+func (h *headChecker) fieldStart(c byte) (reason string) {
+	switch {
+	case isToken[c]:
+		h.state = inName
+	case c == '\n':
 		h.end()
-	case '\r':
+	case c == '\r':
 		h.state = atLastLineFeed
+	case c == ' ' || c == '\t':
+		return "a field begins with a blank or is folded"
 	default:
-		h.state = inField
+		return "the name of a field is no token"
 	}
+	return ""
 }
 
 // lineEnd reports whether the byte ends the line, and expects what follows.
@@ -190,5 +202,16 @@
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
-// isText reports whether a byte may stand in a reason.
+// isText reports whether a byte may stand in the value of a field or in a reason.
 func isText(c byte) bool { return c >= ' ' && c != 0x7f || c == '\t' }
+
+// isToken holds the bytes of which the name of a field consists, after RFC 9110, section 5.6.2.
+var isToken = func() (table [256]bool) {
+	for c := range table {
+		table[c] = isDigit(byte(c)) || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+	}
+	for _, c := range []byte("!#$%&'*+-.^_`|~") {
+		table[c] = true
+	}
+	return table
+}()
--- a/internal/respcheck/head_test.go
+++ b/internal/respcheck/head_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"maps"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -26,6 +27,7 @@
 // head never reaches them.
 func TestMalformedHeadsAreRejected(t *testing.T) {
 	responses := rawserver.MalformedStatus("Own: 1\r\n", "of the server")
+	maps.Copy(responses, rawserver.MalformedFields("Own: 1\r\n", "of the server"))
 	for name, response := range responses {
 		for how, source := range readers(response) {
 			t.Run(name+", "+how, func(t *testing.T) {
@@ -68,7 +70,7 @@
 				g.Expect(err).NotTo(gomega.HaveOccurred())
 				g.Expect(string(got)).To(gomega.Equal(head + body))
 				g.Expect(reader.ExpectHead([]byte(head))).To(gomega.Succeed())
-				g.Expect(reader.ExpectHead([]byte("HTTP/1.1 000"))).NotTo(gomega.Succeed())
+				g.Expect(reader.ExpectHead([]byte("HTTP/1.1 200 OK\r\nOwn : 1"))).NotTo(gomega.Succeed())
 			})
 		}
 	}
--- a/probe/malformed_test.go
+++ b/probe/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"testing"
@@ -17,6 +18,7 @@
 // it answers a probe with a head that no response may have.
 func TestMalformedResponseIsNoAnswerToAProbe(t *testing.T) {
 	responses := rawserver.MalformedStatus("", "own")
+	maps.Copy(responses, rawserver.MalformedFields("", "own"))
 	for name, response := range responses {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/proxy/malformed_test.go
+++ b/proxy/malformed_test.go
@@ -67,3 +67,9 @@
 func TestResponseWithMalformedStatusIsNotPassedOn(t *testing.T) {
 	testMalformed(t, rawserver.MalformedStatus(outcome.HeaderRequestID+": ID\r\n", "of the server"))
 }
+
+// TestResponseWithMalformedFieldIsNotPassedOn guards against callers who get a response in whose head the
+// name of a field is none.
+func TestResponseWithMalformedFieldIsNotPassedOn(t *testing.T) {
+	testMalformed(t, rawserver.MalformedFields(outcome.HeaderRequestID+": ID\r\n", "of the server"))
+}
--- a/serverconn/malformed_test.go
+++ b/serverconn/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 // against a malformed response behind one to another request.
 func TestMalformedResponseToACheckIsRejected(t *testing.T) {
 	responses := rawserver.MalformedStatus("Own: 1\r\n", "own")
+	maps.Copy(responses, rawserver.MalformedFields("Own: 1\r\n", "own"))
 	for name, response := range responses {
 		for before, text := range map[string]string{"alone": "", "behind another": okResponse("late", "one")} {
 			t.Run(name+", "+before, func(t *testing.T) {
