--- a/internal/rawserver/rawserver.go
+++ b/internal/rawserver/rawserver.go
@@ -38,6 +38,15 @@
 	return listener.Addr().String()
 }
 
+// Respond returns a function for [Start] that reads the head of one request and writes text.
+func Respond(text string) func(conn net.Conn) {
+	return func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, text)
+		}
+	}
+}
+
 // HeaderSending is the header that tells the sendings of requests apart which have the same ID.
 const HeaderSending = "Sending"
 
--- a/probe/malformed_test.go
+++ b/probe/malformed_test.go
@@ -1,11 +1,7 @@
 package probe
 
 import (
-	"bufio"
-	"io"
 	"maps"
-	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -23,11 +19,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := gomega.NewWithT(t)
-			address := rawserver.Start(t, func(conn net.Conn) {
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, response)
-				}
-			})
+			address := rawserver.Start(t, rawserver.Respond(response))
 			p := NewProber(ProberOptions{Budget: unlimited{}, Report: func(Result) {}, Timeout: 2 * time.Second})
 			g.Expect(p.get(t.Context(), address).Answered).To(gomega.BeFalse())
 		})
--- a/readings/checks.go
+++ b/readings/checks.go
@@ -214,12 +214,7 @@
 		return
 	}
 	if err != nil {
-		level := slog.LevelDebug
-		var malformed *respcheck.HeadError
-		if errors.As(err, &malformed) {
-			level = slog.LevelInfo
-		}
-		c.opts.Logger.Log(ctx, level, "status check failed", "server", target.Server, "error", err)
+		c.opts.Logger.Debug("status check failed", "server", target.Server, "error", err)
 		c.record(target, timestamped(Reading{Server: KeyOf(target.Server), Health: HealthUnreachable}))
 		return
 	}
@@ -289,7 +284,12 @@
 	}
 	c.logLong(target, began, written, err)
 	if err != nil {
-		c.opts.Logger.Debug("status check failed", "server", target.Server, "error", err)
+		level := slog.LevelDebug
+		var malformed *respcheck.HeadError
+		if errors.As(err, &malformed) {
+			level = slog.LevelInfo
+		}
+		c.opts.Logger.Log(ctx, level, "status check failed", "server", target.Server, "error", err)
 		if ctx.Err() != nil && conn.Reused() {
 			c.opts.Pool.Invalidate(target.Address)
 		}
--- a/readings/checks_test.go
+++ b/readings/checks_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/pomelolock/pomelolock/internal/rawserver"
 	"github.com/pomelolock/pomelolock/serverconn"
 )
 
@@ -76,6 +77,22 @@
 	g.Expect(log.String()).To(gomega.ContainSubstring("written=" + now.Format("2006-01-02T15:04:05.000")))
 }
 
+// TestRejectedResponseToACheckIsLogged guards against a server that is out of use for a reason that no log
+// tells: its responses to status checks are malformed.
+func TestRejectedResponseToACheckIsLogged(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var log bytes.Buffer
+	c := NewChecks(CheckOptions{
+		Board: NewBoard(), Pool: serverconn.NewPool(), Checker: silentChecker{}, Logger: slog.New(slog.NewTextHandler(&log, nil)),
+	})
+	address := rawserver.Start(t, rawserver.Respond("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n"))
+	conn, err := c.opts.Pool.Get(t.Context(), address, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	reading := c.checkOn(t.Context(), conn, Target{Server: "s1", Address: address, Path: "/health"})
+	g.Expect(reading.Health).To(gomega.Equal(HealthUnreachable))
+	g.Expect(log.String()).To(gomega.MatchRegexp(`"status check failed" server=s1 error=".*malformed response head, line 1: `))
+}
+
 // TestServerExcludedBeforeTheWriteIsNotChecked guards against a status check that is written after
 // the process was stopped, although nothing may be sent to the server any longer.
 func TestServerExcludedBeforeTheWriteIsNotChecked(t *testing.T) {
