respcheck: a test that requests with malformed responses are not sent again

net/http sends a replayable request again if a used connection returned no byte. The reader returns the bytes up to the one that can't stand in the head, so that this does not happen; the test fails if it returns none.

--- a/internal/respcheck/reader.go
+++ b/internal/respcheck/reader.go
@@ -17,8 +17,10 @@
 // NewReader returns a reader of r that checks nothing until a head is expected.
 func NewReader(r io.Reader) *Reader { return &Reader{r: r, head: headChecker{state: headEnded}} }
 
-// Read implements [io.Reader]. It fails with [HeadError] at the first byte that can't stand in a head,
-// and from then on. What parses the bytes before may report an error of its own; see [Reader.Err].
+// Read implements [io.Reader]. It fails with [HeadError] at the first byte that can't stand in a head, and
+// from then on. The bytes up to it are returned, too: an http.Transport that gets none takes the
+// connection for one that was closed while idle, and sends the request again. What parses these
+// bytes may report an error of its own; see [Reader.Err].
 func (r *Reader) Read(p []byte) (int, error) {
 	if err := r.Err(); err != nil {
 		return 0, err
--- a/internal/respcheck/transport_test.go
+++ b/internal/respcheck/transport_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,3 +105,37 @@
 		}
 	}
 }
+
+// TestTransportDoesNotRepeatRequestsWithMalformedResponses guards against a request that is sent again
+// without its sender's knowledge: net/http takes a used connection that returns no byte for one that the
+// server closed before it had the request.
+func TestTransportDoesNotRepeatRequestsWithMalformedResponses(t *testing.T) {
+	for _, response := range []string{"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n", "\x00", "x"} {
+		t.Run(fmt.Sprintf("%q", response), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var requests atomic.Int64
+			address := rawserver.Start(t, func(conn net.Conn) {
+				reader := bufio.NewReader(conn)
+				for text := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"; ; text = response {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					requests.Add(1)
+					_, _ = io.WriteString(conn, text)
+				}
+			})
+			client := &http.Client{Transport: respcheck.NewTransport(&http.Transport{}), Timeout: 2 * time.Second}
+			defer client.CloseIdleConnections()
+			resp, err := client.Get("http://" + address)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			resp.Body.Close()
+			resp, err = client.Get("http://" + address)
+			if err == nil {
+				resp.Body.Close()
+			}
+			var malformed *respcheck.HeadError
+			g.Expect(errors.As(err, &malformed)).To(gomega.BeTrue(), "%v", err)
+			g.Expect(requests.Load()).To(gomega.BeEquivalentTo(2))
+		})
+	}
+}
--- a/serverconn/roundtrip.go
+++ b/serverconn/roundtrip.go
@@ -245,8 +245,9 @@
 	discardTimeout = 50 * time.Millisecond
 )
 
-// Discard reads up to 16 KiB of an unused response's body, for at most discardTimeout, and closes it.
-// resp must be that of a round trip on a [Conn].
+// Discard reads up to 16 KiB of an unused response's body, for at most discardTimeout, and closes it. It
+// reads nothing of a body that ends with its connection, which can't be used again. resp must be that of a
+// round trip on a [Conn].
 func Discard(resp *http.Response) {
 	b, ok := resp.Body.(*responseBody)
 	if !ok || b.closed {
--- a/storage/httpplatform/client.go
+++ b/storage/httpplatform/client.go
@@ -107,7 +107,8 @@
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-		ForceAttemptHTTP2:   true,
+		// The dial function of the checks turns HTTP/2 off otherwise.
+		ForceAttemptHTTP2: true,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
 	})
