--- a/forward/incomplete_test.go
+++ b/forward/incomplete_test.go
@@ -49,7 +49,7 @@
 	s.end(conn.(*net.TCPConn), req.Body)
 }
 
-// resetAfter resets the connection after the time in which what was written arrives.
+// resetAfter resets the connection after a pause in which what was written before can arrive.
 func resetAfter(pause time.Duration) func(*net.TCPConn, io.Reader) {
 	return func(conn *net.TCPConn, _ io.Reader) {
 		time.Sleep(pause)
@@ -229,3 +229,23 @@
 		}
 	}
 }
+
+// TestCallerThatLeavesBeforeItsUploadIsWrittenEndsTheRequest guards against a server that goes on reading an
+// upload whose caller has left, while the end of its response is held back until the upload is written.
+func TestCallerThatLeavesBeforeItsUploadIsWrittenEndsTheRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	answered, ended := make(chan struct{}), make(chan struct{})
+	s := unframed{body: 100, end: func(conn *net.TCPConn, upload io.Reader) {
+		_ = conn.CloseWrite()
+		close(answered)
+		_, _ = io.Copy(io.Discard, upload)
+		close(ended)
+	}}
+	f := newFixture(t, startRawServer(t, "s1", s.serve))
+	conn, _ := f.dialCaller(t)
+	upload(t, conn, "/order/", 7<<20, false, 15*time.Millisecond)
+	g.Eventually(answered).WithTimeout(time.Second).Should(gomega.BeClosed())
+	g.Consistently(ended).WithTimeout(50 * time.Millisecond).ShouldNot(gomega.BeClosed())
+	conn.Close()
+	g.Eventually(ended).WithTimeout(500 * time.Millisecond).Should(gomega.BeClosed())
+}
--- a/forward/malformed_test.go
+++ b/forward/malformed_test.go
@@ -43,14 +43,12 @@
 	}
 	_, _ = io.Copy(io.Discard, req.Body)
 	text := strings.ReplaceAll(s.response, "ID", req.Header.Get("Request-Id"))
-	if s.pace == 0 {
-		_, _ = io.WriteString(conn, text)
+	step := len(text)
+	if s.pace > 0 {
+		step = 1
 	}
-	for i := range len(text) {
-		if s.pace == 0 {
-			break
-		}
-		_, _ = io.WriteString(conn, text[i:i+1])
+	for ; text != ""; text = text[step:] {
+		_, _ = io.WriteString(conn, text[:step])
 		time.Sleep(s.pace)
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(s.keep))
