--- /dev/null
+++ b/review/standin-3/crash.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// stableWindow is the bound of the settings: later than this after a request has crashed the third
+	// upstream, it may reach upstreams in mostRetries more arrivals.
+	stableWindow  = 3 * time.Second
+	crashesBefore = 3
+	mostRetries   = 3
+	// Such a request comes again at comeAgain for comesFor.
+	comeAgain = time.Second
+	comesFor  = 25 * time.Second
+	reporters = 10
+	orderWork = 200
+)
+
+func crashWhileAnswering(s *setup) (broken bool, err error) { return crash(s, crashAnswering) }
+
+func crashSilently(s *setup) (broken bool, err error) { return crash(s, crashSilent) }
+
+// crash sends a request that crashes each upstream in the given way, again and again, beside orders to
+// the same upstreams. The control is a request that crashes upstreams before they answer.
+func crash(s *setup, prefix string) (broken bool, err error) {
+	platform, err := startStore()
+	if err != nil {
+		return false, err
+	}
+	runs := newJournal()
+	for n := range reporters {
+		if err := startUpstream(fmt.Sprintf("i-%d", n), "reports", platform, runs, s.record); err != nil {
+			return false, err
+		}
+	}
+	reports := routeTo("/reports/", "reports", 1500)
+	reports["kind"] = "idempotent"
+	routes := []map[string]any{reports, routeTo("/orders/", "reports", 1500)}
+	platform.put("op", "config", desiredState(3, []string{"reports"}, routes, nil))
+	daemons, err := startDaemons(s.binary, s.dir, platform, 3)
+	defer func() {
+		for _, d := range daemons {
+			d.stop()
+		}
+	}()
+	if err != nil {
+		return false, err
+	}
+
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	orders := make([]*requester, len(daemons))
+	for n, d := range daemons {
+		orders[n] = &requester{record: s.record, workMS: orderWork, name: uint16(n + 1)}
+		wg.Go(func() {
+			for !ended(stop) {
+				orders[n].send(d, "/orders/place", "")
+			}
+		})
+	}
+	report := &requester{record: s.record, method: http.MethodGet}
+	come := func(path string) {
+		began := time.Now()
+		for n := 0; time.Since(began) < comesFor; n++ {
+			report.send(daemons[n%len(daemons)], path, "")
+			time.Sleep(comeAgain)
+		}
+	}
+	if s.trouble {
+		come(crashBegun + "control")
+		come(prefix + "case")
+	} else {
+		come("/reports/usual")
+	}
+	close(stop)
+	wg.Wait()
+	for _, d := range daemons {
+		if !d.running() {
+			return false, errors.New(d.name + " has ended")
+		}
+	}
+	if !s.trouble {
+		if !report.served(runs, 0, func(sentRequest) bool { return true }) {
+			return false, errors.New("requests are not served")
+		}
+		return false, nil
+	}
+	control := s.lateArrivals(report, runs, crashBegun+"control")
+	late := s.lateArrivals(report, runs, prefix+"case")
+	lost := 0
+	for _, o := range orders {
+		for _, q := range o.sent {
+			for _, r := range runs.of(q.id) {
+				if r.lost {
+					lost++
+				}
+			}
+		}
+	}
+	s.record.line(time.Now(), "%d orders were lost at upstreams that crashed", lost)
+	if control > mostRetries {
+		return false, errors.New("the control broke the rule")
+	}
+	faults := make(map[string]int)
+	if late > mostRetries {
+		faults["BUDGET: reached an upstream later than stable_window after it had crashed the third"] = late
+	}
+	return s.recordFaults(faults), nil
+}
+
+// lateArrivals returns how often the request of a path reached upstreams later than stableWindow after
+// it had crashed crashesBefore of them.
+func (s *setup) lateArrivals(r *requester, runs *journal, path string) int {
+	var arrivals []time.Time
+	for _, q := range r.sent {
+		if q.path != path {
+			continue
+		}
+		for _, run := range runs.of(q.id) {
+			arrivals = append(arrivals, run.at)
+		}
+	}
+	slices.SortFunc(arrivals, time.Time.Compare)
+	late := 0
+	for _, at := range arrivals[min(len(arrivals), crashesBefore):] {
+		if at.Sub(arrivals[crashesBefore-1]) > stableWindow {
+			late++
+		}
+	}
+	s.record.line(time.Now(), "%s reached upstreams %d times, %d of them late", path, len(arrivals), late)
+	return late
+}
+
+func ended(stop <-chan struct{}) bool {
+	select {
+	case <-stop:
+		return true
+	default:
+		return false
+	}
+}
