--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/standin-3"
 mkdir -p bin
-go build -o bin/standin3 .
+GOWORK=off go build -o bin/standin3 .
--- a/review/standin-3/crash.go
+++ b/review/standin-3/crash.go
@@ -86,24 +86,21 @@
 		}
 	}
 	if !s.trouble {
+		for _, r := range append(orders, report) {
+			s.recordRuns(r, runs)
+		}
 		if !report.served(runs, 0, func(sentRequest) bool { return true }) {
 			return false, errors.New("requests are not served")
 		}
 		return false, nil
 	}
-	control := s.lateArrivals(report, runs, crashBegun+"control")
-	late := s.lateArrivals(report, runs, prefix+"case")
 	lost := 0
-	for _, o := range orders {
-		for _, q := range o.sent {
-			for _, r := range runs.of(q.id) {
-				if r.lost {
-					lost++
-				}
-			}
-		}
+	for _, r := range append(orders, report) {
+		lost += s.recordRuns(r, runs)
 	}
 	s.record.line(time.Now(), "%d orders were lost at upstreams that crashed", lost)
+	control := s.lateArrivals(report, runs, crashBegun+"control")
+	late := s.lateArrivals(report, runs, prefix+"case")
 	if control > mostRetries {
 		return false, errors.New("the control broke the rule")
 	}
@@ -114,6 +111,22 @@
 	return s.recordFaults(faults), nil
 }
 
+// recordRuns records the runs of the requests of a requester, and returns how many were lost with their
+// upstream.
+func (s *setup) recordRuns(r *requester, runs *journal) (lost int) {
+	for _, q := range r.sent {
+		for _, run := range runs.of(q.id) {
+			note := ""
+			if run.lost {
+				note = ", lost with it"
+				lost++
+			}
+			s.record.line(run.at, "%s ran at %s%s", q.id, run.upstream, note)
+		}
+	}
+	return lost
+}
+
 // lateArrivals returns how often the request of a path reached upstreams later than stableWindow after
 // it had crashed crashesBefore of them.
 func (s *setup) lateArrivals(r *requester, runs *journal, path string) int {
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -122,10 +123,12 @@
 
 func startDaemon(binary, dir string, s *store, n, peerPort int) (*daemon, error) {
 	ip := loopback(n)
-	ports, err := freePorts(ip, 3)
+	ports, err := freePorts(ip, 4)
 	if err != nil {
 		return nil, err
 	}
+	// The port of the peers is the same on all addresses.
+	ports = slices.DeleteFunc(ports, func(port int) bool { return port == peerPort })
 	address := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	d := &daemon{
 		name: fmt.Sprintf("front-%s-%d", zone, n+1), front: address(ports[0]), ready: address(ports[1]),
--- a/review/standin-3/requester.go
+++ b/review/standin-3/requester.go
@@ -11,7 +11,7 @@
 // sentRequest is one request of a requester and its answer.
 type sentRequest struct {
 	id, path, key string
-	at, answered  time.Time
+	at            time.Time
 	// status is 0 if there was no answer.
 	status int
 }
@@ -62,9 +62,8 @@
 		if err != nil {
 			ending = ", broken off"
 		}
-		r.record.line(q.at, "%s to %s %s%s: %d%s", q.id, d.name, path, note, q.status, ending)
+		r.record.line(q.at, "%s to %s %s%s: %d%s after %v", q.id, d.name, path, note, q.status, ending, time.Since(q.at).Round(time.Millisecond))
 	}
-	q.answered = time.Now()
 	r.sent = append(r.sent, q)
 }
 
