--- a/review/standin-3/crash.go
+++ b/review/standin-3/crash.go
@@ -18,6 +18,8 @@
 	// Such a request comes again at comeAgain for comesFor.
 	comeAgain = time.Second
 	comesFor  = 25 * time.Second
+	// roundTime is how long it comes between two kills of all daemons.
+	roundTime = 8 * time.Second
 	reporters = 10
 	orderWork = 200
 )
@@ -34,16 +36,7 @@
 		return false, err
 	}
 	runs := newJournal()
-	for n := range reporters {
-		if err := startUpstream(fmt.Sprintf("i-%d", n), "reports", platform, runs, s.record); err != nil {
-			return false, err
-		}
-	}
-	reports := routeTo("/reports/", "reports", 1500)
-	reports["kind"] = "idempotent"
-	routes := []map[string]any{reports, routeTo("/orders/", "reports", 1500)}
-	platform.put("op", "config", desiredState(3, []string{"reports"}, routes, nil))
-	daemons, err := startDaemons(s.binary, s.dir, platform, 3)
+	daemons, err := s.startReports(platform, runs)
 	defer func() {
 		for _, d := range daemons {
 			d.stop()
@@ -111,6 +104,69 @@
 	return s.recordFaults(faults), nil
 }
 
+// forgottenCrash sends a request that crashes upstreams until it is held back, kills all daemons at once,
+// and sends it again once they have been in touch for a while, twice.
+func forgottenCrash(s *setup) (broken bool, err error) {
+	platform, err := startStore()
+	if err != nil {
+		return false, err
+	}
+	runs := newJournal()
+	daemons, err := s.startReports(platform, runs)
+	defer func() {
+		for _, d := range daemons {
+			d.stop()
+		}
+	}()
+	if err != nil {
+		return false, err
+	}
+	report := &requester{record: s.record, method: http.MethodGet}
+	const path, rounds = crashBegun + "case", 3
+	for round := range rounds {
+		for began, n := time.Now(), 0; time.Since(began) < roundTime; n++ {
+			report.send(daemons[n%len(daemons)], path, "")
+			time.Sleep(comeAgain)
+		}
+		if round == rounds-1 {
+			break
+		}
+		if s.trouble {
+			s.record.line(time.Now(), "all daemons are killed")
+			if err := restartAll(daemons); err != nil {
+				return false, err
+			}
+			s.record.line(time.Now(), "all daemons are ready again")
+		}
+		time.Sleep(stableWindow + spare)
+	}
+	for _, d := range daemons {
+		if !d.running() {
+			return false, errors.New(d.name + " has ended")
+		}
+	}
+	s.recordRuns(report, runs)
+	faults := make(map[string]int)
+	if late := s.lateArrivals(report, runs, path); late > mostRetries {
+		faults["BUDGET: reached an upstream later than stable_window after it had crashed the third"] = late
+	}
+	return s.recordFaults(faults), nil
+}
+
+// startReports starts upstreams that serve reports and orders, and three daemons.
+func (s *setup) startReports(platform *store, runs *journal) ([]*daemon, error) {
+	for n := range reporters {
+		if err := startUpstream(fmt.Sprintf("i-%d", n), "reports", platform, runs, s.record); err != nil {
+			return nil, err
+		}
+	}
+	reports := routeTo("/reports/", "reports", 1500)
+	reports["kind"] = "idempotent"
+	routes := []map[string]any{reports, routeTo("/orders/", "reports", 1500)}
+	platform.put("op", "config", desiredState(3, []string{"reports"}, routes, nil))
+	return startDaemons(s.binary, s.dir, platform, 3)
+}
+
 // recordRuns records the runs of the requests of a requester, and returns how many were lost with their
 // upstream.
 func (s *setup) recordRuns(r *requester, runs *journal) (lost int) {
@@ -149,12 +205,3 @@
 	s.record.line(time.Now(), "%s reached upstreams %d times, %d of them late", path, len(arrivals), late)
 	return late
 }
-
-func ended(stop <-chan struct{}) bool {
-	select {
-	case <-stop:
-		return true
-	default:
-		return false
-	}
-}
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -16,14 +16,18 @@
 const (
 	zone       = "zone-a"
 	readyLimit = 15 * time.Second
+	// restartDelay is the time between the end of a process and its next start.
+	restartDelay = 200 * time.Millisecond
 )
 
 // daemon is a process of the system under test, on a loopback address of its own.
 type daemon struct {
-	name, front, ready string
-	cmd                *exec.Cmd
-	log                *os.File
-	ended              chan struct{}
+	name, front, ready    string
+	binary, dir, settings string
+	log                   *os.File
+	cmd                   *exec.Cmd
+	// ended is closed when the process that was started last has ended.
+	ended chan struct{}
 }
 
 // settingsText is the settings file of DEPLOY.md, with the bounds of the sites with tenants.
@@ -132,29 +136,36 @@
 	address := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	d := &daemon{
 		name: fmt.Sprintf("front-%s-%d", zone, n+1), front: address(ports[0]), ready: address(ports[1]),
-		ended: make(chan struct{}),
+		binary: binary, dir: dir,
 	}
-	settings := filepath.Join(dir, d.name+".toml")
+	d.settings = filepath.Join(dir, d.name+".toml")
 	text := fmt.Sprintf(settingsText, d.name, ip, zone, peerPort, d.front, d.ready, address(ports[2]), s.address)
-	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
 	if d.log, err = os.Create(filepath.Join(dir, d.name+".log")); err != nil {
 		return nil, err
 	}
-	d.cmd = exec.Command(binary, "--platform")
-	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + dir, "POMELOLOCK_CONFIG=" + settings}
+	return d, d.start()
+}
+
+// start starts the process.
+func (d *daemon) start() error {
+	d.cmd = exec.Command(d.binary, "--platform")
+	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + d.dir, "POMELOLOCK_CONFIG=" + d.settings}
 	d.cmd.Stdout, d.cmd.Stderr = d.log, d.log
 	// The kernel ends the daemon if this process is killed.
 	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := d.cmd.Start(); err != nil {
-		return nil, err
+		return err
 	}
+	cmd, ended := d.cmd, make(chan struct{})
+	d.ended = ended
 	go func() {
-		_ = d.cmd.Wait()
-		close(d.ended)
+		_ = cmd.Wait()
+		close(ended)
 	}()
-	return d, nil
+	return nil
 }
 
 func (d *daemon) awaitReady() error {
@@ -173,18 +184,48 @@
 }
 
 // running reports whether the process has not ended.
-func (d *daemon) running() bool {
-	select {
-	case <-d.ended:
-		return false
-	default:
-		return true
-	}
-}
+func (d *daemon) running() bool { return !ended(d.ended) }
 
-// stop kills the process and waits for its end.
-func (d *daemon) stop() {
+// kill kills the process and waits for its end.
+func (d *daemon) kill() {
 	_ = d.cmd.Process.Kill()
 	<-d.ended
+}
+
+// stop kills the process for good.
+func (d *daemon) stop() {
+	d.kill()
 	d.log.Close()
 }
+
+// restartAll kills all daemons at once, starts them again and waits until they are ready.
+func restartAll(daemons []*daemon) error {
+	for _, d := range daemons {
+		_ = d.cmd.Process.Kill()
+	}
+	for _, d := range daemons {
+		d.kill()
+	}
+	time.Sleep(restartDelay)
+	for _, d := range daemons {
+		if err := d.start(); err != nil {
+			return err
+		}
+	}
+	for _, d := range daemons {
+		if err := d.awaitReady(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ended reports whether a channel is closed.
+func ended(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -31,6 +31,7 @@
 	"last-tenant":           lastTenant,
 	"crash-while-answering": crashWhileAnswering,
 	"crash-silently":        crashSilently,
+	"crash-forgotten":       forgottenCrash,
 }
 
 func main() {
